refactor: fix the interfaces between the packages

One folder per concern in entry and steward, each with its own events, effects, state, reducer part and runner. The dispatcher keeps the backlog; the Peer service states every message between processes.

--- a/packages/entry/src/parts/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -2,11 +2,12 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import { z } from "zod";
 import type { EntryEffect } from "../effects.ts";
-import type { CallEvent, CallRequested, ServiceAnswer } from "../events.ts";
-import type { Call, CallRecord, EntryState } from "../state.ts";
+import type { EntryState } from "../state.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import type { Call, CallRecord } from "./call.ts";
+import type { CallEvent, CallRequested, ServiceAnswer } from "./call_event.ts";
 
 const claimMs = 3_000;
 const resolveMs = 30_000;
--- a/packages/entry/src/runners/service_runner.ts
+++ b/packages/entry/src/calls/service_runner.ts
@@ -1,20 +1,15 @@
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import { toFailure } from "@lavenderferry/errors";
 import type { PlatformClient } from "@lavenderferry/platform";
 import { Agent } from "undici";
-import type { CallEffect } from "../effects.ts";
 import type { EntryEvent } from "../events.ts";
-import { neverSent } from "./engine_runner.ts";
+import { neverSent } from "../util/never_sent.ts";
+import type { CallEffect } from "./call_effect.ts";
 
 const connectTimeoutMs = 1_000;
 const callTimeoutMs = 10_000;
 
-type CallHandlers = {
-  readonly [Kind in CallEffect["kind"]]: (
-    effect: Extract<CallEffect, { kind: Kind }>,
-    dispatch: Dispatch<EntryEvent>,
-  ) => void;
-};
+type CallHandlers = EffectHandlers<EntryEvent, CallEffect>;
 
 /** Runs the effects towards plain services and the calls' records. */
 export class ServiceRunner {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,21 +1,22 @@
 import { randomBytes } from "node:crypto";
 import { PlatformClient } from "@lavenderferry/platform";
-import { PeerServer } from "@lavenderferry/protocol";
+import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
+import { ServiceRunner } from "./calls/service_runner.ts";
 import type { EntryEffect } from "./effects.ts";
 import type { EntryEvent } from "./events.ts";
+import { createFleetHandlers } from "./fleet/fleet_runner.ts";
+import { createPeerMethods } from "./fleet/peer_methods.ts";
+import { EngineRunner } from "./generations/engine_runner.ts";
+import { ReaderRunner } from "./generations/reader_runner.ts";
 import { CallerServer } from "./http/caller_server.ts";
-import { createEntryMetrics } from "./metrics.ts";
-import { createPeerMethods } from "./peer_methods.ts";
+import { createEntryMetrics } from "./process/metrics.ts";
+import { createProcessHandlers } from "./process/process_runner.ts";
 import { reduceEntry } from "./reduce.ts";
-import { EngineRunner } from "./runners/engine_runner.ts";
-import { KnowledgeRunner } from "./runners/knowledge_runner.ts";
-import { createProcessHandlers } from "./runners/process_runner.ts";
-import { ReaderRunner } from "./runners/reader_runner.ts";
-import { ServiceRunner } from "./runners/service_runner.ts";
 import type { EntrySettings } from "./settings.ts";
 import type { EntryState } from "./state.ts";
 import { createEntryState } from "./state.ts";
+import { createUsageHandlers } from "./usage/usage_runner.ts";
 
 const epochBytes = 6;
 
@@ -27,7 +28,7 @@
   const readers = new ReaderRunner(settings.streamSecret);
   const metrics = createEntryMetrics({
     generations: () => state.generations.size,
-    backlog: () => state.backlog.size,
+    backlog: () => state.waiting.size,
     calls: () => state.calls.size,
     configuration_version: () => state.timeline.latest.version,
     resident_bytes: () => process.memoryUsage.rss(),
@@ -39,7 +40,8 @@
     handlers: {
       ...new EngineRunner().handlers,
       ...new ServiceRunner(platform).handlers,
-      ...new KnowledgeRunner(platform).handlers,
+      ...createFleetHandlers(platform),
+      ...createUsageHandlers(new PeerClients()),
       ...readers.handlers,
       ...createProcessHandlers({
         clock: systemClock,
@@ -50,7 +52,7 @@
   });
   const { dispatch } = loop;
   const callers = new CallerServer({ state, dispatch, readers, metrics });
-  const peers = new PeerServer(createPeerMethods(state));
+  const peers = new PeerServer(createPeerMethods(state, dispatch));
   const { ip } = settings.callers;
   const callerPort = await callers.listen(ip, settings.callers.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
--- a/packages/entry/src/parts/knowledge_part.ts
+++ b/packages/entry/src/fleet/fleet_part.ts
@@ -1,16 +1,16 @@
 import type { Vm } from "@lavenderferry/platform";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
-import type { KnowledgeEvent } from "../events.ts";
 import type { EntryState } from "../state.ts";
-import { timerPeriods } from "../timers.ts";
+import { pumpBacklog } from "../generations/generation_start.ts";
+import { timerPeriods } from "../process/timers.ts";
 import { count } from "../util/effects.ts";
-import { pumpBacklog } from "./generation_start.ts";
+import type { FleetEvent } from "./fleet_event.ts";
 
 /** Keeps what the entry knows of upstreams and the configuration. */
-export const knowledgePart: EventHandlers<
+export const fleetPart: EventHandlers<
   EntryState,
-  KnowledgeEvent,
+  FleetEvent,
   EntryEffect
 > = {
   vms_listed: (state, event) => {
@@ -25,7 +25,10 @@
     state.dispatcher.report(event.engine, event.report, event.at);
     return pumpBacklog(state, event.at);
   },
-  load_failed: () => [count("retries", "load_report")],
+  load_failed: (state, event) => {
+    state.dispatcher.reportFailed(event.engine, event.at);
+    return [count("retries", "load_report")];
+  },
   cache_changed: (state, event) => {
     state.dispatcher.cacheChanged(event.engine, event.change);
     return [];
--- /dev/null
+++ b/packages/entry/src/fleet/fleet_runner.ts
@@ -0,0 +1,31 @@
+import { ConfigurationStore } from "@lavenderferry/configuration";
+import { toFailure } from "@lavenderferry/errors";
+import type { PlatformClient } from "@lavenderferry/platform";
+import type { EffectHandlers } from "@lavenderferry/runtime";
+import type { EntryEvent } from "../events.ts";
+import type { FleetEffect } from "./fleet_effect.ts";
+
+/** Creates the handlers of the effects towards the platform and peers. */
+export function createFleetHandlers(
+  platform: PlatformClient,
+): EffectHandlers<EntryEvent, FleetEffect> {
+  const configurations = new ConfigurationStore(platform);
+  return {
+    list_vms: (_effect, dispatch) => {
+      platform.listVms().then(
+        (vms) => dispatch({ kind: "vms_listed", vms }),
+        () => dispatch({ kind: "vms_failed" }),
+      );
+    },
+    read_configuration: (_effect, dispatch) => {
+      configurations.readLatest().then(
+        (configuration) =>
+          dispatch({ kind: "configuration_learned", configuration }),
+        (error: unknown) => {
+          const { kind } = toFailure(error);
+          dispatch({ kind: "configuration_failed", error: kind });
+        },
+      );
+    },
+  };
+}
--- a/packages/entry/src/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -1,9 +1,14 @@
 import { KnownError } from "@lavenderferry/errors";
 import type { PeerMethods } from "@lavenderferry/protocol";
-import type { EntryState } from "./state.ts";
+import type { Dispatch } from "@lavenderferry/runtime";
+import type { EntryEvent } from "../events.ts";
+import type { EntryState } from "../state.ts";
 
 /** Creates the entry's answers to its peers. */
-export function createPeerMethods(state: EntryState): PeerMethods {
+export function createPeerMethods(
+  state: EntryState,
+  dispatch: Dispatch<EntryEvent>,
+): PeerMethods {
   return {
     exchange: () =>
       Promise.resolve({
@@ -15,7 +20,18 @@
       Promise.reject(
         new KnownError("An entry settles no usage", { kind: "bad_request" }),
       ),
-    explain: (subject) =>
+    hold: () =>
+      Promise.reject(
+        new KnownError("An entry holds nothing yet", { kind: "bad_request" }),
+      ),
+    takeOver: ({ generation }) =>
+      Promise.resolve({ known: state.generations.has(generation) }),
+    drain: () => {
+      dispatch({ kind: "stop_requested" });
+      const running = state.generations.size + state.calls.size;
+      return Promise.resolve({ running });
+    },
+    explain: ({ subject }) =>
       Promise.resolve({
         decisions: state.decisions.about(subject).map((decision) => ({
           ...decision,
--- a/packages/entry/src/runners/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -1,15 +1,12 @@
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import { createParser } from "eventsource-parser";
 import type { Dispatcher } from "undici";
 import { Agent } from "undici";
 import { z } from "zod";
-import type { EngineEffect } from "../effects.ts";
-import type {
-  EngineFailure,
-  EngineUsage,
-  EntryEvent,
-  Token,
-} from "../events.ts";
+import type { EntryEvent } from "../events.ts";
+import { neverSent } from "../util/never_sent.ts";
+import type { EngineEffect } from "./generation_effect.ts";
+import type { EngineFailure, EngineUsage, Token } from "./generation_event.ts";
 
 const connectTimeoutMs = 1_000;
 const headersTimeoutMs = 30_000;
@@ -58,12 +55,7 @@
   readonly usage?: unknown;
 }
 
-type EngineHandlers = {
-  readonly [Kind in EngineEffect["kind"]]: (
-    effect: Extract<EngineEffect, { kind: Kind }>,
-    dispatch: Dispatch<EntryEvent>,
-  ) => void;
-};
+type EngineHandlers = EffectHandlers<EntryEvent, EngineEffect>;
 
 /** Runs the effects towards engines, over HTTP with server-sent events. */
 export class EngineRunner {
@@ -267,18 +259,6 @@
   return { kind: "lost", reason: `status_${response.statusCode}` };
 }
 
-const unsentCodes: readonly unknown[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
-
-/** Whether the error proves that no byte of the request was sent. */
-export function neverSent(error: unknown): boolean {
-  return unsentCodes.includes((error as { code?: unknown } | null)?.code);
-}
-
 function failureOf(error: unknown, attempt: Attempt): EngineFailure {
   if (neverSent(error)) {
     return attempt.started
--- a/packages/entry/src/parts/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -3,13 +3,14 @@
 import { estimateTokens, prefixDigests } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
+import type { EntryState } from "../state.ts";
+import type { Generation } from "./generation.ts";
 import type {
   EngineUsage,
   GenerationEvent,
   GenerationRequested,
   Token,
-} from "../events.ts";
-import type { EntryState, Generation } from "../state.ts";
+} from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
--- a/packages/entry/src/parts/generation_recovery.ts
+++ b/packages/entry/src/generations/generation_recovery.ts
@@ -1,7 +1,8 @@
 import type { Timed } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
-import type { GenerationEvent } from "../events.ts";
-import type { EntryState, Generation } from "../state.ts";
+import type { EntryState } from "../state.ts";
+import type { Generation } from "./generation.ts";
+import type { GenerationEvent } from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count } from "../util/effects.ts";
--- a/packages/entry/src/parts/generation_start.ts
+++ b/packages/entry/src/generations/generation_start.ts
@@ -1,6 +1,8 @@
+import type { Placement } from "@lavenderferry/policy";
 import type { Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
-import type { EntryState, Generation } from "../state.ts";
+import type { EntryState } from "../state.ts";
+import type { Generation } from "./generation.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
@@ -12,17 +14,40 @@
   at: Moment,
 ): readonly EntryEffect[] {
   const placement = state.dispatcher.place(generation.demand, at);
+  return followPlacement(state, generation, { placement, at });
+}
+
+/** Acts on every demand of the backlog whose wait is over. */
+export function pumpBacklog(
+  state: EntryState,
+  at: Moment,
+): readonly EntryEffect[] {
+  const effects: EntryEffect[] = [];
+  for (const { demand, placement } of state.dispatcher.release(at)) {
+    const generation = state.waiting.get(demand.requestId);
+    if (generation !== undefined) {
+      effects.push(...followPlacement(state, generation, { placement, at }));
+    }
+  }
+  return effects;
+}
+
+function followPlacement(
+  state: EntryState,
+  generation: Generation,
+  decided: { readonly placement: Placement; readonly at: Moment },
+): readonly EntryEffect[] {
+  const { placement, at } = decided;
   const { reason, figures } = placement;
   const subject = generation.stream.requestId;
+  state.waiting.delete(subject);
   switch (placement.kind) {
     case "dispatch":
       decide(state, { kind: "choose", subject, reason, figures }, at.wall);
       return startGeneration(state, generation, { ...placement, at });
     case "wait":
-      if (!state.backlog.has(generation.stream.generationId)) {
-        decide(state, { kind: "queue", subject, reason, figures }, at.wall);
-        state.backlog.add(generation.stream.generationId);
-      }
+      decide(state, { kind: "queue", subject, reason, figures }, at.wall);
+      state.waiting.set(subject, generation);
       return [];
     case "refuse":
       decide(state, { kind: "refuse", subject, reason, figures }, at.wall);
@@ -35,23 +60,6 @@
   }
 }
 
-/** Places what waits, for as long as something can be sent. */
-export function pumpBacklog(
-  state: EntryState,
-  at: Moment,
-): readonly EntryEffect[] {
-  const effects: EntryEffect[] = [];
-  for (const generationId of [...state.backlog]) {
-    const generation = state.generations.get(generationId);
-    if (generation === undefined) {
-      state.backlog.delete(generationId);
-      continue;
-    }
-    effects.push(...placeGeneration(state, generation, at));
-  }
-  return effects;
-}
-
 /** Answers the generation's reader, if it is there, with an error. */
 export function failGeneration(
   generation: Generation,
@@ -69,9 +77,11 @@
   state: EntryState,
   generation: Generation,
 ): void {
-  const { generationId } = generation.stream;
+  const { generationId, requestId } = generation.stream;
   state.generations.delete(generationId);
-  state.backlog.delete(generationId);
+  if (state.waiting.delete(requestId)) {
+    state.dispatcher.withdraw(requestId);
+  }
   if (generation.readerId !== null) {
     state.readers.delete(generation.readerId);
   }
@@ -106,7 +116,6 @@
     return placeGeneration(state, generation, at);
   }
   const { generationId } = generation.stream;
-  state.backlog.delete(generationId);
   generation.stream = { ...generation.stream, upstream: engine };
   generation.phase = "sent";
   generation.attemptId = nextId(state);
--- a/packages/entry/src/runners/reader_runner.ts
+++ b/packages/entry/src/generations/reader_runner.ts
@@ -1,11 +1,12 @@
 import type { ServerResponse } from "node:http";
 import { signStreamToken } from "@lavenderferry/credentials";
 import type { StreamToken } from "@lavenderferry/credentials";
-import type { Dispatch } from "@lavenderferry/runtime";
-import type { ReaderEffect } from "../effects.ts";
-import type { EntryEvent, Token } from "../events.ts";
+import type { EffectHandlers } from "@lavenderferry/runtime";
+import type { EntryEvent } from "../events.ts";
 import { sendProblem } from "../http/send_problem.ts";
 import { toProblem } from "@lavenderferry/errors";
+import type { ReaderEffect } from "./generation_effect.ts";
+import type { Token } from "./generation_event.ts";
 
 /** Bytes that may wait for one reader. */
 const maxBufferedBytes = 4_194_304;
@@ -20,12 +21,7 @@
   chunkHead: string;
 }
 
-type ReaderHandlers = {
-  readonly [Kind in ReaderEffect["kind"]]: (
-    effect: Extract<ReaderEffect, { kind: Kind }>,
-    dispatch: Dispatch<EntryEvent>,
-  ) => void;
-};
+type ReaderHandlers = EffectHandlers<EntryEvent, ReaderEffect>;
 
 /** Writes to the callers' connections. */
 export class ReaderRunner {
--- a/packages/entry/src/parts/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -1,19 +1,19 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import { retryRecord } from "../calls/call_part.ts";
 import type { EntryEffect } from "../effects.ts";
-import type { LifecycleEvent } from "../events.ts";
+import { cancelGeneration } from "../generations/generation_part.ts";
+import { retryGeneration } from "../generations/generation_recovery.ts";
+import { pumpBacklog } from "../generations/generation_start.ts";
 import type { EntryState } from "../state.ts";
-import type { TimerName } from "../timers.ts";
-import { timerPeriods } from "../timers.ts";
-import { count } from "../util/effects.ts";
-import { retryRecord } from "./call_part.ts";
-import { cancelGeneration } from "./generation_part.ts";
-import { retryGeneration } from "./generation_recovery.ts";
-import { pumpBacklog } from "./generation_start.ts";
+import { flushUsage } from "../usage/usage_part.ts";
+import type { ProcessEvent } from "./process_event.ts";
+import type { TimerName } from "./timers.ts";
+import { timerPeriods } from "./timers.ts";
 
-/** Starts, timers, settlement of usage and stops. */
+/** Starts, timers and stops. */
 export const lifecyclePart: EventHandlers<
   EntryState,
-  LifecycleEvent,
+  ProcessEvent,
   EntryEffect
 > = {
   started: (_state, event) => [
@@ -24,11 +24,6 @@
     repeat("pump_backlog", event.at),
   ],
   timer_fired: (state, event) => fire(state, event.timer, event.at),
-  usage_settled: (state, event) => {
-    state.usage.settle(event.settled);
-    return exitWhenDone(state);
-  },
-  usage_not_settled: () => [count("retries", "settlement")],
   stop_requested: requestStop,
 };
 
@@ -96,22 +91,9 @@
     .map(({ id, address }) => ({ kind: "read_load", engine: id, address }));
 }
 
-function flushUsage(state: EntryState): readonly EntryEffect[] {
-  state.usage.close();
-  const batch = state.usage.oldest;
-  const stewards = [...state.vms.values()].filter((vm) =>
-    vm.role === "steward" && vm.peers !== undefined
-  );
-  const steward = stewards[state.random.below(Math.max(1, stewards.length))];
-  if (batch === undefined || steward?.peers === undefined) {
-    return [];
-  }
-  return [{ kind: "settle_usage", address: steward.peers, batch }];
-}
-
 function requestStop(
   state: EntryState,
-  event: Timed<Extract<LifecycleEvent, { kind: "stop_requested" }>>,
+  event: Timed<Extract<ProcessEvent, { kind: "stop_requested" }>>,
 ): readonly EntryEffect[] {
   if (state.stopping) {
     return [{ kind: "exit" }];
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/process/metrics.ts
@@ -1,5 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CounterName, HistogramName } from "./effects.ts";
+import type { CounterName, HistogramName } from "./process_effect.ts";
 
 /** The entry's series. */
 export interface EntryMetrics {
--- /dev/null
+++ b/packages/entry/src/process/process_event.ts
@@ -0,0 +1,7 @@
+import type { TimerName } from "./timers.ts";
+
+/** Events of the process itself. */
+export type ProcessEvent =
+  | { readonly kind: "started" }
+  | { readonly kind: "timer_fired"; readonly timer: TimerName }
+  | { readonly kind: "stop_requested" };
--- a/packages/entry/src/runners/process_runner.ts
+++ b/packages/entry/src/process/process_runner.ts
@@ -1,15 +1,10 @@
-import type { Clock, Dispatch } from "@lavenderferry/runtime";
+import type { Clock, EffectHandlers } from "@lavenderferry/runtime";
 import { createLogger } from "@lavenderferry/runtime";
-import type { ProcessEffect } from "../effects.ts";
 import type { EntryEvent } from "../events.ts";
-import type { EntryMetrics } from "../metrics.ts";
+import type { EntryMetrics } from "./metrics.ts";
+import type { ProcessEffect } from "./process_effect.ts";
 
-type ProcessHandlers = {
-  readonly [Kind in ProcessEffect["kind"]]: (
-    effect: Extract<ProcessEffect, { kind: Kind }>,
-    dispatch: Dispatch<EntryEvent>,
-  ) => void;
-};
+type ProcessHandlers = EffectHandlers<EntryEvent, ProcessEffect>;
 
 /** What the process's own effects need. */
 export interface ProcessRunnerOptions {
--- a/packages/entry/src/util/effects.ts
+++ b/packages/entry/src/util/effects.ts
@@ -1,6 +1,7 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import { errorKinds } from "@lavenderferry/errors";
-import type { CounterName, EntryEffect } from "../effects.ts";
+import type { EntryEffect } from "../effects.ts";
+import type { CounterName } from "../process/process_effect.ts";
 
 /** Raises a counter by one, or by the amount. */
 export function count(
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -99,8 +99,28 @@
   readonly demand: Demand;
 }
 
+/** A demand of the backlog whose wait is over. */
+export interface Release {
+  readonly demand: Demand;
+  readonly placement: Exclude<Placement, { readonly kind: "wait" }>;
+}
+
+/** Work that one peer has in flight at one engine. */
+export interface PeerShare {
+  readonly engine: string;
+  readonly running: number;
+  readonly tokens: number;
+}
+
+/** Decayed counts of output lengths, by power-of-two bucket. */
+export interface LengthSketch {
+  readonly workClass: string;
+  readonly model: string;
+  readonly counts: readonly number[];
+}
+
 /**
- * Decides where and when generations run.
+ * Decides where and when generations run, and keeps the backlog.
  * All methods are deterministic: time and random numbers come in from outside.
  */
 export interface Dispatcher {
@@ -110,10 +130,26 @@
   removeEngine(id: string): void;
   /** Takes a load report. */
   report(id: string, report: LoadReport, at: Moment): void;
+  /** Notes that a load report did not arrive. */
+  reportFailed(id: string, at: Moment): void;
   /** Takes digests of prefixes that an engine holds or has dropped. */
   cacheChanged(id: string, change: CacheChange): void;
-  /** Decides where a demand goes at this moment. */
+  /** Takes the work that a peer has in flight, in place of its former. */
+  peerChanged(peer: string, shares: readonly PeerShare[], at: Moment): void;
+  /** Takes a peer's counts of output lengths. */
+  learnLengths(peer: string, sketches: readonly LengthSketch[]): void;
+  /** Returns the counts of output lengths that changed since the last call. */
+  changedLengths(): readonly LengthSketch[];
+  /** Returns the work in flight by engine. */
+  shares(): readonly PeerShare[];
+  /** Decides where a demand goes; one that must wait joins the backlog. */
   place(demand: Demand, at: Moment): Placement;
+  /** Removes a demand from the backlog. */
+  withdraw(requestId: string): void;
+  /** Removes and returns the demands of the backlog whose wait is over. */
+  release(at: Moment): readonly Release[];
+  /** Demands that wait. */
+  readonly waiting: number;
   /** Notes that a generation was sent as placed. */
   sent(sent: Sent, at: Moment): void;
   /** Notes that tokens arrived; the count is since the start. */
--- a/packages/policy/src/least_load.ts
+++ b/packages/policy/src/least_load.ts
@@ -1,15 +1,15 @@
 import type {
   Demand,
-  Dispatcher,
   EngineDescription,
   LoadReport,
   Placement,
 } from "./dispatcher.ts";
+import { UnqueuedDispatcher } from "./unqueued_dispatcher.ts";
 
 const retryAfterMs = 1_000;
 
 /** Baseline: the engine whose lagged report shows the least load. */
-export class LeastLoad implements Dispatcher {
+export class LeastLoad extends UnqueuedDispatcher {
   readonly #reports = new Map<string, LoadReport | null>();
 
   addEngine(engine: EngineDescription): void {
@@ -50,14 +50,6 @@
       figures: { load: load(report ?? null) },
     };
   }
-
-  cacheChanged(): void {}
-
-  sent(): void {}
-
-  progressed(): void {}
-
-  ended(): void {}
 }
 
 function serves(report: LoadReport | null, model: string): boolean {
--- a/packages/policy/src/round_robin.ts
+++ b/packages/policy/src/round_robin.ts
@@ -1,16 +1,16 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type {
   Demand,
-  Dispatcher,
   EngineDescription,
   LoadReport,
   Placement,
 } from "./dispatcher.ts";
+import { UnqueuedDispatcher } from "./unqueued_dispatcher.ts";
 
 const retryAfterMs = 1_000;
 
 /** Baseline: each engine in turn, without regard to load. */
-export class RoundRobin implements Dispatcher {
+export class RoundRobin extends UnqueuedDispatcher {
   readonly #engines = new Map<string, readonly string[] | null>();
   #next = 0;
 
@@ -54,12 +54,4 @@
       figures: { engines: candidates.length },
     };
   }
-
-  cacheChanged(): void {}
-
-  sent(): void {}
-
-  progressed(): void {}
-
-  ended(): void {}
 }
--- /dev/null
+++ b/packages/policy/src/unqueued_dispatcher.ts
@@ -0,0 +1,56 @@
+import type { Moment } from "@lavenderferry/runtime";
+import type {
+  CacheChange,
+  Demand,
+  Dispatcher,
+  Ending,
+  EngineDescription,
+  LengthSketch,
+  LoadReport,
+  PeerShare,
+  Placement,
+  Release,
+  Sent,
+} from "./dispatcher.ts";
+
+/** What a baseline without a backlog does not need to know. */
+export abstract class UnqueuedDispatcher implements Dispatcher {
+  readonly waiting = 0;
+
+  abstract addEngine(engine: EngineDescription, at: Moment): void;
+  abstract removeEngine(id: string): void;
+  abstract report(id: string, report: LoadReport, at: Moment): void;
+  abstract place(demand: Demand, at: Moment): Placement;
+
+  reportFailed(_id: string, _at: Moment): void {}
+
+  cacheChanged(_id: string, _change: CacheChange): void {}
+
+  peerChanged(
+    _peer: string,
+    _shares: readonly PeerShare[],
+    _at: Moment,
+  ): void {}
+
+  learnLengths(_peer: string, _sketches: readonly LengthSketch[]): void {}
+
+  changedLengths(): readonly LengthSketch[] {
+    return [];
+  }
+
+  shares(): readonly PeerShare[] {
+    return [];
+  }
+
+  withdraw(_requestId: string): void {}
+
+  release(_at: Moment): readonly Release[] {
+    return [];
+  }
+
+  sent(_sent: Sent, _at: Moment): void {}
+
+  progressed(_generationId: string, _tokens: number, _at: Moment): void {}
+
+  ended(_generationId: string, _ending: Ending, _at: Moment): void {}
+}
--- /dev/null
+++ b/packages/protocol/src/limits.ts
@@ -0,0 +1,2 @@
+/** Largest message between processes, in bytes. */
+export const maxMessageBytes = 1_048_576;
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -1,25 +1,39 @@
 import { KnownError } from "@lavenderferry/errors";
-import type { ClientUnaryCall, requestCallback } from "@grpc/grpc-js";
+import type {
+  ChannelCredentials,
+  ClientUnaryCall,
+  requestCallback,
+} from "@grpc/grpc-js";
 import { credentials } from "@grpc/grpc-js";
+import type { DrainReply__Output } from "./generated/lavenderferry/v1/DrainReply.ts";
+import type { DrainRequest } from "./generated/lavenderferry/v1/DrainRequest.ts";
 import type {
   ExchangeMessage,
   ExchangeMessage__Output,
 } from "./generated/lavenderferry/v1/ExchangeMessage.ts";
 import type { ExplainReply__Output } from "./generated/lavenderferry/v1/ExplainReply.ts";
-import type { PeerClient as GeneratedClient } from "./generated/lavenderferry/v1/Peer.ts";
+import type { ExplainRequest } from "./generated/lavenderferry/v1/ExplainRequest.ts";
+import type { HoldReply__Output } from "./generated/lavenderferry/v1/HoldReply.ts";
+import type { HoldRequest } from "./generated/lavenderferry/v1/HoldRequest.ts";
 import type { SettleReply__Output } from "./generated/lavenderferry/v1/SettleReply.ts";
-import type { UsageBatch } from "./generated/lavenderferry/v1/UsageBatch.ts";
+import type { SettleRequest } from "./generated/lavenderferry/v1/SettleRequest.ts";
+import type { TakeOverReply__Output } from "./generated/lavenderferry/v1/TakeOverReply.ts";
+import type { TakeOverRequest } from "./generated/lavenderferry/v1/TakeOverRequest.ts";
+import type { PeerClient as GeneratedClient } from "./generated/lavenderferry/v1/Peer.ts";
 import { peerService } from "./peer_service.ts";
+import { maxMessageBytes } from "./limits.ts";
 
 const callTimeoutMs = 1_000;
-const maxMessageBytes = 1_048_576;
 
 /** Client of one peer; every call has a deadline. */
 export class PeerClient {
   readonly #client: GeneratedClient;
 
-  constructor(address: string) {
-    this.#client = new peerService(address, credentials.createInsecure(), {
+  constructor(
+    address: string,
+    channel: ChannelCredentials = credentials.createInsecure(),
+  ) {
+    this.#client = new peerService(address, channel, {
       "grpc.max_receive_message_length": maxMessageBytes,
       "grpc.max_send_message_length": maxMessageBytes,
       "grpc.initial_reconnect_backoff_ms": 100,
@@ -35,17 +49,38 @@
     );
   }
 
-  /** Asks the peer to settle a batch. */
-  settle(batch: UsageBatch): Promise<SettleReply__Output> {
+  /** Asks the peer to settle batches of one epoch. */
+  settle(message: SettleRequest): Promise<SettleReply__Output> {
+    return unary((callback) =>
+      this.#client.settle(message, { deadline: deadline() }, callback)
+    );
+  }
+
+  /** Asks the peer to keep what this process would lose by its death. */
+  hold(message: HoldRequest): Promise<HoldReply__Output> {
     return unary((callback) =>
-      this.#client.settle(batch, { deadline: deadline() }, callback)
+      this.#client.hold(message, { deadline: deadline() }, callback)
+    );
+  }
+
+  /** Tells the peer that this process carries one of its generations. */
+  takeOver(message: TakeOverRequest): Promise<TakeOverReply__Output> {
+    return unary((callback) =>
+      this.#client.takeOver(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Asks the peer for its decisions about a subject. */
-  explain(subject: string): Promise<ExplainReply__Output> {
+  explain(message: ExplainRequest): Promise<ExplainReply__Output> {
+    return unary((callback) =>
+      this.#client.explain(message, { deadline: deadline() }, callback)
+    );
+  }
+
+  /** Asks the peer to begin a planned stop. */
+  drain(message: DrainRequest): Promise<DrainReply__Output> {
     return unary((callback) =>
-      this.#client.explain({ subject }, { deadline: deadline() }, callback)
+      this.#client.drain(message, { deadline: deadline() }, callback)
     );
   }
 
@@ -70,7 +105,6 @@
           new KnownError(message, {
             kind: "upstream_lost",
             notRun: "unknown",
-            cause: error,
           }),
         );
         return;
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -1,38 +1,55 @@
 import { toFailure } from "@lavenderferry/errors";
 import type { handleUnaryCall } from "@grpc/grpc-js";
 import { Server, ServerCredentials, status } from "@grpc/grpc-js";
+import type { DrainReply } from "./generated/lavenderferry/v1/DrainReply.ts";
+import type { DrainRequest__Output } from "./generated/lavenderferry/v1/DrainRequest.ts";
 import type {
   ExchangeMessage,
   ExchangeMessage__Output,
 } from "./generated/lavenderferry/v1/ExchangeMessage.ts";
 import type { ExplainReply } from "./generated/lavenderferry/v1/ExplainReply.ts";
-import type { PeerHandlers } from "./generated/lavenderferry/v1/Peer.ts";
+import type { ExplainRequest__Output } from "./generated/lavenderferry/v1/ExplainRequest.ts";
+import type { HoldReply } from "./generated/lavenderferry/v1/HoldReply.ts";
+import type { HoldRequest__Output } from "./generated/lavenderferry/v1/HoldRequest.ts";
 import type { SettleReply } from "./generated/lavenderferry/v1/SettleReply.ts";
-import type { UsageBatch__Output } from "./generated/lavenderferry/v1/UsageBatch.ts";
+import type { SettleRequest__Output } from "./generated/lavenderferry/v1/SettleRequest.ts";
+import type { TakeOverReply } from "./generated/lavenderferry/v1/TakeOverReply.ts";
+import type { TakeOverRequest__Output } from "./generated/lavenderferry/v1/TakeOverRequest.ts";
+import type { PeerHandlers } from "./generated/lavenderferry/v1/Peer.ts";
+import { maxMessageBytes } from "./limits.ts";
 import { peerService } from "./peer_service.ts";
 
-const maxMessageBytes = 1_048_576;
-
 /** What a process answers to its peers. */
 export interface PeerMethods {
   exchange(message: ExchangeMessage__Output): Promise<ExchangeMessage>;
-  settle(batch: UsageBatch__Output): Promise<SettleReply>;
-  explain(subject: string): Promise<ExplainReply>;
+  settle(message: SettleRequest__Output): Promise<SettleReply>;
+  hold(message: HoldRequest__Output): Promise<HoldReply>;
+  takeOver(message: TakeOverRequest__Output): Promise<TakeOverReply>;
+  explain(message: ExplainRequest__Output): Promise<ExplainReply>;
+  drain(message: DrainRequest__Output): Promise<DrainReply>;
 }
 
 /** Serves the Peer service on one socket. */
 export class PeerServer {
   readonly #server: Server;
+  readonly #credentials: ServerCredentials;
 
-  constructor(methods: PeerMethods) {
+  constructor(
+    methods: PeerMethods,
+    credentials: ServerCredentials = ServerCredentials.createInsecure(),
+  ) {
+    this.#credentials = credentials;
     this.#server = new Server({
       "grpc.max_receive_message_length": maxMessageBytes,
       "grpc.max_send_message_length": maxMessageBytes,
     });
     const handlers: PeerHandlers = {
       Exchange: unary((message) => methods.exchange(message)),
-      Settle: unary((batch) => methods.settle(batch)),
-      Explain: unary(({ subject }) => methods.explain(subject)),
+      Settle: unary((message) => methods.settle(message)),
+      Hold: unary((message) => methods.hold(message)),
+      TakeOver: unary((message) => methods.takeOver(message)),
+      Explain: unary((message) => methods.explain(message)),
+      Drain: unary((message) => methods.drain(message)),
     };
     this.#server.addService(peerService.service, handlers);
   }
@@ -41,8 +58,7 @@
   listen(ip: string, port: number): Promise<number> {
     const address = ip.includes(":") ? `[${ip}]:${port}` : `${ip}:${port}`;
     return new Promise((resolve, reject) => {
-      const credentials = ServerCredentials.createInsecure();
-      this.#server.bindAsync(address, credentials, (error, bound) => {
+      this.#server.bindAsync(address, this.#credentials, (error, bound) => {
         if (error) {
           reject(error);
         } else {
--- /dev/null
+++ b/packages/steward/src/fleet/fleet_event.ts
@@ -0,0 +1,12 @@
+import type { Configuration } from "@lavenderferry/configuration";
+import type { Vm } from "@lavenderferry/platform";
+
+/** Events of VMs, peers and the configuration. */
+export type FleetEvent =
+  | { readonly kind: "vms_listed"; readonly vms: readonly Vm[] }
+  | { readonly kind: "vms_failed" }
+  | {
+    readonly kind: "configuration_learned";
+    readonly configuration: Configuration;
+  }
+  | { readonly kind: "configuration_failed" };
--- /dev/null
+++ b/packages/steward/src/fleet/fleet_runner.ts
@@ -0,0 +1,27 @@
+import { ConfigurationStore } from "@lavenderferry/configuration";
+import type { PlatformClient } from "@lavenderferry/platform";
+import type { EffectHandlers } from "@lavenderferry/runtime";
+import type { StewardEvent } from "../events.ts";
+import type { FleetEffect } from "./fleet_effect.ts";
+
+/** Creates the handlers of the effects towards the platform and peers. */
+export function createFleetHandlers(
+  platform: PlatformClient,
+): EffectHandlers<StewardEvent, FleetEffect> {
+  const configurations = new ConfigurationStore(platform);
+  return {
+    list_vms: (_effect, dispatch) => {
+      platform.listVms().then(
+        (vms) => dispatch({ kind: "vms_listed", vms }),
+        () => dispatch({ kind: "vms_failed" }),
+      );
+    },
+    read_latest: (_effect, dispatch) => {
+      configurations.readLatest().then(
+        (configuration) =>
+          dispatch({ kind: "configuration_learned", configuration }),
+        () => dispatch({ kind: "configuration_failed" }),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/steward/src/operators/operator_effect.ts
@@ -0,0 +1,40 @@
+import type { Change } from "@lavenderferry/configuration";
+import type { Failure } from "@lavenderferry/errors";
+
+/** A peer that can be asked. */
+export interface PeerAddress {
+  readonly id: string;
+  readonly peers: string;
+}
+
+/** Effects of the operators' interface. */
+export type OperatorEffect =
+  | {
+    readonly kind: "accept_change";
+    readonly replyId: string;
+    readonly change: Change;
+  }
+  | {
+    readonly kind: "read_history";
+    readonly replyId: string;
+    readonly after: number;
+  }
+  | { readonly kind: "read_costs"; readonly replyId: string }
+  | {
+    readonly kind: "ask_peers";
+    readonly replyId: string;
+    readonly subject: string;
+    readonly peers: readonly PeerAddress[];
+  }
+  | {
+    readonly kind: "answer_operator";
+    readonly replyId: string;
+    readonly body: object;
+    /** Version for the ETag header. */
+    readonly version?: number;
+  }
+  | {
+    readonly kind: "refuse_operator";
+    readonly replyId: string;
+    readonly failure: Failure;
+  };
--- a/packages/steward/src/parts/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -1,16 +1,15 @@
 import { usageIntervalMs } from "@lavenderferry/ledger";
-import type { Moment } from "@lavenderferry/runtime";
+import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
-import type { Operation, StewardEvent } from "../events.ts";
-import type { PartHandlers } from "../part_handlers.ts";
+
 import type { StewardState } from "../state.ts";
+import type { Operation, OperatorEvent } from "./operator_event.ts";
 
 /** What operators ask for, and the answers. */
-export const operatorPart: PartHandlers<
-  | "operator_requested"
-  | "change_accepted"
-  | "operation_done"
-  | "operation_failed"
+export const operatorPart: EventHandlers<
+  StewardState,
+  OperatorEvent,
+  StewardEffect
 > = {
   operator_requested: (state, event) => {
     const { operation } = event;
@@ -44,7 +43,7 @@
 
 interface Request
   extends
-    Omit<Extract<StewardEvent, { kind: "operator_requested" }>, "operation"> {
+    Omit<Extract<OperatorEvent, { kind: "operator_requested" }>, "operation"> {
   readonly at: Moment;
 }
 
--- /dev/null
+++ b/packages/steward/src/operators/operator_runner.ts
@@ -0,0 +1,89 @@
+import { ConfigurationStore } from "@lavenderferry/configuration";
+import { toFailure } from "@lavenderferry/errors";
+import { readCosts } from "@lavenderferry/ledger";
+import type { PlatformClient } from "@lavenderferry/platform";
+import type { DecisionRecord, PeerClients } from "@lavenderferry/protocol";
+import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import type { StewardEvent } from "../events.ts";
+import type { Replies } from "../process/replies.ts";
+import type { OperatorEffect, PeerAddress } from "./operator_effect.ts";
+
+/** What the effects of the operators' interface work with. */
+export interface OperatorRunnerOptions {
+  readonly platform: PlatformClient;
+  readonly peers: PeerClients;
+  readonly replies: Replies;
+}
+
+const historyLimit = 200;
+
+/** Creates the handlers of the operators' interface. */
+export function createOperatorHandlers(
+  { platform, peers: clients, replies }: OperatorRunnerOptions,
+): EffectHandlers<StewardEvent, OperatorEffect> {
+  const configurations = new ConfigurationStore(platform);
+  return {
+    accept_change: ({ replyId, change }, dispatch) => {
+      configurations.accept(change).then(
+        (configuration) =>
+          dispatch({ kind: "change_accepted", replyId, configuration }),
+        failTo(replyId, dispatch),
+      );
+    },
+    read_history: ({ replyId, after }, dispatch) => {
+      configurations.readAfter(after, historyLimit).then(
+        (versions) =>
+          dispatch({ kind: "operation_done", replyId, body: { versions } }),
+        failTo(replyId, dispatch),
+      );
+    },
+    read_costs: ({ replyId }, dispatch) => {
+      readCosts(platform).then(
+        (lines) => {
+          const costs = lines.map((line) => ({
+            ...line,
+            microUnits: String(line.microUnits),
+          }));
+          dispatch({ kind: "operation_done", replyId, body: { costs } });
+        },
+        failTo(replyId, dispatch),
+      );
+    },
+    ask_peers: ({ replyId, subject, peers }, dispatch) => {
+      void askPeers(clients, subject, peers).then((decisions) => {
+        const body = { subject, decisions };
+        dispatch({ kind: "operation_done", replyId, body });
+      });
+    },
+    answer_operator: ({ replyId, body, version }) =>
+      replies.resolve(replyId, { body, version }),
+    refuse_operator: ({ replyId, failure }) => replies.reject(replyId, failure),
+  };
+}
+
+function failTo(
+  replyId: string,
+  dispatch: Dispatch<StewardEvent>,
+): (error: unknown) => void {
+  return function fail(error) {
+    const failure = toFailure(error);
+    dispatch({ kind: "operation_failed", replyId, failure });
+  };
+}
+
+async function askPeers(
+  clients: PeerClients,
+  subject: string,
+  peers: readonly PeerAddress[],
+): Promise<readonly DecisionRecord[]> {
+  const replies = await Promise.all(
+    peers.map(async ({ peers: address }) => {
+      try {
+        return (await clients.at(address).explain({ subject })).decisions;
+      } catch {
+        return [];
+      }
+    }),
+  );
+  return replies.flat().sort((a, b) => Number(a.at) - Number(b.at));
+}
--- a/packages/steward/src/http/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -12,9 +12,10 @@
 } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import polka from "polka";
-import type { Operation, StewardEvent } from "../events.ts";
-import type { Replies } from "../runners/replies.ts";
+import type { StewardEvent } from "../events.ts";
+import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
+import type { Operation } from "./operator_event.ts";
 
 /** What the operators' server works with. */
 export interface OperatorServerOptions {
--- /dev/null
+++ b/packages/steward/src/process/process_effect.ts
@@ -0,0 +1,16 @@
+import type { TimerName } from "./process_event.ts";
+
+/** Effects on the process itself. */
+export type ProcessEffect =
+  | {
+    readonly kind: "set_timer";
+    readonly timer: TimerName;
+    /** Monotonic milliseconds. */
+    readonly at: number;
+  }
+  | {
+    readonly kind: "log";
+    readonly sentence: string;
+    readonly fields: Readonly<Record<string, string | number>>;
+  }
+  | { readonly kind: "exit" };
--- /dev/null
+++ b/packages/steward/src/process/process_event.ts
@@ -0,0 +1,8 @@
+/** Names of the steward's timers. */
+export type TimerName = "list_vms" | "poll_configuration";
+
+/** Events of the process itself. */
+export type ProcessEvent =
+  | { readonly kind: "started" }
+  | { readonly kind: "timer_fired"; readonly timer: TimerName }
+  | { readonly kind: "stop_requested" };
--- /dev/null
+++ b/packages/steward/src/process/process_runner.ts
@@ -0,0 +1,26 @@
+import type { Clock, EffectHandlers } from "@lavenderferry/runtime";
+import { createLogger } from "@lavenderferry/runtime";
+import type { StewardEvent } from "../events.ts";
+import type { ProcessEffect } from "./process_effect.ts";
+
+/** What the process's own effects need. */
+export interface ProcessRunnerOptions {
+  readonly clock: Clock;
+  /** Ends the process. */
+  readonly exit: () => void;
+}
+
+/** Creates the handlers of timers, logs and the exit. */
+export function createProcessHandlers(
+  { clock, exit }: ProcessRunnerOptions,
+): EffectHandlers<StewardEvent, ProcessEffect> {
+  const log = createLogger("steward");
+  return {
+    set_timer: ({ timer, at }, dispatch) => {
+      const wait = Math.max(0, at - clock.now().monotonic);
+      setTimeout(() => dispatch({ kind: "timer_fired", timer }), wait);
+    },
+    log: ({ sentence, fields }) => log(sentence, fields),
+    exit,
+  };
+}
--- a/packages/steward/src/reduce.ts
+++ b/packages/steward/src/reduce.ts
@@ -1,9 +1,10 @@
 import { reducerOf } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
-import { knowledgePart } from "./parts/knowledge_part.ts";
-import { operatorPart } from "./parts/operator_part.ts";
-import { settlementPart } from "./parts/settlement_part.ts";
+import { fleetPart } from "./fleet/fleet_part.ts";
+import { operatorPart } from "./operators/operator_part.ts";
+import { processPart } from "./process/process_part.ts";
+import { settlementPart } from "./settlement/settlement_part.ts";
 import type { StewardState } from "./state.ts";
 
 /** Decides what the steward does about one event. */
@@ -12,7 +13,8 @@
   StewardEvent,
   StewardEffect
 >({
-  ...knowledgePart,
   ...operatorPart,
   ...settlementPart,
+  ...fleetPart,
+  ...processPart,
 });
