perf(entry): read engine answers by undici's dispatch handler

Cause: the profile of the paced relay (300 streams, one token a read) showed the async iterator of the body beside the writes. Read straight from the dispatch handler instead; refusals and failures keep their meaning.

--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -1,37 +1,19 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
-import { createParser } from "eventsource-parser";
 import type { Dispatcher } from "undici";
 import { Agent } from "undici";
 import { z } from "zod";
 import type { EntryEvent } from "../events.ts";
-import { neverSent } from "../util/never_sent.ts";
 import type { EngineEffect } from "./generation_effect.ts";
-import type { EngineFailure, EngineUsage, Token } from "./generation_event.ts";
+import type { Attempt } from "./engine_stream.ts";
+import { EngineStream } from "./engine_stream.ts";
+import { engineUsageSchema } from "./engine_usage.ts";
+import type { EngineUsage } from "./generation_event.ts";
 
 const connectTimeoutMs = 1_000;
 const headersTimeoutMs = 30_000;
 const shortTimeoutMs = 2_000;
 
-const usageSchema = z.object({
-  prompt_tokens: z.number(),
-  cached_tokens: z.number(),
-  completion_tokens: z.number(),
-  recomputed_tokens: z.number(),
-  preemptions: z.number(),
-}).transform((usage): EngineUsage => ({
-  promptTokens: usage.prompt_tokens,
-  cachedTokens: usage.cached_tokens,
-  outputTokens: usage.completion_tokens,
-  recomputedTokens: usage.recomputed_tokens,
-  preemptions: usage.preemptions,
-}));
-
-const refusalSchema = z.object({
-  error: z.object({ reason: z.string() }),
-  not_started: z.boolean(),
-});
-
-const cancelSchema = z.object({ usage: usageSchema });
+const cancelSchema = z.object({ usage: engineUsageSchema });
 
 const loadSchema = z.object({
   at: z.number(),
@@ -45,16 +27,6 @@
   models: z.array(z.string()),
 });
 
-interface Choice {
-  readonly text: string;
-  readonly finish_reason: string | null;
-}
-
-interface Chunk {
-  readonly choices: readonly Choice[];
-  readonly usage?: unknown;
-}
-
 type EngineHandlers = EffectHandlers<EntryEvent, EngineEffect>;
 
 /** Runs the effects towards engines, over HTTP with server-sent events. */
@@ -65,7 +37,7 @@
     bodyTimeout: 0,
     keepAliveTimeout: 10_000,
   });
-  readonly #attempts = new Map<string, AbortController>();
+  readonly #attempts = new Map<string, EngineStream>();
 
   readonly handlers: EngineHandlers = {
     start_generation: (effect, dispatch) => {
@@ -83,7 +55,7 @@
         "content-type": "application/json",
         ...(traceParent === undefined ? {} : { traceparent: traceParent }),
       };
-      void this.#follow(
+      this.#follow(
         { attemptId, generationId, started: false },
         {
           origin: `http://${address}`,
@@ -97,7 +69,7 @@
     },
     resume_generation: (effect, dispatch) => {
       const { address, attemptId, generationId, from } = effect;
-      void this.#follow(
+      this.#follow(
         { attemptId, generationId, started: true },
         {
           origin: `http://${address}`,
@@ -111,7 +83,7 @@
       void this.#cancel(effect.address, effect.generationId, dispatch);
     },
     drop_attempt: ({ attemptId }) => {
-      this.#attempts.get(attemptId)?.abort();
+      this.#attempts.get(attemptId)?.drop();
       this.#attempts.delete(attemptId);
     },
     read_load: ({ engine, address }, dispatch) => {
@@ -124,30 +96,20 @@
     await this.#agent.destroy();
   }
 
-  async #follow(
+  #follow(
     attempt: Attempt,
-    request: Dispatcher.RequestOptions & { readonly origin: string },
+    request: Dispatcher.DispatchOptions,
     dispatch: Dispatch<EntryEvent>,
-  ): Promise<void> {
-    const { attemptId, generationId } = attempt;
-    const controller = new AbortController();
-    this.#attempts.set(attemptId, controller);
-    let failure: EngineFailure | null;
-    try {
-      const response = await this.#agent.request({
-        ...request,
-        signal: controller.signal,
-      });
-      failure = response.statusCode === 200
-        ? await readStream(response.body, attempt, dispatch)
-        : await readRefusal(response, attempt);
-    } catch (error) {
-      failure = failureOf(error, attempt);
-    }
-    const dropped = !this.#attempts.delete(attemptId);
-    if (failure !== null && !dropped) {
-      dispatch({ kind: "engine_failed", attemptId, generationId, failure });
-    }
+  ): void {
+    const { attemptId } = attempt;
+    const stream = new EngineStream(attempt, (event) => {
+      if (event.kind !== "tokens_received") {
+        this.#attempts.delete(attemptId);
+      }
+      dispatch(event);
+    });
+    this.#attempts.set(attemptId, stream);
+    this.#agent.dispatch(request, stream);
   }
 
   async #cancel(
@@ -190,80 +152,3 @@
     }
   }
 }
-
-interface Attempt {
-  readonly attemptId: string;
-  readonly generationId: string;
-  /** The generation was started by an earlier attempt. */
-  readonly started: boolean;
-}
-
-/** Reads events to the end marker; `null` when the answer is whole. */
-async function readStream(
-  body: AsyncIterable<Buffer>,
-  { attemptId, generationId }: Attempt,
-  dispatch: Dispatch<EntryEvent>,
-): Promise<EngineFailure | null> {
-  let tokens: Token[] = [];
-  let end: { finishReason: string; usage: EngineUsage } | undefined;
-  let marked = false;
-  const parser = createParser({
-    onEvent: ({ id, data }) => {
-      if (data === "[DONE]") {
-        marked = true;
-        return;
-      }
-      const { choices, usage } = JSON.parse(data) as Chunk;
-      const choice = choices[0];
-      if (choice === undefined) {
-        return;
-      }
-      if (choice.finish_reason !== null) {
-        end = {
-          finishReason: choice.finish_reason,
-          usage: usageSchema.parse(usage),
-        };
-      } else {
-        tokens.push({ index: Number(id), text: choice.text });
-      }
-    },
-  });
-  const decoder = new TextDecoder();
-  for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }));
-    if (tokens.length > 0) {
-      dispatch({ kind: "tokens_received", attemptId, generationId, tokens });
-      tokens = [];
-    }
-  }
-  if (end === undefined || !marked) {
-    return { kind: "lost", reason: "short_answer" };
-  }
-  dispatch({ kind: "engine_finished", attemptId, generationId, ...end });
-  return null;
-}
-
-async function readRefusal(
-  response: Dispatcher.ResponseData,
-  attempt: Attempt,
-): Promise<EngineFailure> {
-  const parsed = refusalSchema.safeParse(
-    await response.body.json().catch(() => null),
-  );
-  if (attempt.started && response.statusCode === 404) {
-    return { kind: "gone" };
-  }
-  if (parsed.success && parsed.data.not_started && !attempt.started) {
-    return { kind: "not_started", reason: parsed.data.error.reason };
-  }
-  return { kind: "lost", reason: `status_${response.statusCode}` };
-}
-
-function failureOf(error: unknown, attempt: Attempt): EngineFailure {
-  if (neverSent(error)) {
-    return attempt.started
-      ? { kind: "lost", reason: "unreachable" }
-      : { kind: "not_started", reason: "unreachable" };
-  }
-  return { kind: "lost", reason: "connection" };
-}
--- /dev/null
+++ b/packages/entry/src/generations/engine_stream.ts
@@ -0,0 +1,189 @@
+import type { Dispatch } from "@lavenderferry/runtime";
+import type { EventSourceParser } from "eventsource-parser";
+import { createParser } from "eventsource-parser";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import type { EntryEvent } from "../events.ts";
+import { neverSent } from "../util/never_sent.ts";
+import { engineUsageSchema } from "./engine_usage.ts";
+import type { EngineFailure, EngineUsage, Token } from "./generation_event.ts";
+
+/** One connection of a generation to its engine. */
+export interface Attempt {
+  readonly attemptId: string;
+  readonly generationId: string;
+  /** The generation was started by an earlier attempt. */
+  readonly started: boolean;
+}
+
+const refusalSchema = z.object({
+  error: z.object({ reason: z.string() }),
+  not_started: z.boolean(),
+});
+
+const maxRefusalBytes = 65_536;
+const endMarker = "[DONE]";
+
+interface Choice {
+  readonly text: string;
+  readonly finish_reason: string | null;
+}
+
+interface Chunk {
+  readonly choices: readonly Choice[];
+  readonly usage?: unknown;
+}
+
+/**
+ * Reads one engine answer as its bytes arrive.
+ * Tokens that arrive in one read travel as one event.
+ */
+export class EngineStream implements Dispatcher.DispatchHandler {
+  readonly #attempt: Attempt;
+  readonly #dispatch: Dispatch<EntryEvent>;
+  readonly #decoder = new TextDecoder();
+  readonly #parser: EventSourceParser;
+  #controller: Dispatcher.DispatchController | undefined;
+  #dropped = false;
+  #status = 0;
+  #refusal = "";
+  #tokens: Token[] = [];
+  #end: { finishReason: string; usage: EngineUsage } | undefined;
+  #marked = false;
+
+  constructor(attempt: Attempt, dispatch: Dispatch<EntryEvent>) {
+    this.#attempt = attempt;
+    this.#dispatch = dispatch;
+    this.#parser = createParser({
+      onEvent: ({ id, data }) => this.#take(id, data),
+    });
+  }
+
+  /** Ends the connection without an event. */
+  drop(): void {
+    this.#dropped = true;
+    this.#controller?.abort(new Error("The attempt was dropped"));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#dropped) {
+      controller.abort(new Error("The attempt was dropped"));
+    }
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    statusCode: number,
+  ): void {
+    this.#status = statusCode;
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    const text = this.#decoder.decode(chunk, { stream: true });
+    if (this.#status !== 200) {
+      this.#refusal = (this.#refusal + text).slice(0, maxRefusalBytes);
+      return;
+    }
+    try {
+      this.#parser.feed(text);
+    } catch (error) {
+      controller.abort(error as Error);
+      return;
+    }
+    this.#flush();
+  }
+
+  onResponseEnd(): void {
+    if (this.#status !== 200) {
+      this.#fail(this.#readRefusal());
+    } else if (this.#end === undefined || !this.#marked) {
+      this.#fail({ kind: "lost", reason: "short_answer" });
+    } else {
+      const { attemptId, generationId } = this.#attempt;
+      this.#send({
+        kind: "engine_finished",
+        attemptId,
+        generationId,
+        ...this.#end,
+      });
+    }
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (!neverSent(error)) {
+      this.#fail({ kind: "lost", reason: "connection" });
+    } else if (this.#attempt.started) {
+      this.#fail({ kind: "lost", reason: "unreachable" });
+    } else {
+      this.#fail({ kind: "not_started", reason: "unreachable" });
+    }
+  }
+
+  #take(id: string | undefined, data: string): void {
+    if (data === endMarker) {
+      this.#marked = true;
+      return;
+    }
+    const { choices, usage } = JSON.parse(data) as Chunk;
+    const choice = choices[0];
+    if (choice === undefined) {
+      return;
+    }
+    if (choice.finish_reason === null) {
+      this.#tokens.push({ index: Number(id), text: choice.text });
+      return;
+    }
+    this.#end = {
+      finishReason: choice.finish_reason,
+      usage: engineUsageSchema.parse(usage),
+    };
+  }
+
+  #flush(): void {
+    if (this.#tokens.length === 0) {
+      return;
+    }
+    const { attemptId, generationId } = this.#attempt;
+    const tokens = this.#tokens;
+    this.#tokens = [];
+    this.#send({ kind: "tokens_received", attemptId, generationId, tokens });
+  }
+
+  #readRefusal(): EngineFailure {
+    const { started } = this.#attempt;
+    if (started && this.#status === 404) {
+      return { kind: "gone" };
+    }
+    const parsed = refusalSchema.safeParse(parseJson(this.#refusal));
+    if (parsed.success && parsed.data.not_started && !started) {
+      return { kind: "not_started", reason: parsed.data.error.reason };
+    }
+    return { kind: "lost", reason: `status_${this.#status}` };
+  }
+
+  #fail(failure: EngineFailure): void {
+    const { attemptId, generationId } = this.#attempt;
+    this.#send({ kind: "engine_failed", attemptId, generationId, failure });
+  }
+
+  #send(event: EntryEvent): void {
+    if (!this.#dropped) {
+      this.#dispatch(event);
+    }
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
