--- a/packages/settings/src/load_settings.ts
+++ b/packages/settings/src/load_settings.ts
@@ -3,6 +3,12 @@
 import { parseSettings } from "./parse_settings.ts";
 import type { z } from "zod";
 
+const readFailures: Readonly<Record<string, string>> = {
+  ENOENT: "it does not exist",
+  EACCES: "permission denied",
+  EISDIR: "it is a directory",
+};
+
 /** Reads and checks a settings file; the error names path and line. */
 export function loadSettings<Schema extends z.ZodType>(
   path: string,
@@ -15,9 +21,10 @@
   try {
     return readFileSync(path, "utf8");
   } catch (cause) {
-    throw new KnownError(`Cannot read the settings file "${path}"`, {
+    const code = (cause as NodeJS.ErrnoException).code ?? "";
+    const reason = readFailures[code] ?? code;
+    throw new KnownError(`${path}: cannot read the file: ${reason}`, {
       kind: "bad_request",
-      cause,
     });
   }
 }
--- a/packages/settings/src/parse_settings_test.ts
+++ b/packages/settings/src/parse_settings_test.ts
@@ -1,9 +1,17 @@
+import { join } from "node:path";
 import t from "tap";
 import { z } from "zod";
+import { loadSettings } from "./load_settings.ts";
 import { parseSettings } from "./parse_settings.ts";
-import { baseUrlSchema, nameSchema, socketSchema } from "./schemas.ts";
+import {
+  baseUrlSchema,
+  logsSchema,
+  nameSchema,
+  socketSchema,
+} from "./schemas.ts";
 
 const schema = z.strictObject({
+  logs: logsSchema.optional(),
   vm: nameSchema,
   peers: socketSchema,
   platform: baseUrlSchema.optional(),
@@ -21,6 +29,14 @@
   `{\n  "vm": "a",\n  "peers": { "ip": "::1", "port": 0 },\n  "x": 1\n}`,
   `{\n  "vm": 7,\n  "peers": { "ip": "::1", "port": 70000 }\n}`,
   `{ "vm": "a", "peers": { "ip": "::1", "port": 0 },\n"platform": "http://db/" }`,
+  `{ "vm": "a",\n"peers": { "ip": "::1", "port": 0 },\n"vm": "b" }`,
+  `{ "vm": "a", "peers": { "ip": "::1",\n"port": 0,\n"port": 1 } }`,
+  `{ "vm": "a", "peers": {\n"ip": "::1", "port": 0, "x": 1, "y": 2 } }`,
+  `{\n"vm": "a",\n"peers": { "ip": "::1" } }`,
+  `{ "peers": [] }`,
+  `[]`,
+  `{ "vm": "a", "peers": { "ip": "::1", "port": 0 },
+"logs": { "enabled": "lavenderferry:entry steward", "format": "xml" } }`,
 ];
 
 t.test("valid settings", (t) => {
@@ -41,3 +57,12 @@
   }
   t.end();
 });
+
+t.test("a file that cannot be read is named", (t) => {
+  const missing = join(t.testdir(), "absent.jsonc");
+  t.throws(() => loadSettings(missing, schema), {
+    kind: "bad_request",
+    message: `${missing}: cannot read the file: it does not exist`,
+  });
+  t.end();
+});
--- a/packages/settings/src/run_program.ts
+++ b/packages/settings/src/run_program.ts
@@ -4,6 +4,7 @@
 import type { z } from "zod";
 import { loadSettings } from "./load_settings.ts";
 import type { logsSchema } from "./schemas.ts";
+import { describeStartError } from "./util/describe_start_error.ts";
 import { version } from "./version.ts";
 
 /** A daemon that is started from a settings file. */
@@ -26,22 +27,26 @@
   cli.help();
   cli.version(version);
   try {
-    const { options } = cli.parse();
+    const { args, options } = cli.parse();
     if (options["help"] || options["version"]) {
       return;
     }
     checkOptions(options);
+    checkArguments(args);
     const settings = loadSettings(String(options["settings"]), program.schema);
     configureLogs(settings.logs.format, settings.logs.enabled);
     await program.start(settings);
   } catch (error) {
-    const failure = toFailure(error);
-    process.stderr.write(`${program.name}: ${failure.message}\n`);
-    const usage = failure.kind === "bad_request";
-    process.exit(usage ? exitCodes.usage : exitCodes.failed);
+    process.stderr.write(`${program.name}: ${describeStartError(error)}\n`);
+    process.exit(isUsageError(error) ? exitCodes.usage : exitCodes.failed);
   }
 }
 
+function isUsageError(error: unknown): boolean {
+  const unparsed = error instanceof Error && error.name === "CACError";
+  return unparsed || toFailure(error).kind === "bad_request";
+}
+
 function checkOptions(options: Readonly<Record<string, unknown>>): void {
   for (const name of Object.keys(options)) {
     if (name !== "settings" && name !== "--") {
@@ -54,3 +59,11 @@
     });
   }
 }
+
+function checkArguments([unused]: readonly string[]): void {
+  if (unused !== undefined) {
+    throw new KnownError(`Unexpected argument "${unused}"`, {
+      kind: "bad_request",
+    });
+  }
+}
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -1,5 +1,6 @@
 import { isIP } from "node:net";
 import { z } from "zod";
+import { isLogPattern } from "./util/is_log_pattern.ts";
 
 /** An IP number; host names are refused. */
 export const ipSchema = z.string().refine((text) => isIP(text) !== 0, {
@@ -30,7 +31,10 @@
 /** Settings of the logs. */
 export const logsSchema = z.strictObject({
   format: z.enum(["text", "json"]).default("text"),
-  enabled: z.string().default("lavenderferry:*"),
+  /** Prefixes to write, by commas; `*` is a wildcard, `-` excludes. */
+  enabled: z.string().refine(isLogPattern, {
+    error: "expected prefixes such as lavenderferry:entry,-lavenderferry:*",
+  }).default("lavenderferry:*"),
 });
 
 /** Paths of a process's TLS key, certificate and authority, in PEM. */
