--- a/packages/proof/src/harness/system.ts
+++ b/packages/proof/src/harness/system.ts
@@ -78,7 +78,8 @@
 
   /** Starts a plain service. */
   async startService(id: string, pool: string): Promise<Program> {
-    const service = await this.#run(id, standinPrograms.service, []);
+    const args = ["--platform", this.platform, "--pool", pool];
+    const service = await this.#run(id, standinPrograms.service, args);
     const { address } = service.listening;
     await this.register({ id, role: "service", address, pool });
     return service;
--- a/packages/standins/src/engine/engine_main.ts
+++ b/packages/standins/src/engine/engine_main.ts
@@ -10,6 +10,11 @@
 cli.option("--report-lag-ms <ms>", "Lag of load reports", { default: 500 });
 cli.option("--orphan-ms <ms>", "Keeps unread generations", { default: 10_000 });
 cli.option("--checks-fence", "Refuses orders with an old fence");
+cli.option("--weights <url>", "Base address of the weight store");
+cli.option("--cache-event-lag-ms <ms>", "Lag of cache events", { default: 0 });
+cli.option("--lose-cache-event <n>", "Loses every n-th cache event", {
+  default: 0,
+});
 cli.option("--sizes <json>", "Sizes that differ from the defaults", {
   default: "{}",
 });
@@ -25,6 +30,12 @@
     reportLagMs: Number(options["reportLagMs"]),
     orphanMs: Number(options["orphanMs"]),
     checksFence: options["checksFence"] === true,
+    weights: options["weights"] as string | undefined,
+    cacheEvents: {
+      lagMs: Number(options["cacheEventLagMs"]),
+      loseEvery: Number(options["loseCacheEvent"]),
+    },
+    reclaimed: () => process.exit(1),
   });
   const port = await engine.start();
   announce("listening", { address: `${options["ip"]}:${port}` });
--- a/packages/standins/src/engine/engine_server.ts
+++ b/packages/standins/src/engine/engine_server.ts
@@ -4,6 +4,8 @@
 import { listen, readJson, sendJson } from "../util/http_server.ts";
 import type { EngineGeneration, EngineSizes } from "./engine_model.ts";
 import { EngineModel } from "./engine_model.ts";
+import { EngineOrders, orderSchema } from "./engine_orders.ts";
+import type { CacheEventFaults } from "./prefix_cache.ts";
 import { tokenText } from "./token_text.ts";
 
 /** What a stand-in engine is made from. */
@@ -17,6 +19,11 @@
   /** Milliseconds after which a generation without a reader is cancelled. */
   readonly orphanMs: number;
   readonly checksFence: boolean;
+  /** Base address of the weight store; without it models load at once. */
+  readonly weights?: string | undefined;
+  readonly cacheEvents?: CacheEventFaults;
+  /** Called when the time after a reclaim notice is over. */
+  readonly reclaimed?: () => void;
 }
 
 const completionSchema = z.object({
@@ -27,9 +34,9 @@
   priority: z.number().default(0),
 });
 
-const orderSchema = z.object({
-  fence: z.number(),
-  models: z.array(z.string()),
+const reclaimSchema = z.object({
+  /** Milliseconds until the VM is taken away. */
+  inMs: z.number().min(0),
 });
 
 const snapshotMs = 50;
@@ -54,16 +61,17 @@
   readonly #model: EngineModel;
   readonly #held = new Map<string, Held>();
   readonly #snapshots: Snapshot[] = [];
-  #models: readonly string[];
-  #fence = 0;
+  readonly #orders: EngineOrders;
   #draining = false;
+  /** Wall milliseconds at which the VM is taken away, after a notice. */
+  #leavesAt: number | null = null;
   #server: Server | undefined;
   #stepTimer: NodeJS.Timeout | undefined;
   #snapshotTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EngineOptions) {
     this.#options = options;
-    this.#models = options.models;
+    this.#orders = new EngineOrders(options);
     this.#model = new EngineModel(options.sizes);
   }
 
@@ -85,11 +93,18 @@
       })
       .get("/v1/cache-events", (request, response) => {
         const after = Number(request.query["after"] ?? 0);
-        const events = this.#model.cache.eventsAfter(after);
+        const { cacheEvents } = this.#options;
+        const events = this.#model.cache.eventsAfter(after, cacheEvents);
         sendJson(response, 200, { events });
       })
       .put("/v1/orders", (request, response) => {
         void this.#order(request, response);
+      })
+      .get("/v1/orders", (_request, response) => {
+        sendJson(response, 200, { orders: this.#orders.received });
+      })
+      .put("/control/reclaim", (request, response) => {
+        void this.#reclaim(request, response);
       });
     const { ip, port } = this.#options;
     const listening = await listen(application, ip, port);
@@ -129,7 +144,7 @@
     const demand = { id, model, maxTokens, ...rest };
     if (this.#draining) {
       refuse(response, 503, "draining");
-    } else if (!this.#models.includes(model)) {
+    } else if (!this.#orders.models.includes(model)) {
       refuse(response, 404, "unknown_model");
     } else if (!this.#model.fits(demand)) {
       refuse(response, 413, "prompt_too_long");
@@ -192,13 +207,27 @@
       refuse(response, 400, "bad_request");
       return;
     }
-    if (this.#options.checksFence && parsed.data.fence < this.#fence) {
+    if (!this.#orders.accept(parsed.data)) {
       refuse(response, 409, "old_fence");
       return;
     }
-    this.#fence = parsed.data.fence;
-    this.#models = parsed.data.models;
-    sendJson(response, 200, { fence: this.#fence, models: this.#models });
+    sendJson(response, 200, this.#orders.report);
+  }
+
+  async #reclaim(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const parsed = reclaimSchema.safeParse(await readBody(request));
+    if (!parsed.success) {
+      refuse(response, 400, "bad_request");
+      return;
+    }
+    const { inMs } = parsed.data;
+    this.#draining = true;
+    this.#leavesAt = Date.now() + inMs;
+    setTimeout(() => this.#options.reclaimed?.(), inMs).unref();
+    sendJson(response, 200, { leavesAt: this.#leavesAt });
   }
 
   #step(): void {
@@ -266,7 +295,12 @@
     const until = performance.now() - this.#options.reportLagMs;
     const found = this.#snapshots.findLast((each) => each.taken <= until);
     const body = found?.body ?? this.#snapshots[0]?.body ?? this.#load();
-    return { ...body, draining: this.#draining, models: this.#models };
+    return {
+      ...body,
+      ...this.#orders.report,
+      draining: this.#draining,
+      leavesAt: this.#leavesAt,
+    };
   }
 
   #load(): object {
--- a/packages/standins/src/engine/prefix_cache.ts
+++ b/packages/standins/src/engine/prefix_cache.ts
@@ -3,10 +3,20 @@
 /** One change of the prefix cache. */
 export interface CacheEvent {
   readonly sequence: number;
+  /** Monotonic milliseconds at which the change took place. */
+  readonly at: number;
   readonly stored: readonly string[];
   readonly dropped: readonly string[];
 }
 
+/** How late and how complete the events are that readers get. */
+export interface CacheEventFaults {
+  /** Milliseconds by which events are late. */
+  readonly lagMs: number;
+  /** Every event with a multiple of this sequence is lost; 0: none is. */
+  readonly loseEvery: number;
+}
+
 /** Blocks of prompts, dropped when they were not used for longest. */
 export class PrefixCache {
   readonly #capacity: number;
@@ -25,7 +35,7 @@
   }
 
   /** Stores the blocks and drops the ones not used for longest. */
-  store(digests: readonly string[]): void {
+  store(digests: readonly string[], at = performance.now()): void {
     const stored = digests.filter((each) => !this.#blocks.has(each));
     for (const digest of digests) {
       this.#blocks.delete(digest);
@@ -33,7 +43,8 @@
     }
     const dropped = this.#evict();
     if (stored.length > 0 || dropped.length > 0) {
-      this.#events.push({ sequence: ++this.#sequence, stored, dropped });
+      const sequence = ++this.#sequence;
+      this.#events.push({ sequence, at, stored, dropped });
     }
     if (this.#events.length > maxEvents) {
       this.#events.shift();
@@ -41,8 +52,15 @@
   }
 
   /** Returns the events after a sequence that are still held. */
-  eventsAfter(sequence: number): readonly CacheEvent[] {
-    return this.#events.filter((each) => each.sequence > sequence);
+  eventsAfter(
+    sequence: number,
+    { lagMs, loseEvery }: CacheEventFaults = { lagMs: 0, loseEvery: 0 },
+    now = performance.now(),
+  ): readonly CacheEvent[] {
+    return this.#events.filter((event) =>
+      event.sequence > sequence && event.at <= now - lagMs &&
+      (loseEvery === 0 || event.sequence % loseEvery !== 0)
+    );
   }
 
   #evict(): string[] {
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./engine/token_text.ts";
 export * from "./platform/platform_server.ts";
 export * from "./proxy/proxy_server.ts";
+export * from "./service/service_server.ts";
 
 /** Paths of the stand-in programs. */
 export const standinPrograms = {
--- /dev/null
+++ b/packages/standins/src/service/service_server_test.ts
@@ -0,0 +1,73 @@
+import type { Test } from "tap";
+import t from "tap";
+import { request } from "undici";
+import { PlatformServer } from "../platform/platform_server.ts";
+import { ServiceServer } from "./service_server.ts";
+
+async function startService(t: Test, platform?: string): Promise<string> {
+  const service = new ServiceServer({
+    ip: "127.0.0.1",
+    port: 0,
+    pool: "booking",
+    workMs: 0,
+    platform,
+  });
+  const port = await service.start();
+  t.teardown(() => service.drain());
+  return `http://127.0.0.1:${port}`;
+}
+
+async function startPlatform(t: Test): Promise<string> {
+  const { server, port } = await new PlatformServer().start("127.0.0.1", 0);
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `http://127.0.0.1:${port}`;
+}
+
+async function post(url: string, key: string, body: object) {
+  const response = await request(url, {
+    method: "POST",
+    headers: { "idempotency-key": key },
+    body: JSON.stringify(body),
+  });
+  await response.body.dump();
+  return response;
+}
+
+async function get(url: string): Promise<unknown> {
+  return await (await request(url)).body.json();
+}
+
+t.test("the processes of a pool share the state of a slot", async (t) => {
+  const platform = await startPlatform(t);
+  const one = await startService(t, platform);
+  const two = await startService(t, platform);
+  const body = { slot: "s-1", by: "anna" };
+  t.equal((await post(`${one}/bookings`, "k-1", body)).statusCode, 201);
+  t.equal((await post(`${two}/confirmations`, "k-2", body)).statusCode, 201);
+  const expected = {
+    slot: "s-1",
+    taken: 1,
+    by: "anna",
+    confirmed: 1,
+    keys: ["k-1", "k-2"],
+  };
+  t.strictSame(await get(`${one}/slots/s-1`), expected);
+  t.strictSame(await get(`${two}/slots/s-1`), expected);
+  const later = await startService(t, platform);
+  t.strictSame(await get(`${later}/slots/s-1`), expected);
+  t.match(await get(`${platform}/control/runs?pool=booking`), {
+    runs: [{ call: "bookings" }, { call: "confirmations" }],
+  });
+  t.match(await get(`${two}/runs`), { runs: [{ key: "k-2" }] });
+});
+
+t.test("a refused call says that it did not run", async (t) => {
+  const url = await startService(t);
+  const response = await post(`${url}/bookings`, "k-1", { slot: 5 });
+  t.equal(response.statusCode, 400);
+  t.equal(response.headers["not-run"], "true");
+  t.strictSame(await get(`${url}/runs`), { runs: [] });
+});
