feat(ledger): settle in one commit a second and shard, from history

Cause: one write a request, a split taken from a timeline that skips versions, a gap or an unknown class that stopped a shard, and usage that died with its entry. A lost answer to an accepted change is read back by its nonce.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -4,9 +4,20 @@
 /** Parts into which one unit of cost is divided. */
 export const partsPerUnit = 1_000_000;
 
+/** Account of usage whose class was unknown when it arose; no partner. */
+export const unassignedPartner = "unassigned";
+
+/** Most partners, splits and classes that one statement may hold. */
+export const maxEntities = { partners: 100, splits: 1_000, classes: 1_000 };
+
 const nameSchema = z.string().regex(
   /^[a-z0-9][a-z0-9-]{0,62}$/,
-  "expected lower-case letters, digits and dashes",
+  "expected 1 to 63 lower-case letters, digits and dashes",
+);
+
+const partnerNameSchema = nameSchema.refine(
+  (name) => name !== unassignedPartner,
+  { error: `the name "${unassignedPartner}" is reserved` },
 );
 
 /** Schema of a partner: one who may owe cost. */
@@ -55,9 +66,9 @@
 
 /** Schema of what operators state. */
 export const statementSchema = z.strictObject({
-  partners: z.record(nameSchema, partnerSchema),
-  splits: z.record(nameSchema, splitSchema),
-  classes: z.record(nameSchema, classSchema),
+  partners: limited(z.record(partnerNameSchema, partnerSchema), "partners"),
+  splits: limited(z.record(nameSchema, splitSchema), "splits"),
+  classes: limited(z.record(nameSchema, classSchema), "classes"),
 }).superRefine(checkReferences);
 
 /** The targets of a class. */
@@ -82,6 +93,8 @@
   acceptedAt: z.number(),
   /** Operator who stated it. */
   author: z.string(),
+  /** Tells the writer of a version from others that wrote the same number. */
+  nonce: z.string().optional(),
   statement: statementSchema,
 });
 
@@ -96,3 +109,13 @@
   author: "",
   statement: { partners: {}, splits: {}, classes: {} },
 };
+
+function limited<Schema extends z.ZodRecord>(
+  schema: Schema,
+  entities: keyof typeof maxEntities,
+): Schema {
+  const limit = maxEntities[entities];
+  return schema.refine((record) => Object.keys(record).length <= limit, {
+    error: `expected at most ${limit} ${entities}`,
+  });
+}
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,4 +1,6 @@
 /** Classes, targets and splits, with their versions. */
 export * from "./configuration.ts";
 export * from "./configuration_store.ts";
+export * from "./diff_statements.ts";
 export * from "./timeline.ts";
+export * from "./version_history.ts";
--- a/packages/configuration/src/util/check_references.ts
+++ b/packages/configuration/src/util/check_references.ts
@@ -19,7 +19,8 @@
         context.addIssue({
           code: "custom",
           path: ["splits", name, "parts", partner],
-          message: `partner "${partner}" does not exist`,
+          message:
+            `partner "${partner}" does not exist, but split "${name}" uses it`,
         });
       }
     }
@@ -29,7 +30,7 @@
       context.addIssue({
         code: "custom",
         path: ["classes", name, "split"],
-        message: `split "${split}" does not exist`,
+        message: `split "${split}" does not exist, but class "${name}" uses it`,
       });
     }
   }
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -45,7 +45,7 @@
     repeat("poll_load", at),
   ],
   flush_usage: (state, _timer, at) => [
-    ...flushUsage(state),
+    ...flushUsage(state, at),
     repeat("flush_usage", at),
   ],
   pump_backlog: (state, _timer, at) => [
@@ -107,7 +107,7 @@
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
     { kind: "set_timer", timer: { kind: "stop_deadline" }, at: due },
-    ...flushUsage(state),
+    ...flushUsage(state, event.at),
   ];
 }
 
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -7,6 +7,8 @@
 import type { Call } from "./calls/call.ts";
 import type { Cancelled, Generation } from "./generations/generation.ts";
 import type { EntrySettings } from "./settings.ts";
+import type { UsageHandover } from "./usage/usage_handover.ts";
+import { createUsageHandover } from "./usage/usage_handover.ts";
 
 /** Everything that the entry's reducer knows. */
 export interface EntryState {
@@ -26,6 +28,7 @@
   readonly waiting: Map<string, Generation>;
   readonly calls: Map<string, Call>;
   readonly usage: UsageMeter;
+  readonly usageHandover: UsageHandover;
   readonly decisions: Decisions;
   /** Cancelled generations whose cost is not known yet. */
   readonly cancelled: Map<string, Cancelled>;
@@ -54,6 +57,7 @@
     waiting: new Map(),
     calls: new Map(),
     usage: new UsageMeter(epoch),
+    usageHandover: createUsageHandover(),
     decisions: new Decisions(decisionCapacity),
     cancelled: new Map(),
     nextId: 1,
--- /dev/null
+++ b/packages/entry/src/usage/rank_stewards.ts
@@ -0,0 +1,30 @@
+import { createHash } from "node:crypto";
+import type { Vm } from "@lavenderferry/platform";
+
+/** A steward that can be reached by peers. */
+export interface Steward {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly peers: string;
+}
+
+/**
+ * Orders the live stewards by a hash of the key and their names, so that all
+ * processes prefer the same steward for the same key.
+ */
+export function rankStewards(
+  vms: ReadonlyMap<string, Vm>,
+  key: string,
+): readonly Steward[] {
+  const stewards = [...vms.values()].flatMap(
+    ({ id, role, state, dataCentre, peers }) =>
+      role === "steward" && state === "live" && peers !== undefined
+        ? [{ id, dataCentre, peers, weight: weightOf(key, id) }]
+        : [],
+  );
+  return stewards.sort((a, b) => (a.weight < b.weight ? 1 : -1));
+}
+
+function weightOf(key: string, id: string): string {
+  return createHash("sha256").update(`${key}|${id}`).digest("hex");
+}
--- a/packages/entry/src/usage/usage_effect.ts
+++ b/packages/entry/src/usage/usage_effect.ts
@@ -1,8 +1,19 @@
 import type { Batch } from "@lavenderferry/ledger";
 
 /** Effects of the settlement of usage. */
-export type UsageEffect = {
-  readonly kind: "settle_usage";
-  readonly address: string;
-  readonly batch: Batch;
-};
+export type UsageEffect =
+  | {
+    readonly kind: "settle_usage";
+    readonly steward: string;
+    readonly address: string;
+    readonly batches: readonly Batch[];
+  }
+  | {
+    readonly kind: "hold_usage";
+    readonly steward: string;
+    readonly address: string;
+    readonly epoch: string;
+    readonly batches: readonly Batch[];
+    /** Batches up to this sequence are settled. */
+    readonly settled: number;
+  };
--- a/packages/entry/src/usage/usage_part.ts
+++ b/packages/entry/src/usage/usage_part.ts
@@ -1,28 +1,148 @@
-import type { EventHandlers } from "@lavenderferry/runtime";
+import { shardOf } from "@lavenderferry/ledger";
+import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import type { EntryState } from "../state.ts";
 import { count } from "../util/effects.ts";
+import type { Steward } from "./rank_stewards.ts";
+import { rankStewards } from "./rank_stewards.ts";
 import type { UsageEvent } from "./usage_event.ts";
+import type { Holder, Settler } from "./usage_handover.ts";
+
+/** Number of stewards that keep the unsettled batches. */
+const holderCount = 2;
+const maxHolderFailures = 3;
+const maxBatchesPerCall = 8;
+const resendMs = 15_000;
 
 /** Hands usage over until it is settled. */
 export const usagePart: EventHandlers<EntryState, UsageEvent, EntryEffect> = {
-  usage_settled: (state, event) => {
-    state.usage.settle(event.settled);
+  usage_settled: (state, { steward, settled, at }) => {
+    const { settler } = state.usageHandover;
+    if (settler?.id === steward && settled > state.usage.settledThrough) {
+      settler.resendAt = at.monotonic + resendMs;
+    }
+    state.usage.settle(settled);
+    return [];
+  },
+  usage_not_settled: (state, { steward }) => {
+    if (state.usageHandover.settler?.id === steward) {
+      dropSettler(state);
+    }
+    return [count("retries", "settlement")];
+  },
+  usage_held: (state, { steward, held }) => {
+    const holder = findHolder(state, steward);
+    if (holder !== undefined) {
+      holder.failures = 0;
+      holder.heldThrough = held;
+    }
     return [];
   },
-  usage_not_settled: () => [count("retries", "settlement")],
+  usage_not_held: (state, { steward }) => {
+    const holder = findHolder(state, steward);
+    if (holder !== undefined) {
+      holder.failures += 1;
+    }
+    return [count("retries", "usage_hold")];
+  },
 };
 
-/** Closes the open usage and asks a steward to settle the oldest batch. */
-export function flushUsage(state: EntryState): readonly EntryEffect[] {
-  state.usage.close();
-  const batch = state.usage.oldest;
-  const stewards = [...state.vms.values()].filter((vm) =>
-    vm.role === "steward" && vm.peers !== undefined
-  );
-  const steward = stewards[state.random.below(Math.max(1, stewards.length))];
-  if (batch === undefined || steward?.peers === undefined) {
+/** Closes the open usage and hands the unsettled batches to stewards. */
+export function flushUsage(
+  state: EntryState,
+  at: Moment,
+): readonly EntryEffect[] {
+  state.usage.close({
+    now: at.wall,
+    versionAt: (wall) => state.timeline.at(wall).version,
+  });
+  return [...settleUsage(state, at), ...holdUsage(state)];
+}
+
+function settleUsage(state: EntryState, at: Moment): readonly EntryEffect[] {
+  const { usage, epoch, usageHandover } = state;
+  const ranked = rankStewards(state.vms, `settle/${shardOf(epoch)}`);
+  const { settler: current } = usageHandover;
+  const late = current !== null && at.monotonic >= current.resendAt &&
+    usage.unsettled(0, 1).length > 0;
+  if (late || !ranked.some(({ id }) => id === current?.id)) {
+    dropSettler(state);
+  }
+  const steward = ranked[usageHandover.settlerRank % ranked.length];
+  if (steward === undefined) {
     return [];
   }
-  return [{ kind: "settle_usage", address: steward.peers, batch }];
+  const settler = usageHandover.settler ?? newSettler(state, steward, at);
+  usageHandover.settler = settler;
+  const { peers: address = "" } = ranked.find(({ id }) => id === settler.id) ??
+    {};
+  const batches = usage.unsettled(settler.sentThrough, maxBatchesPerCall);
+  settler.sentThrough = batches.at(-1)?.sequence ?? settler.sentThrough;
+  // The oldest batch is sent again to learn how far settlement has come.
+  const sent = batches.length > 0 ? batches : usage.unsettled(0, 1);
+  return sent.length === 0
+    ? []
+    : [{ kind: "settle_usage", steward: settler.id, address, batches: sent }];
+}
+
+function newSettler(
+  state: EntryState,
+  { id }: Steward,
+  at: Moment,
+): Settler {
+  const sentThrough = state.usage.settledThrough;
+  return { id, sentThrough, resendAt: at.monotonic + resendMs };
+}
+
+function dropSettler(state: EntryState): void {
+  const { usageHandover } = state;
+  if (usageHandover.settler !== null) {
+    usageHandover.settler = null;
+    usageHandover.settlerRank += 1;
+  }
+}
+
+function holdUsage(state: EntryState): readonly EntryEffect[] {
+  const { usage, epoch, usageHandover } = state;
+  const stewards = chooseHolders(state);
+  const failed = usageHandover.holders.filter(({ id, failures }) =>
+    failures > 0 && state.vms.has(id) &&
+    !stewards.some((each) => each.id === id)
+  );
+  usageHandover.holders = [
+    ...failed,
+    ...stewards.map(({ id }) =>
+      findHolder(state, id) ?? { id, heldThrough: 0, failures: 0 }
+    ),
+  ];
+  return stewards.map(({ id, peers: address }) => ({
+    kind: "hold_usage",
+    steward: id,
+    address,
+    epoch,
+    batches: usage.unsettled(
+      findHolder(state, id)?.heldThrough ?? 0,
+      maxBatchesPerCall,
+    ),
+    settled: usage.settledThrough,
+  }));
+}
+
+/** Prefers other data centres, and the holders that already answer. */
+function chooseHolders(state: EntryState): readonly Steward[] {
+  const ranked = rankStewards(state.vms, `hold/${state.epoch}`);
+  const own = state.settings.dataCentre;
+  const ordered = [
+    ...ranked.filter(({ dataCentre }) => dataCentre !== own),
+    ...ranked.filter(({ dataCentre }) => dataCentre === own),
+  ];
+  const answering = ordered.filter(({ id }) =>
+    (findHolder(state, id)?.failures ?? 0) < maxHolderFailures
+  );
+  const failing = ordered.filter((steward) => !answering.includes(steward));
+  return [...answering, ...failing].slice(0, holderCount);
+}
+
+function findHolder(state: EntryState, id: string): Holder | undefined {
+  return state.usageHandover.holders.find((holder) => holder.id === id);
 }
--- a/packages/entry/src/usage/usage_runner.ts
+++ b/packages/entry/src/usage/usage_runner.ts
@@ -1,4 +1,5 @@
-import type { PeerClients } from "@lavenderferry/protocol";
+import type { Batch } from "@lavenderferry/ledger";
+import type { PeerClients, UsageBatch } from "@lavenderferry/protocol";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { UsageEffect } from "./usage_effect.ts";
@@ -8,15 +9,28 @@
   peers: PeerClients,
 ): EffectHandlers<EntryEvent, UsageEffect> {
   return {
-    settle_usage: ({ address, batch }, dispatch) => {
-      const records = batch.records.map((record) => ({ ...record }));
-      const { epoch, sequence } = batch;
-      peers.at(address).settle({ batches: [{ epoch, sequence, records }] })
-        .then(
-          ({ settled = 0 }) =>
-            dispatch({ kind: "usage_settled", settled: Number(settled) }),
-          () => dispatch({ kind: "usage_not_settled", sequence }),
-        );
+    settle_usage: ({ steward, address, batches }, dispatch) => {
+      peers.at(address).settle({ batches: batches.map(toMessage) }).then(
+        ({ settled = 0 }) =>
+          dispatch({
+            kind: "usage_settled",
+            steward,
+            settled: Number(settled),
+          }),
+        () => dispatch({ kind: "usage_not_settled", steward }),
+      );
+    },
+    hold_usage: ({ steward, address, epoch, batches, settled }, dispatch) => {
+      const request = { epoch, settled, batches: batches.map(toMessage) };
+      peers.at(address).hold(request).then(
+        ({ held = 0 }) =>
+          dispatch({ kind: "usage_held", steward, held: Number(held) }),
+        () => dispatch({ kind: "usage_not_held", steward }),
+      );
     },
   };
 }
+
+function toMessage({ epoch, sequence, records }: Batch): UsageBatch {
+  return { epoch, sequence, records: records.map((record) => ({ ...record })) };
+}
--- a/packages/ledger/src/settlement.ts
+++ b/packages/ledger/src/settlement.ts
@@ -1,108 +1,266 @@
-import type { Timeline } from "@lavenderferry/configuration";
+import type { Configuration } from "@lavenderferry/configuration";
+import { unassignedPartner } from "@lavenderferry/configuration";
+import type { Failure } from "@lavenderferry/errors";
 import { KnownError } from "@lavenderferry/errors";
-import type { Json, Row, Table } from "@lavenderferry/platform";
-import { z } from "zod";
+import type { Json, Row, Table, Write } from "@lavenderferry/platform";
+import type { Debt } from "./divide.ts";
 import { divide } from "./divide.ts";
+import type { Progress } from "./progress.ts";
+import { addSettled, isSettled, maxBeyond, noProgress } from "./progress.ts";
+import type { Shard } from "./shard.ts";
+import {
+  dayKey,
+  dayOf,
+  dayTotalsSchema,
+  shardKey,
+  shardSchema,
+} from "./shard.ts";
+import type { SplitHistory } from "./split_history.ts";
 import type { Batch, Usage } from "./usage.ts";
+import { usageIntervalMs } from "./usage_meter.ts";
 
-const shardSchema = z.object({
-  /** Highest settled sequence by epoch. */
-  settled: z.record(z.string(), z.number()),
-  /** Millionths of a unit by `day|partner|class|unit`. */
-  totals: z.record(z.string(), z.string()),
-});
-
-type Shard = z.output<typeof shardSchema>;
-
-const shardPrefix = "ledger/shard/";
-
-/** One line of a cost report. */
-export interface CostLine {
-  /** Day in UTC, as `YYYY-MM-DD`. */
-  readonly day: string;
-  readonly partner: string;
-  readonly workClass: string;
-  readonly unit: string;
-  readonly microUnits: bigint;
+/** Milliseconds for which the progress of an epoch outlives its last batch. */
+export const keepProgressMs = 3 * 24 * 3_600_000;
+
+/**
+ * Milliseconds that usage waits before it is settled, so that a version whose
+ * commit took long is known when the usage of its first instants is divided.
+ */
+export const settlementLagMs = 5_000;
+
+const maxTries = 5;
+
+/** Under which conditions a shard is settled. */
+export interface SettlementTerms {
+  /** Wall time in milliseconds. */
+  readonly now: number;
+  /** Fence of the shard's lease; 0 when no lease is held. */
+  readonly fence: number;
+}
+
+/** What became of the batches of one settlement. */
+export interface SettlementResult {
+  /** Progress of the epochs that had batches. */
+  readonly progress: ReadonlyMap<string, Progress>;
+  /** Batches that were refused: their epoch's progress may be removed. */
+  readonly expired: readonly Batch[];
+  /** Units whose class was unknown when they arose. */
+  readonly unassigned: number;
 }
 
-/** Settles batches into a shard's row, each batch exactly once. */
+interface Plan {
+  readonly shard: Shard;
+  /** Millionths of a unit to add, by row key and name. */
+  readonly sums: Map<string, Map<string, bigint>>;
+  readonly expired: Batch[];
+  unassigned: number;
+  changed: boolean;
+}
+
+/** Settles batches of usage, each batch exactly once. */
 export class Settlement {
   readonly #table: Table;
-  readonly #timeline: Timeline;
+  readonly #history: SplitHistory;
 
-  constructor(table: Table, timeline: Timeline) {
+  constructor(table: Table, history: SplitHistory) {
     this.#table = table;
-    this.#timeline = timeline;
+    this.#history = history;
+  }
+
+  /**
+   * Settles batches of one shard in one commit. A lost answer needs no other
+   * treatment than a further call: the shard's progress tells what is settled.
+   */
+  async settle(
+    shard: number,
+    batches: readonly Batch[],
+    terms: SettlementTerms,
+  ): Promise<SettlementResult> {
+    const oldest = oldestAt(batches, terms.now);
+    const coveredUntil = await this.#history.cover(oldest, terms.now);
+    const known = batches.filter((batch) =>
+      batch.records.every(({ at }) =>
+        at + usageIntervalMs + settlementLagMs <= coveredUntil
+      )
+    );
+    for (let tries = 0; tries < maxTries; tries++) {
+      const result = await this.#try(shard, known, terms);
+      if (result !== null) {
+        return result;
+      }
+    }
+    throw shardConflict(shard);
   }
 
-  /** Settles a batch and returns the highest settled sequence. */
-  async settle(shard: number, batch: Batch): Promise<number> {
-    const key = `${shardPrefix}${shard}`;
-    const [row] = await this.#table.read([key], "cost");
-    const state = readShard(row ?? null);
-    const settled = state.settled[batch.epoch] ?? 0;
-    if (batch.sequence <= settled) {
-      return settled;
+  async #try(
+    shard: number,
+    batches: readonly Batch[],
+    terms: SettlementTerms,
+  ): Promise<SettlementResult | null> {
+    const days = daysOf(batches);
+    const keys = [shardKey(shard), ...days.map((day) => dayKey(day, shard))];
+    const rows = await this.#table.read(keys, "cost");
+    const plan = planOf(rows[0] ?? null, shard, terms);
+    for (const batch of batches) {
+      this.#settleBatch(plan, batch, { shard, now: terms.now });
     }
-    if (batch.sequence > settled + 1) {
-      throw new KnownError(
-        `Batch ${batch.sequence} follows a gap after ${settled}`,
-        { kind: "conflict" },
-      );
+    if (plan.changed) {
+      prune(plan.shard, batches, terms.now);
+      const writes = writesOf(plan, keys, rows);
+      const result = await this.#table.commit(writes, "cost");
+      if (result.kind === "conflict") {
+        return null;
+      }
     }
-    state.settled[batch.epoch] = batch.sequence;
-    for (const usage of batch.records) {
-      this.#add(state, usage);
+    return resultOf(plan, batches);
+  }
+
+  #settleBatch(
+    plan: Plan,
+    batch: Batch,
+    context: { readonly shard: number; readonly now: number },
+  ): void {
+    const { epoch, sequence, records } = batch;
+    const known = plan.shard.epochs[epoch];
+    if (known === undefined && mayBePruned(plan.shard, batch)) {
+      plan.expired.push(batch);
+      return;
     }
-    const write = {
-      key,
-      ifVersion: row?.version ?? null,
-      value: state as Json,
-    };
-    const result = await this.#table.commit([write], "cost");
-    if (result.kind === "conflict") {
-      throw new KnownError(`Shard ${shard} has changed`, { kind: "conflict" });
+    const progress = known ?? noProgress;
+    const full = progress.beyond.length >= maxBeyond &&
+      sequence !== progress.through + 1;
+    if (isSettled(progress, sequence) || full) {
+      return;
+    }
+    plan.changed = true;
+    plan.shard.epochs[epoch] = {
+      ...addSettled(progress, sequence),
+      settledAt: context.now,
+      expiresAt: context.now + keepProgressMs,
+    } as Shard["epochs"][string];
+    for (const usage of records) {
+      this.#addUsage(plan, usage, context.shard);
     }
-    return batch.sequence;
   }
 
-  #add(state: Shard, usage: Usage): void {
-    const { statement } = this.#timeline.at(usage.at);
-    const splitName = statement.classes[usage.workClass]?.split ?? "";
-    const split = statement.splits[splitName];
-    if (split === undefined) {
-      throw new KnownError(`Class "${usage.workClass}" has no split`, {
-        kind: "unknown_class",
-      });
+  #addUsage(plan: Plan, usage: Usage, shard: number): void {
+    const { workClass, unit, amount, at } = usage;
+    const debts = debtsOf(this.#history.at(at), usage);
+    if (debts === null) {
+      plan.unassigned += amount;
     }
-    const day = new Date(usage.at).toISOString().slice(0, 10);
-    for (const debt of divide(usage.amount, split)) {
-      const name = [day, debt.partner, usage.workClass, usage.unit].join("|");
-      const before = BigInt(state.totals[name] ?? "0");
-      state.totals[name] = String(before + debt.microUnits);
+    const key = dayKey(dayOf(at), shard);
+    const sums = plan.sums.get(key) ?? new Map<string, bigint>();
+    plan.sums.set(key, sums);
+    for (const { partner, microUnits } of debts ?? unassigned(amount)) {
+      const name = `${partner}|${workClass}|${unit}`;
+      sums.set(name, (sums.get(name) ?? 0n) + microUnits);
     }
   }
 }
 
-/** Reads the totals of all shards. */
-export async function readCosts(table: Table): Promise<readonly CostLine[]> {
-  const rows = await table.scan(shardPrefix, "reports");
-  const sums = new Map<string, bigint>();
-  for (const row of rows) {
-    for (const [name, text] of Object.entries(readShard(row).totals)) {
-      sums.set(name, (sums.get(name) ?? 0n) + BigInt(text));
+function debtsOf(
+  { statement }: Configuration,
+  { workClass, amount }: Usage,
+): readonly Debt[] | null {
+  const split = statement.splits[statement.classes[workClass]?.split ?? ""];
+  return split === undefined ? null : divide(amount, split);
+}
+
+function unassigned(amount: number): readonly Debt[] {
+  return divide(amount, { parts: { [unassignedPartner]: 1_000_000 } });
+}
+
+function planOf(
+  row: Row | null,
+  number: number,
+  { fence }: SettlementTerms,
+): Plan {
+  const shard = row === null
+    ? { fence: 0, prunedUntil: 0, epochs: {} }
+    : shardSchema.parse(row.value);
+  if (fence < shard.fence) {
+    throw new KnownError(
+      `Shard ${number} was settled under the newer fence ${shard.fence}`,
+      { kind: "lease_lost" },
+    );
+  }
+  shard.fence = fence;
+  const sums = new Map<string, Map<string, bigint>>();
+  return { shard, sums, expired: [], unassigned: 0, changed: false };
+}
+
+/** An epoch without progress may have been settled and removed since. */
+function mayBePruned(shard: Shard, { records }: Batch): boolean {
+  const newest = records.reduce((max, { at }) => Math.max(max, at), 0);
+  return records.length > 0 && newest <= shard.prunedUntil;
+}
+
+function prune(shard: Shard, batches: readonly Batch[], now: number): void {
+  const current = new Set(batches.map(({ epoch }) => epoch));
+  for (
+    const [epoch, { settledAt, expiresAt }] of Object.entries(shard.epochs)
+  ) {
+    if (expiresAt < now && !current.has(epoch)) {
+      shard.prunedUntil = Math.max(shard.prunedUntil, settledAt);
+      Reflect.deleteProperty(shard.epochs, epoch);
     }
   }
-  return [...sums].sort().map(([name, microUnits]) => {
-    const [day = "", partner = "", workClass = "", unit = ""] = name.split("|");
-    return { day, partner, workClass, unit, microUnits };
+}
+
+function writesOf(
+  plan: Plan,
+  keys: readonly string[],
+  rows: readonly (Row | null)[],
+): readonly Write[] {
+  return keys.flatMap((key, index) => {
+    const row = rows[index] ?? null;
+    const ifVersion = row?.version ?? null;
+    if (index === 0) {
+      return [{ key, ifVersion, value: plan.shard as unknown as Json }];
+    }
+    const sums = plan.sums.get(key);
+    return sums === undefined
+      ? []
+      : [{ key, ifVersion, value: addTotals(row, sums) }];
   });
 }
 
-function readShard(row: Row | null): Shard {
-  if (row === null) {
-    return { settled: {}, totals: {} };
+function addTotals(row: Row | null, sums: ReadonlyMap<string, bigint>): Json {
+  const before = row === null ? {} : dayTotalsSchema.parse(row.value).totals;
+  const totals = { ...before };
+  for (const [name, sum] of sums) {
+    totals[name] = String(BigInt(totals[name] ?? "0") + sum);
+  }
+  return { totals };
+}
+
+function resultOf(plan: Plan, batches: readonly Batch[]): SettlementResult {
+  const { shard, expired, unassigned } = plan;
+  const progress = new Map<string, Progress>();
+  for (const { epoch } of batches) {
+    progress.set(epoch, shard.epochs[epoch] ?? noProgress);
   }
-  return shardSchema.parse(row.value);
+  return { progress, expired, unassigned };
+}
+
+function daysOf(batches: readonly Batch[]): readonly string[] {
+  const days = batches.flatMap(({ records }) =>
+    records.map(({ at }) => dayOf(at))
+  );
+  return [...new Set(days)];
+}
+
+function oldestAt(batches: readonly Batch[], now: number): number {
+  let oldest = now;
+  for (const { records } of batches) {
+    for (const { at } of records) {
+      oldest = Math.min(oldest, at);
+    }
+  }
+  return oldest;
+}
+
+function shardConflict(shard: number): Failure {
+  return new KnownError(`Shard ${shard} keeps changing`, { kind: "conflict" });
 }
--- /dev/null
+++ b/packages/ledger/src/shard.ts
@@ -0,0 +1,51 @@
+import { z } from "zod";
+import { progressSchema } from "./progress.ts";
+
+/** Number of rows over which the progress of settlement is spread. */
+export const shardCount = 16;
+
+/** Schema of the row that keeps the progress of one shard. */
+export const shardSchema = z.object({
+  /** Highest fence with which the row was written; 0 without a lease. */
+  fence: z.int(),
+  /** Newest settlement of an epoch whose progress was removed. */
+  prunedUntil: z.number(),
+  /** Progress by epoch. */
+  epochs: z.record(z.string(), progressSchema),
+});
+
+/** The progress of one shard. */
+export type Shard = z.output<typeof shardSchema>;
+
+/** Schema of the row that keeps one day's totals of one shard. */
+export const dayTotalsSchema = z.object({
+  /** Millionths of a unit by `partner|class|unit`. */
+  totals: z.record(z.string(), z.string()),
+});
+
+/** Prefix of the rows of totals; the day and the shard follow. */
+export const dayPrefix = "ledger/day/";
+
+/** Returns the shard that settles the batches of an epoch. */
+export function shardOf(epoch: string): number {
+  return (Number.parseInt(epoch.slice(-4), 16) || 0) % shardCount;
+}
+
+/** Returns the key of a shard's progress. */
+export function shardKey(shard: number): string {
+  return `ledger/shard/${padShard(shard)}`;
+}
+
+/** Returns the key of one day's totals of a shard. */
+export function dayKey(day: string, shard: number): string {
+  return `${dayPrefix}${day}/${padShard(shard)}`;
+}
+
+/** Returns the day in UTC of a wall time, as `YYYY-MM-DD`. */
+export function dayOf(wall: number): string {
+  return new Date(wall).toISOString().slice(0, 10);
+}
+
+function padShard(shard: number): string {
+  return String(shard).padStart(2, "0");
+}
--- a/packages/ledger/src/usage_meter.ts
+++ b/packages/ledger/src/usage_meter.ts
@@ -3,36 +3,70 @@
 /** Milliseconds that one usage record covers; changes take force between. */
 export const usageIntervalMs = 1_000;
 
+/** Most batches that wait for settlement; later usage stays open. */
+export const maxUnsettledBatches = 64;
+
+/** Most records of a batch that are told apart by workspace. */
+export const maxDetailedRecords = 256;
+
+const idleBatchMs = 24 * 3_600_000;
+const mergeAfterMs = 60_000;
+
+type OpenRecord = { -readonly [Key in keyof Usage]: Usage[Key] };
+
 /** What caused usage. */
 export interface Cause {
   readonly workClass: string;
   readonly workspace: string;
 }
 
-/** Sums usage by interval and holds batches until they are settled. */
+/** What the meter needs to know of the time at which it closes a batch. */
+export interface Closing {
+  /** Wall time in milliseconds. */
+  readonly now: number;
+  /** Returns the configuration version in force at a wall time. */
+  readonly versionAt: (wall: number) => number;
+}
+
+/**
+ * Sums usage by interval and keeps batches until they are settled.
+ * Memory is bounded: when too many batches wait, usage stays open and its
+ * records are merged, at first over workspaces and then over the intervals
+ * of one configuration version. No unit is dropped.
+ */
 export class UsageMeter {
   readonly #epoch: string;
-  readonly #open = new Map<
-    string,
-    { -readonly [Key in keyof Usage]: Usage[Key] }
-  >();
+  #open = new Map<string, OpenRecord>();
   #unsettled: Batch[] = [];
   #sequence = 0;
+  #settledThrough = 0;
+  #closedAt = 0;
 
   constructor(epoch: string) {
     this.#epoch = epoch;
   }
 
-  /** The oldest batch that is not settled. */
-  get oldest(): Batch | undefined {
-    return this.#unsettled[0];
-  }
-
   /** Whether all usage so far is settled. */
   get settled(): boolean {
     return this.#open.size === 0 && this.#unsettled.length === 0;
   }
 
+  /** Highest sequence up to which all batches are settled. */
+  get settledThrough(): number {
+    return this.#settledThrough;
+  }
+
+  /** Number of records that no batch contains yet. */
+  get openRecords(): number {
+    return this.#open.size;
+  }
+
+  /** Returns the oldest batches after a sequence that are not settled. */
+  unsettled(after: number, limit: number): readonly Batch[] {
+    const batches = this.#unsettled.filter(({ sequence }) => sequence > after);
+    return batches.slice(0, limit);
+  }
+
   /** Adds units that arose at a wall time. */
   add(
     cause: Cause,
@@ -44,23 +78,25 @@
     }
     const at = Math.floor(amounts.wall / usageIntervalMs) * usageIntervalMs;
     const { workClass, workspace } = cause;
-    const key = `${at}|${unit}|${workClass}|${workspace}`;
-    const record = this.#open.get(key);
-    if (record === undefined) {
-      const { amount } = amounts;
-      this.#open.set(key, { workClass, workspace, unit, amount, at });
-    } else {
-      record.amount += amounts.amount;
-    }
+    const { amount } = amounts;
+    addRecord(this.#open, { workClass, workspace, unit, amount, at });
   }
 
-  /** Closes the open records into the next batch. */
-  close(): void {
-    if (this.#open.size === 0) {
+  /** Closes the open records into the next batch, if there is room for it. */
+  close({ now, versionAt }: Closing): void {
+    if (this.#unsettled.length >= maxUnsettledBatches) {
+      this.#merge({ now, versionAt });
+      return;
+    }
+    if (this.#open.size === 0 && !this.#idle(now)) {
       return;
     }
+    if (this.#open.size > maxDetailedRecords) {
+      this.#mergeWorkspaces();
+    }
     const records = [...this.#open.values()];
     this.#open.clear();
+    this.#closedAt = now;
     this.#sequence += 1;
     this.#unsettled.push({
       epoch: this.#epoch,
@@ -70,9 +106,56 @@
   }
 
   /** Forgets the batches up to a sequence. */
-  settle(sequence: number): void {
-    this.#unsettled = this.#unsettled.filter((batch) =>
-      batch.sequence > sequence
+  settle(through: number): void {
+    this.#settledThrough = Math.max(this.#settledThrough, through);
+    this.#unsettled = this.#unsettled.filter(({ sequence }) =>
+      sequence > through
     );
   }
+
+  /** An empty batch a day keeps the epoch's progress from being removed. */
+  #idle(now: number): boolean {
+    return this.#sequence > 0 && now - this.#closedAt > idleBatchMs;
+  }
+
+  #mergeWorkspaces(): void {
+    this.#mergeRecords((record) => ({ ...record, workspace: "" }));
+  }
+
+  #merge({ now, versionAt }: Closing): void {
+    if (this.#open.size <= maxDetailedRecords) {
+      return;
+    }
+    this.#mergeWorkspaces();
+    const starts = new Map<string, number>();
+    this.#mergeRecords((record) => {
+      if (record.at > now - mergeAfterMs) {
+        return record;
+      }
+      const day = Math.floor(record.at / idleBatchMs);
+      const interval = `${day}|${versionAt(record.at)}`;
+      const start = starts.get(interval) ?? record.at;
+      starts.set(interval, start);
+      return { ...record, at: start };
+    });
+  }
+
+  #mergeRecords(merge: (record: OpenRecord) => OpenRecord): void {
+    const open = new Map<string, OpenRecord>();
+    for (const record of this.#open.values()) {
+      addRecord(open, merge(record));
+    }
+    this.#open = open;
+  }
+}
+
+function addRecord(open: Map<string, OpenRecord>, record: OpenRecord): void {
+  const { at, unit, workClass, workspace, amount } = record;
+  const key = `${at}|${unit}|${workClass}|${workspace}`;
+  const known = open.get(key);
+  if (known === undefined) {
+    open.set(key, { ...record });
+  } else {
+    known.amount += amount;
+  }
 }
--- a/packages/steward/src/fleet/fleet_part.ts
+++ b/packages/steward/src/fleet/fleet_part.ts
@@ -1,6 +1,5 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
-import type { TimerName } from "../process/process_event.ts";
 import { timerPeriods } from "../process/process_part.ts";
 import type { StewardState } from "../state.ts";
 import type { FleetEvent } from "./fleet_event.ts";
@@ -26,6 +25,9 @@
   ],
 };
 
-function again(timer: TimerName, at: Moment): StewardEffect {
+function again(
+  timer: keyof typeof timerPeriods,
+  at: Moment,
+): StewardEffect {
   return { kind: "set_timer", timer, at: at.monotonic + timerPeriods[timer] };
 }
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,21 +1,18 @@
-import { KnownError } from "@lavenderferry/errors";
-import type { Batch, UsageUnit } from "@lavenderferry/ledger";
-import type { PeerMethods, UsageBatch__Output } from "@lavenderferry/protocol";
+import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
-import type { Replies } from "../process/replies.ts";
+import { createUsageMethods } from "../settlement/usage_methods.ts";
 import type { StewardState } from "../state.ts";
 
 /** What the answers to peers work with. */
 export interface PeerMethodsOptions {
   readonly state: StewardState;
-  readonly replies: Replies;
   readonly dispatch: Dispatch<StewardEvent>;
 }
 
 /** Creates the steward's answers to its peers. */
 export function createPeerMethods(
-  { state, replies, dispatch }: PeerMethodsOptions,
+  { state, dispatch }: PeerMethodsOptions,
 ): PeerMethods {
   return {
     exchange: () =>
@@ -24,22 +21,7 @@
         epoch: state.epoch,
         configurationVersion: state.timeline.latest.version,
       }),
-    settle: (request) => {
-      if (!state.configurationKnown) {
-        const failure = new KnownError("The steward is not ready", {
-          kind: "not_ready",
-        });
-        return Promise.reject(failure);
-      }
-      const batches = request.batches.map(toBatch);
-      return replies.wait((replyId) =>
-        dispatch({ kind: "settle_requested", replyId, batches })
-      );
-    },
-    hold: () =>
-      Promise.reject(
-        new KnownError("A steward holds nothing yet", { kind: "bad_request" }),
-      ),
+    ...createUsageMethods(state, dispatch),
     takeOver: () => Promise.resolve({ known: false }),
     drain: () => {
       dispatch({ kind: "stop_requested" });
@@ -55,14 +37,3 @@
       }),
   };
 }
-
-function toBatch({ epoch, sequence, records }: UsageBatch__Output): Batch {
-  return {
-    epoch,
-    sequence,
-    records: records.map((record) => ({
-      ...record,
-      unit: record.unit as UsageUnit,
-    })),
-  };
-}
--- a/packages/steward/src/process/process_event.ts
+++ b/packages/steward/src/process/process_event.ts
@@ -1,5 +1,9 @@
 /** Names of the steward's timers. */
-export type TimerName = "list_vms" | "poll_configuration";
+export type TimerName =
+  | "list_vms"
+  | "poll_configuration"
+  | "settle"
+  | "stop_deadline";
 
 /** Events of the process itself. */
 export type ProcessEvent =
--- a/packages/steward/src/settlement/settlement_event.ts
+++ b/packages/steward/src/settlement/settlement_event.ts
@@ -1,20 +1,21 @@
 import type { Failure } from "@lavenderferry/errors";
-import type { Batch } from "@lavenderferry/ledger";
+import type { Batch, Handover, SettlementResult } from "@lavenderferry/ledger";
 
 /** Events of the settlement of usage. */
 export type SettlementEvent =
   | {
     readonly kind: "settle_requested";
-    readonly replyId: string;
     readonly batches: readonly Batch[];
   }
+  | { readonly kind: "hold_requested"; readonly handover: Handover }
   | {
     readonly kind: "batches_settled";
-    readonly replyId: string;
-    readonly settled: number;
+    readonly shard: number;
+    readonly batches: readonly Batch[];
+    readonly result: SettlementResult;
   }
   | {
     readonly kind: "batches_failed";
-    readonly replyId: string;
+    readonly shard: number;
     readonly failure: Failure;
   };
--- a/packages/steward/src/settlement/settlement_part.ts
+++ b/packages/steward/src/settlement/settlement_part.ts
@@ -1,32 +1,145 @@
-import type { EventHandlers } from "@lavenderferry/runtime";
+import type { Batch } from "@lavenderferry/ledger";
+import { isSettled, shardOf } from "@lavenderferry/ledger";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
 import type { StewardState } from "../state.ts";
 import type { SettlementEvent } from "./settlement_event.ts";
 
-const shards = 16;
+/** Most batches of a shard that wait; origins send the others again. */
+const maxPendingBatches = 2_048;
+const maxBatchesPerCommit = 512;
+const maxKnownEpochs = 2_048;
 
-/** Settles batches of usage for the entries. */
+/** Settles batches of usage, with one commit of a shard at a time. */
 export const settlementPart: EventHandlers<
   StewardState,
   SettlementEvent,
   StewardEffect
 > = {
-  settle_requested: (_state, { replyId, batches }) => [
-    {
-      kind: "settle_batches",
-      replyId,
-      shard: shardOf(batches[0]?.epoch ?? ""),
-      batches,
-    },
-  ],
-  batches_settled: (_state, { replyId, settled }) => [
-    { kind: "answer_settlement", replyId, settled },
-  ],
-  batches_failed: (_state, { replyId, failure }) => [
-    { kind: "refuse_settlement", replyId, failure },
-  ],
+  settle_requested: (state, { batches }) => {
+    addPending(state, batches);
+    return [];
+  },
+  hold_requested: (state, { handover, at }) => {
+    state.settlement.held.hold(handover, at.monotonic);
+    return [];
+  },
+  batches_settled: finishCommit,
+  batches_failed: (state, { shard, failure }) => {
+    state.settlement.running.delete(shard);
+    const { kind: reason, message } = failure;
+    return [
+      {
+        kind: "log",
+        sentence: "Settlement failed",
+        fields: { shard, reason, message },
+      },
+    ];
+  },
 };
 
-function shardOf(epoch: string): number {
-  return (Number.parseInt(epoch.slice(-4), 16) || 0) % shards;
+/** Starts a commit of every shard that has batches and no commit in flight. */
+export function settlePending(
+  state: StewardState,
+  at: Moment,
+): readonly StewardEffect[] {
+  const { pending, running, held } = state.settlement;
+  addPending(state, held.overdue(state.stopping ? Infinity : at.monotonic));
+  held.trim(at.monotonic);
+  const effects: StewardEffect[] = [];
+  for (const [shard, waiting] of pending) {
+    if (waiting.size > 0 && !running.has(shard)) {
+      running.add(shard);
+      const batches = [...waiting.values()].slice(0, maxBatchesPerCommit);
+      const fence = 0;
+      const now = at.wall;
+      effects.push({ kind: "settle_batches", shard, batches, now, fence });
+    }
+  }
+  return effects;
+}
+
+/** Returns whether no batch waits for settlement here. */
+export function holdsNothing({ settlement }: StewardState): boolean {
+  const waiting = [...settlement.pending.values()];
+  return settlement.held.size === 0 && waiting.every(({ size }) => size === 0);
+}
+
+function addPending(state: StewardState, batches: readonly Batch[]): void {
+  const { pending, settledThrough } = state.settlement;
+  for (const batch of batches) {
+    const shard = shardOf(batch.epoch);
+    const waiting = pending.get(shard) ?? new Map<string, Batch>();
+    pending.set(shard, waiting);
+    const settled = batch.sequence <= (settledThrough.get(batch.epoch) ?? 0);
+    if (!settled && waiting.size < maxPendingBatches) {
+      waiting.set(nameOf(batch), batch);
+    }
+  }
+}
+
+function finishCommit(
+  state: StewardState,
+  event: Timed<Extract<SettlementEvent, { kind: "batches_settled" }>>,
+): readonly StewardEffect[] {
+  const { shard, batches, result, at } = event;
+  const { pending, running, held } = state.settlement;
+  running.delete(shard);
+  const waiting = pending.get(shard);
+  for (const batch of batches) {
+    const progress = result.progress.get(batch.epoch);
+    const settled = progress !== undefined &&
+      isSettled(progress, batch.sequence);
+    if (settled || result.expired.includes(batch)) {
+      waiting?.delete(nameOf(batch));
+      held.release(batch.epoch, (sequence) => sequence === batch.sequence);
+    }
+  }
+  for (const [epoch, { through }] of result.progress) {
+    learnThrough(state, epoch, through);
+  }
+  const figures = {
+    batches: batches.length,
+    expired: result.expired.length,
+    unassigned: result.unassigned,
+  };
+  state.decisions.add({
+    kind: "settle",
+    subject: `settlement/${shard}`,
+    reason: "interval",
+    figures,
+    at: at.wall,
+  });
+  const strange = figures.expired + figures.unassigned > 0;
+  return strange
+    ? [
+      {
+        kind: "log",
+        sentence: "Settled usage that was expired or of an unknown class",
+        fields: { shard, ...figures },
+      },
+    ]
+    : [];
+}
+
+function learnThrough(
+  { settlement }: StewardState,
+  epoch: string,
+  through: number,
+): void {
+  const { settledThrough, held } = settlement;
+  const before = settledThrough.get(epoch) ?? 0;
+  settledThrough.delete(epoch);
+  settledThrough.set(epoch, Math.max(before, through));
+  held.release(epoch, (sequence) => sequence <= through);
+  for (const oldest of settledThrough.keys()) {
+    if (settledThrough.size <= maxKnownEpochs) {
+      return;
+    }
+    settledThrough.delete(oldest);
+  }
+}
+
+function nameOf({ epoch, sequence }: Batch): string {
+  return `${epoch}/${sequence}`;
 }
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -2,6 +2,8 @@
 import type { Vm } from "@lavenderferry/platform";
 import { Decisions } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
+import type { SettlementState } from "./settlement/settlement_state.ts";
+import { createSettlementState } from "./settlement/settlement_state.ts";
 
 /** Everything that the steward's reducer knows. */
 export interface StewardState {
@@ -10,6 +12,9 @@
   readonly timeline: Timeline;
   configurationKnown: boolean;
   vms: readonly Vm[];
+  readonly settlement: SettlementState;
+  /** A planned stop was asked for. */
+  stopping: boolean;
   readonly decisions: Decisions;
 }
 
@@ -26,6 +31,8 @@
     timeline: new Timeline(),
     configurationKnown: false,
     vms: [],
+    settlement: createSettlementState(),
+    stopping: false,
     decisions: new Decisions(decisionCapacity),
   };
 }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -31,11 +31,7 @@
     reduce: reduceSteward,
     handlers: {
       ...createOperatorHandlers({ platform, peers: clients, replies }),
-      ...createSettlementHandlers({
-        platform,
-        timeline: state.timeline,
-        replies,
-      }),
+      ...createSettlementHandlers(platform),
       ...createFleetHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
@@ -44,7 +40,7 @@
     },
   });
   const operators = new OperatorServer({ settings, dispatch, replies });
-  const peers = new PeerServer(createPeerMethods({ state, replies, dispatch }));
+  const peers = new PeerServer(createPeerMethods({ state, dispatch }));
   const { ip } = settings.operators;
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
