feat(configuration): diff, history, period and drain for operators, true answers to lost ones

Cause: a conflict did not say what had changed, history carried whole statements, costs had no period, and an accepted change whose answer was lost was reported as failed. Found while testing: an accept whose answers were all lost stayed unknown though the table answered reads; it is now read back before each repeat (named test).

--- a/packages/configuration/src/configuration_store.ts
+++ b/packages/configuration/src/configuration_store.ts
@@ -27,7 +27,7 @@
   /** Time of force of that version. */
   effectiveAt: z.number().default(0),
 });
-const maxCommits = 4;
+const maxTries = 5;
 
 interface Head {
   readonly version: number;
@@ -86,25 +86,26 @@
   }
 
   /**
-   * Repeats the commit until its result is certain. A repeat is harmless: its
+   * Repeats the commit, or reads it back, until its result is certain. A repeat is harmless: its
    * conditions hold only as long as no earlier try has taken effect.
    */
   async #write(change: Change, head: Head): Promise<Configuration> {
     const nonce = randomUUID();
     const startedAt = this.#now();
     let uncertain = false;
-    for (let commits = 1;; commits++) {
+    for (let tries = 1;; tries++) {
       const delay = this.#now() - startedAt;
       const configuration = versionOf(change, head, { nonce, delay });
       try {
-        return await this.#commit(configuration, head);
+        const found = uncertain ? await this.#readOwn(configuration) : null;
+        return found ?? await this.#commit(configuration, head);
       } catch (error) {
         const failure = toFailure(error);
         if (failure.kind === "conflict") {
           throw failure;
         }
         uncertain ||= failure.notRun !== true;
-        if (commits >= maxCommits) {
+        if (tries >= maxTries) {
           throw uncertain ? unknownResult(configuration, failure) : failure;
         }
       }
@@ -120,12 +121,26 @@
     if (kind === "committed") {
       return configuration;
     }
-    const { version, nonce } = configuration;
+    const { version } = configuration;
+    const found = await this.#readOwn(configuration);
+    if (found === null) {
+      throw conflict(version - 1, version);
+    }
+    return found;
+  }
+
+  /**
+   * Reads the version that an earlier try may have written; `null` when there
+   * is none. Fails with the kind `conflict` when another one was accepted.
+   */
+  async #readOwn(
+    { version, nonce }: Configuration,
+  ): Promise<Configuration | null> {
     const found = await this.#findVersion(version);
-    if (found?.nonce !== nonce) {
+    if (found !== null && found.nonce !== nonce) {
       throw conflict(version - 1, version);
     }
-    return found as Configuration;
+    return found;
   }
 
   async #readHead(): Promise<Head> {
--- a/packages/steward/src/operators/operator_effect.ts
+++ b/packages/steward/src/operators/operator_effect.ts
@@ -1,5 +1,6 @@
 import type { Change } from "@lavenderferry/configuration";
 import type { Failure } from "@lavenderferry/errors";
+import type { Period } from "@lavenderferry/ledger";
 
 /** A peer that can be asked. */
 export interface PeerAddress {
@@ -19,7 +20,22 @@
     readonly replyId: string;
     readonly after: number;
   }
-  | { readonly kind: "read_costs"; readonly replyId: string }
+  | {
+    readonly kind: "read_diff";
+    readonly replyId: string;
+    readonly from: number | undefined;
+    readonly to: number | undefined;
+  }
+  | {
+    readonly kind: "read_costs";
+    readonly replyId: string;
+    readonly period: Period;
+  }
+  | {
+    readonly kind: "drain_peer";
+    readonly replyId: string;
+    readonly peer: PeerAddress;
+  }
   | {
     readonly kind: "ask_peers";
     readonly replyId: string;
@@ -37,4 +53,6 @@
     readonly kind: "refuse_operator";
     readonly replyId: string;
     readonly failure: Failure;
+    /** Members added to the problem details. */
+    readonly details?: object | undefined;
   };
--- a/packages/steward/src/operators/operator_event.ts
+++ b/packages/steward/src/operators/operator_event.ts
@@ -1,5 +1,6 @@
 import type { Configuration, Statement } from "@lavenderferry/configuration";
 import type { Failure } from "@lavenderferry/errors";
+import type { Period } from "@lavenderferry/ledger";
 
 /** What an operator asks for. */
 export type Operation =
@@ -10,7 +11,14 @@
     readonly statement: Statement;
   }
   | { readonly kind: "read_history"; readonly after: number }
-  | { readonly kind: "read_costs" }
+  | {
+    readonly kind: "read_diff";
+    readonly from: number | undefined;
+    /** The newest version when it is left out. */
+    readonly to: number | undefined;
+  }
+  | { readonly kind: "read_costs"; readonly period: Period }
+  | { readonly kind: "drain"; readonly vm: string }
   | { readonly kind: "read_status" }
   | { readonly kind: "explain"; readonly subject: string };
 
@@ -36,4 +44,6 @@
     readonly kind: "operation_failed";
     readonly replyId: string;
     readonly failure: Failure;
+    /** Members added to the problem details. */
+    readonly details?: object;
   };
--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -1,7 +1,8 @@
+import type { Configuration } from "@lavenderferry/configuration";
+import { KnownError } from "@lavenderferry/errors";
 import { usageIntervalMs } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
-
 import type { StewardState } from "../state.ts";
 import type { Operation, OperatorEvent } from "./operator_event.ts";
 
@@ -36,11 +37,15 @@
   operation_done: (_state, { replyId, body }) => [
     { kind: "answer_operator", replyId, body },
   ],
-  operation_failed: (_state, { replyId, failure }) => [
-    { kind: "refuse_operator", replyId, failure },
+  operation_failed: (_state, { replyId, failure, details }) => [
+    { kind: "refuse_operator", replyId, failure, details },
   ],
 };
 
+function describe({ version, effectiveAt, author }: Configuration): object {
+  return { version, effectiveAt, author };
+}
+
 interface Request
   extends
     Omit<Extract<OperatorEvent, { kind: "operator_requested" }>, "operation"> {
@@ -83,18 +88,42 @@
   read_history: (_state, { after }, { replyId }) => [
     { kind: "read_history", replyId, after },
   ],
-  read_costs: (_state, _operation, { replyId }) => [
-    { kind: "read_costs", replyId },
+  read_diff: (_state, { from, to }, { replyId }) => [
+    { kind: "read_diff", replyId, from, to },
   ],
-  read_status: (state, _operation, { replyId }) => {
-    const { version } = state.timeline.latest;
+  read_costs: (_state, { period }, { replyId }) => [
+    { kind: "read_costs", replyId, period },
+  ],
+  drain: (state, { vm }, { replyId }) => {
+    const found = state.vms.find(({ id }) => id === vm);
+    if (found?.peers === undefined) {
+      const failure = new KnownError(
+        found === undefined
+          ? `VM "${vm}" does not exist`
+          : `VM "${vm}" runs no process of the system`,
+        { kind: found === undefined ? "not_found" : "bad_request" },
+      );
+      return [{ kind: "refuse_operator", replyId, failure }];
+    }
+    const peer = { id: found.id, peers: found.peers };
+    return [{ kind: "drain_peer", replyId, peer }];
+  },
+  read_status: (state, _operation, { replyId, at }) => {
+    const { latest } = state.timeline;
+    const inForce = state.timeline.at(at.wall);
     const vms = state.vms.map(({ id, role, dataCentre, state: phase }) => ({
       id,
       role,
       dataCentre,
       state: phase,
     }));
-    return [{ kind: "answer_operator", replyId, body: { version, vms } }];
+    const body = {
+      version: latest.version,
+      inForce: describe(inForce),
+      accepted: describe(latest),
+      vms,
+    };
+    return [{ kind: "answer_operator", replyId, body }];
   },
   explain: (state, { subject }, { replyId }) => {
     const peers = state.vms.flatMap(({ id, peers }) =>
--- a/packages/steward/src/operators/operator_runner.ts
+++ b/packages/steward/src/operators/operator_runner.ts
@@ -1,3 +1,4 @@
+import type { Change } from "@lavenderferry/configuration";
 import { ConfigurationStore } from "@lavenderferry/configuration";
 import { toFailure } from "@lavenderferry/errors";
 import { readCosts } from "@lavenderferry/ledger";
@@ -6,6 +7,7 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
+import { readDifference, readHistory } from "./configuration_history.ts";
 import type { OperatorEffect, PeerAddress } from "./operator_effect.ts";
 
 /** What the effects of the operators' interface work with. */
@@ -15,8 +17,6 @@
   readonly replies: Replies;
 }
 
-const historyLimit = 200;
-
 /** Creates the handlers of the operators' interface. */
 export function createOperatorHandlers(
   { platform, peers: clients, replies }: OperatorRunnerOptions,
@@ -27,18 +27,39 @@
       configurations.accept(change).then(
         (configuration) =>
           dispatch({ kind: "change_accepted", replyId, configuration }),
-        failTo(replyId, dispatch),
+        async (error: unknown) => {
+          const failure = toFailure(error);
+          const details = failure.kind === "conflict"
+            ? await describeConflict(configurations, change)
+            : {};
+          dispatch({ kind: "operation_failed", replyId, failure, details });
+        },
       );
     },
     read_history: ({ replyId, after }, dispatch) => {
-      configurations.readAfter(after, historyLimit).then(
+      readHistory(configurations, after).then(
         (versions) =>
           dispatch({ kind: "operation_done", replyId, body: { versions } }),
         failTo(replyId, dispatch),
       );
     },
-    read_costs: ({ replyId }, dispatch) => {
-      readCosts(platform).then(
+    read_diff: ({ replyId, from, to }, dispatch) => {
+      readDifference(configurations, { from, to }).then(
+        (body) => dispatch({ kind: "operation_done", replyId, body }),
+        failTo(replyId, dispatch),
+      );
+    },
+    drain_peer: ({ replyId, peer: { id, peers } }, dispatch) => {
+      clients.at(peers).drain({}).then(
+        ({ running }) => {
+          const body = { vm: id, running };
+          dispatch({ kind: "operation_done", replyId, body });
+        },
+        failTo(replyId, dispatch),
+      );
+    },
+    read_costs: ({ replyId, period }, dispatch) => {
+      readCosts(platform, period).then(
         (lines) => {
           const costs = lines.map((line) => ({
             ...line,
@@ -57,7 +78,8 @@
     },
     answer_operator: ({ replyId, body, version }) =>
       replies.resolve(replyId, { body, version }),
-    refuse_operator: ({ replyId, failure }) => replies.reject(replyId, failure),
+    refuse_operator: ({ replyId, failure, details }) =>
+      replies.resolve(replyId, { failure, details }),
   };
 }
 
@@ -71,6 +93,19 @@
   };
 }
 
+/** Tells what changed since the version that the operator saw. */
+async function describeConflict(
+  store: ConfigurationStore,
+  { ifVersion }: Change,
+): Promise<object> {
+  try {
+    const { to, changes } = await readDifference(store, { from: ifVersion });
+    return { currentVersion: to, changes };
+  } catch {
+    return {};
+  }
+}
+
 async function askPeers(
   clients: PeerClients,
   subject: string,
--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -2,20 +2,17 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { statementSchema } from "@lavenderferry/configuration";
-import type { Failure } from "@lavenderferry/errors";
-import {
-  KnownError,
-  problemMediaType,
-  toFailure,
-  toProblem,
-} from "@lavenderferry/errors";
+import { KnownError, toFailure } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import polka from "polka";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
 import type { Operation } from "./operator_event.ts";
+import { readPeriod, readVersion } from "./query.ts";
+import { readChange } from "./read_change.ts";
+import type { Answer, Refusal } from "./send_answer.ts";
+import { sendAnswer, sendRefusal } from "./send_answer.ts";
 
 /** What the operators' server works with. */
 export interface OperatorServerOptions {
@@ -24,18 +21,11 @@
   readonly replies: Replies;
 }
 
-interface Answer {
-  readonly body: object;
-  readonly version?: number;
-}
-
 type Request = IncomingMessage & {
   readonly params: Record<string, unknown>;
   readonly query: Record<string, unknown>;
 };
 
-const maxBodyBytes = 4_194_304;
-
 /** Serves the operators' interface over HTTP. */
 export class OperatorServer {
   readonly #options: OperatorServerOptions;
@@ -44,7 +34,10 @@
   constructor(options: OperatorServerOptions) {
     this.#options = options;
     const application = polka()
-      .get("/healthz", (_request, response) => send(response, { body: {} }))
+      .get(
+        "/healthz",
+        (_request, response) => sendAnswer(response, { body: {} }),
+      )
       .get(
         "/operator/v1/configuration",
         this.#handle(() => ({
@@ -56,10 +49,24 @@
         "/operator/v1/history",
         this.#handle((request) => ({
           kind: "read_history",
-          after: Number(request.query["after"] ?? 0),
+          after: readVersion(request.query, "after") ?? 0,
+        })),
+      )
+      .get(
+        "/operator/v1/diff",
+        this.#handle(({ query }) => ({
+          kind: "read_diff",
+          from: readVersion(query, "from"),
+          to: readVersion(query, "to"),
+        })),
+      )
+      .get(
+        "/operator/v1/costs",
+        this.#handle(({ query }) => ({
+          kind: "read_costs",
+          period: readPeriod(query),
         })),
       )
-      .get("/operator/v1/costs", this.#handle(() => ({ kind: "read_costs" })))
       .get("/operator/v1/status", this.#handle(() => ({ kind: "read_status" })))
       .get(
         "/operator/v1/explain/:subject",
@@ -67,6 +74,13 @@
           kind: "explain",
           subject: String(request.params["subject"]),
         })),
+      )
+      .post(
+        "/operator/v1/drain/:vm",
+        this.#handle((request) => ({
+          kind: "drain",
+          vm: String(request.params["vm"]),
+        })),
       );
     this.#server = createServer((request, response) => {
       void application.handler(request as never, response as never);
@@ -96,12 +110,16 @@
         const operator = this.#authenticate(request as Request);
         const operation = await parse(request as Request);
         const { replies, dispatch } = this.#options;
-        const answer = await replies.wait<Answer>((replyId) =>
+        const reply = await replies.wait<Answer | Refusal>((replyId) =>
           dispatch({ kind: "operator_requested", replyId, operator, operation })
         );
-        send(response, answer);
+        if ("failure" in reply) {
+          sendRefusal(response, reply);
+        } else {
+          sendAnswer(response, reply);
+        }
       } catch (error) {
-        sendFailure(response, toFailure(error));
+        sendRefusal(response, { failure: toFailure(error) });
       }
     };
   }
@@ -124,62 +142,3 @@
     return found[0];
   }
 }
-
-async function readChange(request: Request): Promise<Operation> {
-  const match = /^"(\d+)"$/.exec(request.headers["if-match"] ?? "");
-  if (match === null) {
-    throw new KnownError("The header If-Match must name the version seen", {
-      kind: "bad_request",
-    });
-  }
-  const parsed = statementSchema.safeParse(await readJson(request));
-  if (!parsed.success) {
-    const lines = parsed.error.issues.map(({ path, message }) =>
-      `${path.join(".")}: ${message}`
-    );
-    throw new KnownError(lines.join("\n"), { kind: "bad_request" });
-  }
-  const ifVersion = Number(match[1]);
-  return { kind: "apply", ifVersion, statement: parsed.data };
-}
-
-async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > maxBodyBytes) {
-      throw new KnownError("The body is too large", { kind: "body_too_large" });
-    }
-    chunks.push(chunk as Buffer);
-  }
-  try {
-    return JSON.parse(Buffer.concat(chunks).toString());
-  } catch (cause) {
-    throw new KnownError("The body is not JSON", {
-      kind: "bad_request",
-      cause,
-    });
-  }
-}
-
-function send(response: ServerResponse, { body, version }: Answer): void {
-  const text = JSON.stringify(body);
-  response.writeHead(200, {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(text),
-    ...(version === undefined ? {} : { etag: `"${version}"` }),
-  });
-  response.end(text);
-}
-
-function sendFailure(response: ServerResponse, failure: Failure): void {
-  const { kind, message: detail, notRun } = failure;
-  const problem = toProblem({ kind, detail, notRun });
-  const text = JSON.stringify(problem);
-  response.writeHead(problem.status, {
-    "content-type": problemMediaType,
-    "content-length": Buffer.byteLength(text),
-  });
-  response.end(text);
-}
