--- a/packages/credentials/src/credentials_test.ts
+++ b/packages/credentials/src/credentials_test.ts
@@ -10,6 +10,7 @@
   workspace: "clinic",
   workClass: "summary",
   model: "m",
+  carrier: "127.0.0.1:7000",
 };
 
 t.test("a caller key names its workspace", (t) => {
@@ -32,6 +33,10 @@
 t.test("an event id names generation and index", (t) => {
   const signed = signStreamToken(token, secret);
   t.strictSame(verifyEventId(`${signed}.17`, secret), { token, index: 17 });
+  const foreign = signStreamToken({ ...token, workspace: "other" }, secret);
+  const [text = ""] = foreign.split(".");
+  const [, signature = ""] = signed.split(".");
+  t.equal(verifyEventId(`${text}.${signature}.17`, secret), null);
   const invalid = ["", signed, `${signed}.-1`, `${signed}.1.2`, `x${signed}.1`];
   for (const each of invalid) {
     t.equal(verifyEventId(each, secret), null, each);
--- a/packages/credentials/src/stream_token.ts
+++ b/packages/credentials/src/stream_token.ts
@@ -9,6 +9,8 @@
   readonly workspace: string;
   readonly workClass: string;
   readonly model: string;
+  /** Peer address of the entry that carries the stream. */
+  readonly carrier: string;
 }
 
 /** Position in the stream of one generation. */
@@ -27,6 +29,7 @@
     token.workspace,
     token.workClass,
     token.model,
+    token.carrier,
   ];
   const text = Buffer.from(JSON.stringify(fields)).toString("base64url");
   return `${text}.${sign(text, secret)}`;
@@ -61,6 +64,15 @@
     workspace = "",
     workClass = "",
     model = "",
+    carrier = "",
   ] = fields;
-  return { requestId, generationId, upstream, workspace, workClass, model };
+  return {
+    requestId,
+    generationId,
+    upstream,
+    workspace,
+    workClass,
+    model,
+    carrier,
+  };
 }
--- a/packages/entry/src/calls/call.ts
+++ b/packages/entry/src/calls/call.ts
@@ -24,7 +24,8 @@
   tried: string[];
   /** Monotonic milliseconds until which the claim is tried. */
   claimDeadline: number;
-  answered: boolean;
+  /** Failed operations on the row since the last that was answered. */
+  recordTries: number;
 }
 
 /** Row of a call that may not be repeated. */
--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -6,6 +6,7 @@
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import { refuseDraining } from "../util/refuse_draining.ts";
 import type { Call, CallRecord } from "./call.ts";
 import type { CallEvent, CallRequested, ServiceAnswer } from "./call_event.ts";
 
@@ -13,6 +14,7 @@
 const resolveMs = 30_000;
 const keepRecordMs = 7 * 24 * 3_600_000;
 const recordRetryMs = 200;
+const maxRecordRetryMs = 5_000;
 const maxUpstreams = 3;
 const retryAfterMs = 1_000;
 
@@ -49,13 +51,12 @@
 export function retryRecord(
   state: EntryState,
   callId: string,
-  at: Moment,
 ): readonly EntryEffect[] {
   const call = state.calls.get(callId);
   if (call === undefined || call.pending === null) {
     return [];
   }
-  return [commitPending(call, call.pending, at)];
+  return [commitPending(call, call.pending)];
 }
 
 /** Key of the row that keeps a call's record. */
@@ -69,7 +70,7 @@
 ): readonly EntryEffect[] {
   const { readerId, requestId, at } = event;
   if (state.stopping) {
-    return fail({ readerId, requestId, error: "draining", notRun: true });
+    return refuseDraining(state, event, at);
   }
   if (!state.configurationKnown || !state.vmsKnown) {
     return fail({ readerId, requestId, error: "not_ready", notRun: true });
@@ -86,7 +87,7 @@
     pending: null,
     tried: [],
     claimDeadline: at.monotonic + claimMs,
-    answered: false,
+    recordTries: 0,
   };
   state.calls.set(call.callId, call);
   if (event.key === null) {
@@ -94,7 +95,7 @@
   }
   const record = createRecord(call, at);
   call.pending = record;
-  return [commitPending(call, record, at)];
+  return [commitPending(call, record)];
 }
 
 function createRecord(call: Call, at: Moment): CallRecord {
@@ -111,11 +112,7 @@
   };
 }
 
-function commitPending(
-  call: Call,
-  record: CallRecord,
-  _at: Moment,
-): EntryEffect {
+function commitPending(call: Call, record: CallRecord): EntryEffect {
   const write = {
     key: recordKey(call.request),
     ifVersion: call.rowVersion,
@@ -132,6 +129,7 @@
   if (call === undefined) {
     return [];
   }
+  call.recordTries = 0;
   if (event.result.kind === "conflict") {
     const row = event.result.rows[0] ?? null;
     return judgeRow(state, call, { row, at: event.at });
@@ -167,9 +165,13 @@
   const { row, at } = found;
   if (row === null) {
     call.rowVersion = null;
-    return retryRecord(state, call.callId, at);
+    return retryRecord(state, call.callId);
   }
-  const record = recordSchema.parse(row.value);
+  const parsed = recordSchema.safeParse(row.value);
+  if (!parsed.success) {
+    return leaveUnreadable(state, call);
+  }
+  const record = parsed.data;
   if (record.nonce === call.callId && record.state === call.pending?.state) {
     call.rowVersion = row.version;
     return continueOwned(state, call, at);
@@ -177,7 +179,7 @@
   if (call.phase !== "claiming") {
     if (record.nonce === call.callId) {
       call.rowVersion = row.version;
-      return retryRecord(state, call.callId, at);
+      return retryRecord(state, call.callId);
     }
     state.calls.delete(call.callId);
     return [];
@@ -185,6 +187,18 @@
   return judgeForeign(state, call, { row, record, at });
 }
 
+/** A row of another shape may stand for a run, so nothing is sent. */
+function leaveUnreadable(
+  state: EntryState,
+  call: Call,
+): readonly EntryEffect[] {
+  const { readerId, requestId } = call.request;
+  state.calls.delete(call.callId);
+  return call.phase === "claiming"
+    ? fail({ readerId, requestId, error: "key_unresolved" })
+    : [];
+}
+
 function judgeForeign(
   state: EntryState,
   call: Call,
@@ -202,7 +216,7 @@
   }
   if (record.state === "released") {
     call.rowVersion = row.version;
-    return retryRecord(state, call.callId, at);
+    return retryRecord(state, call.callId);
   }
   state.calls.delete(call.callId);
   if (record.state === "answered") {
@@ -248,7 +262,7 @@
     {
       kind: "set_timer",
       timer,
-      at: at.monotonic + state.random.jitter(recordRetryMs, 0.5),
+      at: at.monotonic + recordBackoff(state, call),
     },
   ] as const;
   if (call.phase !== "claiming" || at.monotonic < call.claimDeadline) {
@@ -256,7 +270,6 @@
   }
   // The claim may still land: it is replaced by a released record.
   call.phase = "releasing";
-  call.answered = true;
   call.pending = { ...createRecord(call, at), state: "released" };
   return [
     ...retry,
@@ -270,6 +283,15 @@
   ];
 }
 
+function recordBackoff(state: EntryState, call: Call): number {
+  const wait = Math.min(
+    maxRecordRetryMs,
+    recordRetryMs * 2 ** Math.min(call.recordTries, 10),
+  );
+  call.recordTries += 1;
+  return state.random.jitter(wait, 0.5);
+}
+
 function dispatchCall(
   state: EntryState,
   call: Call,
@@ -376,7 +398,6 @@
     return [];
   }
   const { answer, at } = outcome;
-  call.answered = true;
   call.phase = outcome.state === "released" ? "releasing" : "recording";
   call.pending = {
     ...createRecord(call, at),
@@ -385,5 +406,5 @@
     contentType: answer?.contentType ?? null,
     body: answer?.body ?? null,
   };
-  return [commitPending(call, call.pending, at)];
+  return [commitPending(call, call.pending)];
 }
--- a/packages/entry/src/effects.ts
+++ b/packages/entry/src/effects.ts
@@ -3,6 +3,7 @@
 import type {
   EngineEffect,
   ReaderEffect,
+  TakeOverEffect,
 } from "./generations/generation_effect.ts";
 import type { ProcessEffect } from "./process/process_effect.ts";
 import type { UsageEffect } from "./usage/usage_effect.ts";
@@ -11,6 +12,7 @@
 export type EntryEffect =
   | EngineEffect
   | ReaderEffect
+  | TakeOverEffect
   | CallEffect
   | FleetEffect
   | UsageEffect
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,6 +9,7 @@
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { EngineRunner } from "./generations/engine_runner.ts";
 import { ReaderRunner } from "./generations/reader_runner.ts";
+import { createTakeOverHandlers } from "./generations/take_over_runner.ts";
 import { CallerServer } from "./http/caller_server.ts";
 import { createEntryMetrics } from "./process/metrics.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
@@ -24,6 +25,7 @@
 export async function startEntry(settings: EntrySettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createEntryState(settings, epoch);
+  const peerClients = new PeerClients();
   const platform = new PlatformClient({ url: settings.platform });
   const readers = new ReaderRunner(settings.streamSecret);
   const metrics = createEntryMetrics({
@@ -41,12 +43,17 @@
       ...new EngineRunner().handlers,
       ...new ServiceRunner(platform).handlers,
       ...createFleetHandlers(platform),
-      ...createUsageHandlers(new PeerClients()),
+      ...createUsageHandlers(peerClients),
       ...readers.handlers,
+      ...createTakeOverHandlers(peerClients, settings.vm),
       ...createProcessHandlers({
         clock: systemClock,
         metrics,
-        exit: () => process.exit(0),
+        exit: (now) => {
+          void (now ? Promise.resolve() : callers.finish()).then(() =>
+            process.exit(0)
+          );
+        },
       }),
     },
   });
@@ -63,5 +70,6 @@
   });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
-  dispatch({ kind: "started" });
+  const peerAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "started", peers: peerAddress });
 }
--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -24,8 +24,16 @@
       Promise.reject(
         new KnownError("An entry holds nothing yet", { kind: "bad_request" }),
       ),
-    takeOver: ({ generation }) =>
-      Promise.resolve({ known: state.generations.has(generation) }),
+    takeOver: ({ generation: generationId, by }) => {
+      const generation = state.generations.get(generationId);
+      if (generation === undefined) {
+        return Promise.resolve({ known: false, charged: 0 });
+      }
+      const { nextIndex, chargedIndex } = generation;
+      dispatch({ kind: "generation_taken_over", generationId, by });
+      const charged = Math.max(nextIndex, chargedIndex);
+      return Promise.resolve({ known: true, charged });
+    },
     drain: () => {
       dispatch({ kind: "stop_requested" });
       const running = state.generations.size + state.calls.size;
--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -51,6 +51,7 @@
 }
 
 interface Chunk {
+  readonly id?: string;
   readonly choices: readonly Choice[];
   readonly usage?: unknown;
 }
@@ -138,6 +139,9 @@
         ...request,
         signal: controller.signal,
       });
+      if (response.statusCode === 200) {
+        dispatch({ kind: "engine_attached", attemptId, generationId });
+      }
       failure = response.statusCode === 200
         ? await readStream(response.body, attempt, dispatch)
         : await readRefusal(response, attempt);
@@ -207,13 +211,18 @@
   let tokens: Token[] = [];
   let end: { finishReason: string; usage: EngineUsage } | undefined;
   let marked = false;
+  let crossed = false;
   const parser = createParser({
     onEvent: ({ id, data }) => {
       if (data === "[DONE]") {
         marked = true;
         return;
       }
-      const { choices, usage } = JSON.parse(data) as Chunk;
+      const { id: owner, choices, usage } = JSON.parse(data) as Chunk;
+      if (owner !== undefined && owner !== generationId) {
+        crossed = true;
+        return;
+      }
       const choice = choices[0];
       if (choice === undefined) {
         return;
@@ -231,6 +240,9 @@
   const decoder = new TextDecoder();
   for await (const chunk of body) {
     parser.feed(decoder.decode(chunk, { stream: true }));
+    if (crossed) {
+      return { kind: "lost", reason: "other_generation" };
+    }
     if (tokens.length > 0) {
       dispatch({ kind: "tokens_received", attemptId, generationId, tokens });
       tokens = [];
--- a/packages/entry/src/generations/generation.ts
+++ b/packages/entry/src/generations/generation.ts
@@ -33,6 +33,8 @@
   readonly document: boolean;
   /** Continues a stream that another entry began. */
   readonly takenOver: boolean;
+  /** Peer address of the entry that carried it before; `null`: none. */
+  formerCarrier: string | null;
   phase: GenerationPhase;
   attemptId: string;
   /** Index of the next token that is wanted. */
@@ -42,12 +44,27 @@
   buffer: Token[];
   /** Starts and resumes since the last progress. */
   tries: number;
+  /** Replacements by a new generation. */
+  restarts: number;
+  /** Address of the engine when it was last listed. */
+  address: string | null;
+  /** The engine accepted the current attempt. */
+  attached: boolean;
+  /** Monotonic milliseconds until which progress is due; `null`: none is. */
+  progressDeadline: number | null;
+  /** Monotonic milliseconds until which an unlisted engine is looked for. */
+  addressDeadline: number | null;
+  /** Tokens below this index are charged already. */
+  chargedIndex: number;
   /** Monotonic milliseconds of the last token; `null` before the first. */
   lastTokenAt: number | null;
   /** Milliseconds without progress beyond the class's target. */
   stalledMs: number;
 }
 
+/** Milliseconds without a token after which a new connection is tried. */
+export const maxSilenceMs = 2_000;
+
 /** A generation that was cancelled at its engine. */
 export interface Cancelled {
   readonly workClass: string;
--- a/packages/entry/src/generations/generation_effect.ts
+++ b/packages/entry/src/generations/generation_effect.ts
@@ -41,6 +41,14 @@
     readonly address: string;
   };
 
+/** Effects towards entries that carried a stream before. */
+export type TakeOverEffect = {
+  readonly kind: "take_over";
+  /** Peer address of the former carrier. */
+  readonly address: string;
+  readonly generationId: string;
+};
+
 /** Effects towards the callers. */
 export type ReaderEffect =
   | {
@@ -66,6 +74,17 @@
     readonly finishReason: string;
     readonly usage: EngineUsage;
   }
+  | {
+    /** Ends the stream unfinished and names entries that continue it. */
+    readonly kind: "move_reader";
+    readonly readerId: string;
+    readonly addresses: readonly string[];
+  }
+  | {
+    /** Cuts a connection whose stream continues elsewhere. */
+    readonly kind: "drop_reader";
+    readonly readerId: string;
+  }
   | {
     readonly kind: "fail_reader";
     readonly readerId: string;
--- a/packages/entry/src/generations/generation_event.ts
+++ b/packages/entry/src/generations/generation_event.ts
@@ -48,6 +48,31 @@
     readonly readerId: string;
     readonly position: StreamPosition;
   }
+  | {
+    /** The former carrier answered, or did not. */
+    readonly kind: "take_over_answered";
+    readonly generationId: string;
+    /** Tokens whose usage the former carrier recorded; `null`: no answer. */
+    readonly charged: number | null;
+  }
+  | {
+    /** Another entry carries the generation from now on. */
+    readonly kind: "generation_taken_over";
+    readonly generationId: string;
+    readonly by: string;
+  }
+  | {
+    readonly kind: "cancel_requested";
+    readonly readerId: string;
+    readonly requestId: string;
+    readonly workspace: string;
+  }
+  | {
+    /** The engine accepted the attempt; tokens may follow late. */
+    readonly kind: "engine_attached";
+    readonly attemptId: string;
+    readonly generationId: string;
+  }
   | { readonly kind: "reader_left"; readonly readerId: string }
   | { readonly kind: "reader_too_slow"; readonly readerId: string }
   | {
--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -14,8 +14,16 @@
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
-import { recoverGeneration } from "./generation_recovery.ts";
+import { refuseDraining } from "../util/refuse_draining.ts";
+import { maxSilenceMs } from "./generation.ts";
+import { cancelAtEngine, recoverGeneration } from "./generation_recovery.ts";
 import {
+  continueTakenOver,
+  resumeStream,
+  yieldGeneration,
+} from "./generation_take_over.ts";
+import {
+  failGeneration,
   forgetGeneration,
   placeGeneration,
   pumpBacklog,
@@ -36,6 +44,10 @@
 > = {
   generation_requested: requestGeneration,
   stream_resumed: resumeStream,
+  take_over_answered: continueTakenOver,
+  generation_taken_over: yieldGeneration,
+  cancel_requested: cancelRequested,
+  engine_attached: attachEngine,
   reader_left: (state, event) => leaveReader(state, event.readerId, event.at),
   reader_too_slow: (state, event) => [
     count("refusals", "reader_too_slow"),
@@ -54,6 +66,9 @@
   const { readerId, requestId } = event;
   const workClass = state.timeline.at(event.at.wall).statement
     .classes[event.workClass];
+  if (state.stopping) {
+    return refuseDraining(state, event, event.at);
+  }
   const refusal = refusalOf(state, event, workClass);
   if (refusal !== null || workClass === undefined) {
     const error = refusal ?? "unknown_class";
@@ -70,9 +85,6 @@
   event: GenerationRequested,
   workClass: WorkClass | undefined,
 ): ErrorKind | null {
-  if (state.stopping) {
-    return "draining";
-  }
   if (!state.configurationKnown || !state.vmsKnown) {
     return "not_ready";
   }
@@ -99,6 +111,7 @@
       workspace,
       workClass: event.workClass,
       model,
+      carrier: state.carrier,
     },
     readerId: event.readerId,
     demand: {
@@ -117,78 +130,27 @@
     whole: !event.stream || workClass.delivery === "whole",
     document: !event.stream,
     takenOver: false,
+    formerCarrier: null,
     phase: "waiting",
     attemptId: "",
     nextIndex: 0,
     deliveredIndex: 0,
     buffer: [],
-    tries: 0,
+    ...unsent,
     lastTokenAt: null,
     stalledMs: 0,
   };
 }
 
-function resumeStream(
-  state: EntryState,
-  event: Event<"stream_resumed">,
-): readonly EntryEffect[] {
-  const { readerId, position, at } = event;
-  const { token, index } = position;
-  const { requestId, generationId, workClass: name } = token;
-  const workClass = state.timeline.at(at.wall).statement.classes[name];
-  if (workClass === undefined) {
-    return fail({ readerId, requestId, error: "not_ready", notRun: false });
-  }
-  const previous = state.generations.get(generationId);
-  const effects: EntryEffect[] = [];
-  if (previous !== undefined) {
-    effects.push({ kind: "drop_attempt", attemptId: previous.attemptId });
-    forgetGeneration(state, previous);
-  }
-  const generation: Generation = {
-    stream: token,
-    readerId,
-    demand: {
-      requestId,
-      workspace: token.workspace,
-      workClass: name,
-      model: token.model,
-      promptTokens: 0,
-      maxTokens: 0,
-      prefix: [],
-      targets: workClass.targets,
-      arrivedAt: at.monotonic,
-    },
-    prompt: "",
-    traceParent: undefined,
-    whole: false,
-    document: false,
-    takenOver: true,
-    phase: "resuming",
-    attemptId: nextId(state),
-    nextIndex: index + 1,
-    deliveredIndex: index + 1,
-    buffer: [],
-    tries: 0,
-    lastTokenAt: at.monotonic,
-    stalledMs: 0,
-  };
-  state.generations.set(generationId, generation);
-  state.readers.set(readerId, generationId);
-  const figures = { upstream: token.upstream, from: index + 1 };
-  const reason = "last_event_id";
-  decide(
-    state,
-    { kind: "take_over", subject: requestId, reason, figures },
-    at.wall,
-  );
-  const timer = { kind: "retry_generation", generationId } as const;
-  return [
-    ...effects,
-    count("resumes", "take_over"),
-    { kind: "set_timer", timer, at: at.monotonic },
-  ];
-}
+const unsent = {
+  tries: 0,
+  restarts: 0,
+  address: null,
+  attached: false,
+  progressDeadline: null,
+  addressDeadline: null,
+  chargedIndex: 0,
+} as const;
 
 function leaveReader(
   state: EntryState,
@@ -211,6 +173,38 @@
   ];
 }
 
+function cancelRequested(
+  state: EntryState,
+  event: Event<"cancel_requested">,
+): readonly EntryEffect[] {
+  const { readerId, requestId, workspace, at } = event;
+  const generation = [...state.generations.values()].find(({ stream }) =>
+    stream.requestId === requestId && stream.workspace === workspace
+  );
+  if (generation === undefined) {
+    return fail({ readerId, requestId, error: "not_found", notRun: "unknown" });
+  }
+  const body = JSON.stringify({ cancelled: true });
+  const answer = { status: 200, contentType: "application/json", body };
+  return [
+    { kind: "send_answer", readerId, requestId, answer, replayed: false },
+    ...failGeneration(generation, { error: "cancelled", notRun: false }),
+    ...cancelGeneration(state, generation, at),
+  ];
+}
+
+function attachEngine(
+  state: EntryState,
+  event: Event<"engine_attached">,
+): readonly EntryEffect[] {
+  const generation = current(state, event);
+  if (generation !== undefined) {
+    generation.attached = true;
+    generation.progressDeadline = event.at.monotonic + maxSilenceMs;
+  }
+  return [];
+}
+
 /** Cancels a generation that nobody reads any more. */
 export function cancelGeneration(
   state: EntryState,
@@ -218,7 +212,7 @@
   at: Moment,
 ): readonly EntryEffect[] {
   const { stream, phase, attemptId } = generation;
-  const { generationId, requestId, upstream, workClass, workspace } = stream;
+  const { generationId, requestId } = stream;
   forgetGeneration(state, generation);
   const figures = { tokens: generation.nextIndex };
   const reason = "reader_left";
@@ -231,15 +225,10 @@
     return [count("refusals", "cancelled")];
   }
   state.dispatcher.ended(generationId, "cancelled", at);
-  const deliveredTokens = generation.nextIndex;
-  state.cancelled.set(generationId, { workClass, workspace, deliveredTokens });
-  const address = state.vms.get(upstream)?.address;
   return [
     count("refusals", "cancelled"),
     { kind: "drop_attempt", attemptId },
-    ...(address === undefined
-      ? []
-      : [{ kind: "cancel_generation", address, generationId } as const]),
+    ...cancelAtEngine(state, generation),
     ...pumpBacklog(state, at),
   ];
 }
@@ -292,11 +281,14 @@
   effects.push(...observeProgress(generation, fresh.length, at));
   generation.phase = "streaming";
   generation.tries = 0;
+  generation.attached = true;
+  generation.progressDeadline = at.monotonic + maxSilenceMs;
   generation.nextIndex += fresh.length;
   state.dispatcher.progressed(event.generationId, generation.nextIndex, at);
-  const amount = fresh.length;
-  state.usage.add(generation.stream, "output", { amount, wall: at.wall });
-  effects.push(count("tokens", generation.demand.workClass, amount));
+  const { chargedIndex, nextIndex, stream } = generation;
+  const amount = Math.min(fresh.length, nextIndex - chargedIndex);
+  state.usage.add(stream, "output", { amount, wall: at.wall });
+  effects.push(count("tokens", stream.workClass, fresh.length));
   effects.push(...deliver(generation, fresh));
   return effects;
 }
--- a/packages/entry/src/generations/generation_start.ts
+++ b/packages/entry/src/generations/generation_start.ts
@@ -6,6 +6,7 @@
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import { maxSilenceMs } from "./generation.ts";
 
 /** Places a generation that has not started: sends, queues or refuses it. */
 export function placeGeneration(
@@ -95,6 +96,8 @@
   state.generations.delete(generation.stream.generationId);
   generation.stream = { ...generation.stream, generationId: nextId(state) };
   generation.phase = "waiting";
+  generation.progressDeadline = null;
+  generation.chargedIndex = 0;
   generation.nextIndex = 0;
   generation.buffer = [];
   const { generationId } = generation.stream;
@@ -118,6 +121,9 @@
   const { generationId } = generation.stream;
   generation.stream = { ...generation.stream, upstream: engine };
   generation.phase = "sent";
+  generation.address = vm.address;
+  generation.attached = false;
+  generation.progressDeadline = at.monotonic + maxSilenceMs;
   generation.attemptId = nextId(state);
   generation.tries += 1;
   const { demand, prompt, traceParent, attemptId } = generation;
--- a/packages/entry/src/generations/reader_runner.ts
+++ b/packages/entry/src/generations/reader_runner.ts
@@ -77,6 +77,13 @@
         this.#sendWhole(reader, effect);
       }
     },
+    move_reader: ({ readerId, addresses }) => {
+      const data = JSON.stringify({ addresses });
+      this.#take(readerId)?.response.end(`event: moved\ndata: ${data}\n\n`);
+    },
+    drop_reader: ({ readerId }) => {
+      this.#take(readerId)?.response.destroy();
+    },
     fail_reader: ({ readerId, occurrence }) => {
       const reader = this.#take(readerId);
       if (reader === undefined) {
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -27,6 +27,16 @@
 const maxHeaderBytes = 16_384;
 const maxKeyLength = 200;
 const headersTimeoutMs = 10_000;
+const finishLimitMs = 2_000;
+const maxPathLength = 2_048;
+const serviceName = /^[a-z0-9][a-z0-9-]{0,62}$/;
+const callMethods: readonly string[] = [
+  "GET",
+  "POST",
+  "PUT",
+  "PATCH",
+  "DELETE",
+];
 
 type Handler = (
   request: IncomingMessage & { readonly params: Record<string, unknown> },
@@ -66,6 +76,12 @@
           this.#resume(request, response);
         }),
       )
+      .delete(
+        "/v1/generations/:request",
+        guard((request, response) => {
+          this.#cancel(request, response);
+        }),
+      )
       .all(
         "/v1/services/:service/*",
         guard((request, response) => this.#call(request, response)),
@@ -87,6 +103,18 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Takes no connections; resolves once running responses are written. */
+  async finish(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeIdleConnections();
+    const limit = new Promise<void>((resolve) =>
+      setTimeout(resolve, finishLimitMs)
+    );
+    await Promise.race([closed, limit]);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#server.closeAllConnections();
@@ -111,9 +139,9 @@
   }
 
   #addresses(response: ServerResponse): void {
-    const { vms, settings } = this.#options.state;
+    const { vms, settings, stopping } = this.#options.state;
     const list = listAddresses(
-      [...vms.values()],
+      [...vms.values()].filter(({ id }) => !stopping || id !== settings.vm),
       settings.dataCentre,
       Date.now(),
     );
@@ -174,10 +202,8 @@
     const workspace = this.#authenticate(request);
     const { maxBodyBytes } = this.#options.state.settings;
     const body = await readBody(request, maxBodyBytes);
-    const method = request.method ?? "GET";
-    const service = String(request.params["service"]);
-    const prefix = `/v1/services/${service}`;
-    const path = (request.url ?? "").slice(prefix.length);
+    const method = request.method ?? "";
+    const { service, path } = callTarget(request, method);
     const key = method === "GET" ? null : idempotencyKey(request);
     this.#options.dispatch({
       kind: "call_requested",
@@ -196,6 +222,16 @@
     });
   }
 
+  #cancel(request: Parameters<Handler>[0], response: ServerResponse): void {
+    const workspace = this.#authenticate(request);
+    this.#options.dispatch({
+      kind: "cancel_requested",
+      readerId: this.#addReader(response),
+      requestId: String(request.params["request"]),
+      workspace,
+    });
+  }
+
   #authenticate(request: IncomingMessage): string {
     const text = header(request, "authorization") ?? "";
     const key = text.replace(/^Bearer /, "");
@@ -222,6 +258,24 @@
   }
 }
 
+function callTarget(
+  request: Parameters<Handler>[0],
+  method: string,
+): { readonly service: string; readonly path: string } {
+  const service = String(request.params["service"]);
+  const prefix = `/v1/services/${service}`;
+  const url = request.url ?? "";
+  const path = url.slice(prefix.length);
+  const valid = callMethods.includes(method) && serviceName.test(service) &&
+    url.startsWith(`${prefix}/`) && path.length <= maxPathLength;
+  if (!valid) {
+    throw new KnownError("The method, service or path is not valid", {
+      kind: "bad_request",
+    });
+  }
+  return { service, path };
+}
+
 function guard(handler: Handler): Handler {
   return async function handle(request, response) {
     try {
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -2,9 +2,18 @@
 import { retryRecord } from "../calls/call_part.ts";
 import type { EntryEffect } from "../effects.ts";
 import { cancelGeneration } from "../generations/generation_part.ts";
-import { retryGeneration } from "../generations/generation_recovery.ts";
-import { pumpBacklog } from "../generations/generation_start.ts";
+import {
+  retryGeneration,
+  watchProgress,
+} from "../generations/generation_recovery.ts";
+import {
+  forgetGeneration,
+  pumpBacklog,
+} from "../generations/generation_start.ts";
+import { retryTakeOver } from "../generations/generation_take_over.ts";
 import type { EntryState } from "../state.ts";
+import { count } from "../util/effects.ts";
+import { otherAddresses } from "../util/refuse_draining.ts";
 import { flushUsage } from "../usage/usage_part.ts";
 import type { ProcessEvent } from "./process_event.ts";
 import type { TimerName } from "./timers.ts";
@@ -16,17 +25,24 @@
   ProcessEvent,
   EntryEffect
 > = {
-  started: (_state, event) => [
-    { kind: "list_vms" },
-    { kind: "read_configuration", known: 0 },
-    repeat("poll_load", event.at),
-    repeat("flush_usage", event.at),
-    repeat("pump_backlog", event.at),
-  ],
+  started: (state, event) => {
+    state.carrier = event.peers;
+    return [
+      { kind: "list_vms" },
+      { kind: "read_configuration", known: 0 },
+      repeat("poll_load", event.at),
+      repeat("flush_usage", event.at),
+      repeat("pump_backlog", event.at),
+      repeat("watch_progress", event.at),
+    ];
+  },
   timer_fired: (state, event) => fire(state, event.timer, event.at),
   stop_requested: requestStop,
 };
 
+/** Milliseconds for whole answers and records beyond the stop deadline. */
+const finalStopMs = 10_000;
+
 type TimerHandlers = {
   readonly [Kind in TimerName["kind"]]: (
     state: EntryState,
@@ -53,9 +69,16 @@
     ...exitWhenDone(state),
     repeat("pump_backlog", at),
   ],
-  retry_generation: (state, timer) => {
+  watch_progress: (state, _timer, at) => [
+    ...watchProgress(state, at),
+    repeat("watch_progress", at),
+  ],
+  retry_take_over: (state, timer) => retryTakeOver(state, timer.generationId),
+  retry_generation: (state, timer, at) => {
     const generation = state.generations.get(timer.generationId);
-    return generation === undefined ? [] : retryGeneration(state, generation);
+    return generation === undefined
+      ? []
+      : retryGeneration(state, generation, at);
   },
   cancel_orphan: (state, timer, at) => {
     const generation = state.generations.get(timer.generationId);
@@ -63,8 +86,9 @@
       ? cancelGeneration(state, generation, at)
       : [];
   },
-  retry_record: (state, timer, at) => retryRecord(state, timer.callId, at),
-  stop_deadline: () => [{ kind: "exit" }],
+  retry_record: (state, timer) => retryRecord(state, timer.callId),
+  stop_deadline: (state, _timer, at) => handOverStreams(state, at),
+  stop_limit: () => [{ kind: "exit", now: true }],
 };
 
 function fire(
@@ -96,10 +120,12 @@
   event: Timed<Extract<ProcessEvent, { kind: "stop_requested" }>>,
 ): readonly EntryEffect[] {
   if (state.stopping) {
-    return [{ kind: "exit" }];
+    return [{ kind: "exit", now: true }];
   }
   state.stopping = true;
-  const due = event.at.monotonic + state.settings.stopMs;
+  const { stopMs } = state.settings;
+  const due = event.at.monotonic + stopMs;
+  const limit = due + stopMs + finalStopMs;
   return [
     {
       kind: "log",
@@ -107,12 +133,35 @@
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
     { kind: "set_timer", timer: { kind: "stop_deadline" }, at: due },
+    { kind: "set_timer", timer: { kind: "stop_limit" }, at: limit },
     ...flushUsage(state),
   ];
 }
 
+/** Leaves the streams whose readers can continue at another entry. */
+function handOverStreams(
+  state: EntryState,
+  at: Moment,
+): readonly EntryEffect[] {
+  const addresses = otherAddresses(state, at);
+  const effects: EntryEffect[] = [];
+  for (const generation of [...state.generations.values()]) {
+    const { readerId, attemptId, deliveredIndex, whole } = generation;
+    if (whole || deliveredIndex === 0) {
+      continue;
+    }
+    forgetGeneration(state, generation);
+    effects.push(count("resumes", "handed_over"));
+    effects.push({ kind: "drop_attempt", attemptId });
+    if (readerId !== null) {
+      effects.push({ kind: "move_reader", readerId, addresses });
+    }
+  }
+  return effects;
+}
+
 function exitWhenDone(state: EntryState): readonly EntryEffect[] {
   const idle = state.generations.size === 0 && state.calls.size === 0 &&
     state.cancelled.size === 0 && state.usage.settled;
-  return state.stopping && idle ? [{ kind: "exit" }] : [];
+  return state.stopping && idle ? [{ kind: "exit", now: false }] : [];
 }
--- a/packages/entry/src/process/process_effect.ts
+++ b/packages/entry/src/process/process_effect.ts
@@ -40,4 +40,8 @@
     readonly sentence: string;
     readonly fields: Readonly<Record<string, string | number | boolean>>;
   }
-  | { readonly kind: "exit" };
+  | {
+    readonly kind: "exit";
+    /** Does not wait for responses that are being written. */
+    readonly now: boolean;
+  };
--- a/packages/entry/src/process/process_runner.ts
+++ b/packages/entry/src/process/process_runner.ts
@@ -11,7 +11,7 @@
   readonly clock: Clock;
   readonly metrics: EntryMetrics;
   /** Ends the process. */
-  readonly exit: () => void;
+  readonly exit: (now: boolean) => void;
 }
 
 /** Creates the handlers of timers, counters, logs and the exit. */
@@ -31,6 +31,6 @@
       metrics.histograms[histogram].observe({ class: workClass }, milliseconds);
     },
     log: ({ sentence, fields }) => log(sentence, fields),
-    exit,
+    exit: ({ now }) => exit(now),
   };
 }
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -7,6 +7,9 @@
   | { readonly kind: "pump_backlog" }
   | { readonly kind: "retry_generation"; readonly generationId: string }
   | { readonly kind: "cancel_orphan"; readonly generationId: string }
+  | { readonly kind: "retry_take_over"; readonly generationId: string }
+  | { readonly kind: "watch_progress" }
+  | { readonly kind: "stop_limit" }
   | { readonly kind: "retry_record"; readonly callId: string }
   | { readonly kind: "stop_deadline" };
 
@@ -17,4 +20,5 @@
   poll_load: 250,
   flush_usage: 1_000,
   pump_backlog: 50,
+  watch_progress: 250,
 } as const;
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -13,6 +13,8 @@
   readonly settings: EntrySettings;
   /** Random name of this run of the process. */
   readonly epoch: string;
+  /** Peer address of this process, known once it listens. */
+  carrier: string;
   readonly random: Random;
   readonly timeline: Timeline;
   /** Whether the configuration has been read at least once. */
@@ -43,6 +45,7 @@
   return {
     settings,
     epoch,
+    carrier: "",
     random: new Random(settings.seed),
     timeline: new Timeline(),
     configurationKnown: false,
--- a/packages/entry/src/util/effects.ts
+++ b/packages/entry/src/util/effects.ts
@@ -20,17 +20,21 @@
   readonly notRun?: NotRun;
   readonly detail?: string;
   readonly retryAfterMs?: number;
+  /** Entries that take the request in place of this one. */
+  readonly addresses?: readonly string[];
 }
 
 /** Answers a request with an error and counts its kind. */
 export function fail(failure: ReaderFailure): readonly EntryEffect[] {
   const { readerId, requestId, error, detail, notRun, retryAfterMs } = failure;
+  const { addresses } = failure;
   const occurrence = {
     kind: error,
     detail: detail ?? errorKinds[error].title,
     requestId,
     ...(notRun === undefined ? {} : { notRun }),
     ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    ...(addresses === undefined ? {} : { addresses }),
   };
   return [
     count("refusals", error),
--- a/packages/errors/src/problem.ts
+++ b/packages/errors/src/problem.ts
@@ -14,6 +14,8 @@
   readonly notRun: NotRun;
   readonly requestId?: string;
   readonly retryAfterMs?: number;
+  /** Addresses that take the request in place of the one that answers. */
+  readonly addresses?: readonly string[];
 }
 
 /** What one occurrence of an error adds to its kind. */
@@ -23,6 +25,7 @@
   readonly notRun?: NotRun;
   readonly requestId?: string;
   readonly retryAfterMs?: number;
+  readonly addresses?: readonly string[];
 }
 
 /** Builds the problem details document of one occurrence. */
@@ -41,5 +44,8 @@
     ...(occurrence.retryAfterMs === undefined
       ? {}
       : { retryAfterMs: occurrence.retryAfterMs }),
+    ...(occurrence.addresses === undefined
+      ? {}
+      : { addresses: occurrence.addresses }),
   };
 }
