test(proof): history checker with a closed list of violations

One checker takes the records of callers, services, operators, settlement and upstreams and returns violations with the fewest records that show each.

--- a/packages/proof/src/mod.ts
+++ b/packages/proof/src/mod.ts
@@ -5,3 +5,6 @@
 export * from "./harness/program.ts";
 export * from "./harness/sample_statement.ts";
 export * from "./harness/system.ts";
+export * from "./history/check_history.ts";
+export * from "./history/history_record.ts";
+export * from "./history/violation.ts";
