--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -103,7 +103,7 @@
   ): void {
     const { attemptId } = attempt;
     const stream = new EngineStream(attempt, (event) => {
-      if (event.kind !== "tokens_received") {
+      if (event.kind === "engine_finished" || event.kind === "engine_failed") {
         this.#attempts.delete(attemptId);
       }
       dispatch(event);
--- a/packages/entry/src/generations/engine_stream.ts
+++ b/packages/entry/src/generations/engine_stream.ts
@@ -30,6 +30,8 @@
 }
 
 interface Chunk {
+  /** Generation that the event belongs to. */
+  readonly id?: string;
   readonly choices: readonly Choice[];
   readonly usage?: unknown;
 }
@@ -50,6 +52,7 @@
   #tokens: Token[] = [];
   #end: { finishReason: string; usage: EngineUsage } | undefined;
   #marked = false;
+  #crossed = false;
 
   constructor(attempt: Attempt, dispatch: Dispatch<EntryEvent>) {
     this.#attempt = attempt;
@@ -77,6 +80,10 @@
     statusCode: number,
   ): void {
     this.#status = statusCode;
+    if (statusCode === 200) {
+      const { attemptId, generationId } = this.#attempt;
+      this.#send({ kind: "engine_attached", attemptId, generationId });
+    }
   }
 
   onResponseData(
@@ -94,6 +101,10 @@
       controller.abort(error as Error);
       return;
     }
+    if (this.#crossed) {
+      controller.abort(new Error("The answer belongs to another generation"));
+      return;
+    }
     this.#flush();
   }
 
@@ -117,7 +128,9 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
-    if (!neverSent(error)) {
+    if (this.#crossed) {
+      this.#fail({ kind: "lost", reason: "other_generation" });
+    } else if (!neverSent(error)) {
       this.#fail({ kind: "lost", reason: "connection" });
     } else if (this.#attempt.started) {
       this.#fail({ kind: "lost", reason: "unreachable" });
@@ -131,7 +144,11 @@
       this.#marked = true;
       return;
     }
-    const { choices, usage } = JSON.parse(data) as Chunk;
+    const { id: owner, choices, usage } = JSON.parse(data) as Chunk;
+    if (owner !== undefined && owner !== this.#attempt.generationId) {
+      this.#crossed = true;
+      return;
+    }
     const choice = choices[0];
     if (choice === undefined) {
       return;
