feat(fleet): membership and delta exchange between processes

Entries and stewards polled the list and the configuration each second and told each other nothing. They now exchange what changed with five chosen peers: members, draining marks, work in flight, output lengths, duty holders and the configuration version, which a peer then fetches once.

The table is polled every 30 s, not each second.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
@@ -23,8 +24,9 @@
 /** Starts an entry; resolves once it listens. */
 export async function startEntry(settings: EntrySettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
-  const state = createEntryState(settings, epoch);
+  const state = createEntryState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
+  const exchanges = new ExchangeRunner(new PeerClients());
   const readers = new ReaderRunner(settings.streamSecret);
   const metrics = createEntryMetrics({
     generations: () => state.generations.size,
@@ -41,6 +43,7 @@
       ...new EngineRunner().handlers,
       ...new ServiceRunner(platform).handlers,
       ...createFleetHandlers(platform),
+      ...exchanges.handlers,
       ...createUsageHandlers(new PeerClients()),
       ...readers.handlers,
       ...createProcessHandlers({
@@ -52,15 +55,16 @@
   });
   const { dispatch } = loop;
   const callers = new CallerServer({ state, dispatch, readers, metrics });
-  const peers = new PeerServer(createPeerMethods(state, dispatch));
+  const peers = new PeerServer(
+    createPeerMethods({ state, exchanges, dispatch }),
+  );
   const { ip } = settings.callers;
   const callerPort = await callers.listen(ip, settings.callers.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
-  announce("listening", {
-    address: `${ip}:${callerPort}`,
-    peers: `${settings.peers.ip}:${peerPort}`,
-    epoch,
-  });
+  const address = `${ip}:${callerPort}`;
+  const peersAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "listening", address, peers: peersAddress });
+  announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
   dispatch({ kind: "started" });
--- a/packages/entry/src/fleet/fleet_event.ts
+++ b/packages/entry/src/fleet/fleet_event.ts
@@ -1,10 +1,12 @@
 import type { Configuration } from "@lavenderferry/configuration";
 import type { ErrorKind } from "@lavenderferry/errors";
+import type { ExchangeEvent } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
 import type { CacheChange, LoadReport } from "@lavenderferry/policy";
 
 /** Events of VMs, upstreams, peers and the configuration. */
 export type FleetEvent =
+  | ExchangeEvent
   | { readonly kind: "vms_listed"; readonly vms: readonly Vm[] }
   | { readonly kind: "vms_failed" }
   | {
--- a/packages/entry/src/fleet/fleet_runner.ts
+++ b/packages/entry/src/fleet/fleet_runner.ts
@@ -1,5 +1,6 @@
 import { ConfigurationStore } from "@lavenderferry/configuration";
 import { toFailure } from "@lavenderferry/errors";
+import type { ExchangeEffect } from "@lavenderferry/fleet";
 import type { PlatformClient } from "@lavenderferry/platform";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
@@ -8,7 +9,7 @@
 /** Creates the handlers of the effects towards the platform and peers. */
 export function createFleetHandlers(
   platform: PlatformClient,
-): EffectHandlers<EntryEvent, FleetEffect> {
+): EffectHandlers<EntryEvent, Exclude<FleetEffect, ExchangeEffect>> {
   const configurations = new ConfigurationStore(platform);
   return {
     list_vms: (_effect, dispatch) => {
--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -1,21 +1,23 @@
 import { KnownError } from "@lavenderferry/errors";
+import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { EntryState } from "../state.ts";
 
+/** What the answers to peers work with. */
+export interface PeerMethodsOptions {
+  readonly state: EntryState;
+  readonly exchanges: ExchangeRunner;
+  readonly dispatch: Dispatch<EntryEvent>;
+}
+
 /** Creates the entry's answers to its peers. */
 export function createPeerMethods(
-  state: EntryState,
-  dispatch: Dispatch<EntryEvent>,
+  { state, exchanges, dispatch }: PeerMethodsOptions,
 ): PeerMethods {
   return {
-    exchange: () =>
-      Promise.resolve({
-        sender: state.settings.vm,
-        epoch: state.epoch,
-        configurationVersion: state.timeline.latest.version,
-      }),
+    exchange: (message) => exchanges.receive(message, dispatch),
     settle: () =>
       Promise.reject(
         new KnownError("An entry settles no usage", { kind: "bad_request" }),
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -37,6 +37,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  #turn = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -111,12 +112,13 @@
   }
 
   #addresses(response: ServerResponse): void {
-    const { vms, settings } = this.#options.state;
-    const list = listAddresses(
-      [...vms.values()],
-      settings.dataCentre,
-      Date.now(),
-    );
+    const { fleet, settings } = this.#options.state;
+    const list = listAddresses(fleet.membership.all(), {
+      dataCentre: settings.dataCentre,
+      turn: this.#turn++,
+      wall: Date.now(),
+      load: (id) => fleet.loadOf(id),
+    });
     sendJson(response, {
       addresses: list.addresses,
       keepUntil: new Date(list.keepUntil).toISOString(),
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -1,6 +1,7 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import { retryRecord } from "../calls/call_part.ts";
 import type { EntryEffect } from "../effects.ts";
+import { exchange, leaveFleet } from "../fleet/exchange_part.ts";
 import { cancelGeneration } from "../generations/generation_part.ts";
 import { retryGeneration } from "../generations/generation_recovery.ts";
 import { pumpBacklog } from "../generations/generation_start.ts";
@@ -19,6 +20,7 @@
   started: (_state, event) => [
     { kind: "list_vms" },
     { kind: "read_configuration", known: 0 },
+    repeat("exchange", event.at),
     repeat("poll_load", event.at),
     repeat("flush_usage", event.at),
     repeat("pump_backlog", event.at),
@@ -40,6 +42,10 @@
   poll_configuration: (state) => [
     { kind: "read_configuration", known: state.timeline.latest.version },
   ],
+  exchange: (state, _timer, at) => [
+    ...exchange(state, at),
+    repeat("exchange", at),
+  ],
   poll_load: (state, _timer, at) => [
     ...readLoads(state),
     repeat("poll_load", at),
@@ -107,6 +113,7 @@
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
     { kind: "set_timer", timer: { kind: "stop_deadline" }, at: due },
+    ...leaveFleet(state, event.at),
     ...flushUsage(state),
   ];
 }
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -2,6 +2,7 @@
 export type TimerName =
   | { readonly kind: "list_vms" }
   | { readonly kind: "poll_configuration" }
+  | { readonly kind: "exchange" }
   | { readonly kind: "poll_load" }
   | { readonly kind: "flush_usage" }
   | { readonly kind: "pump_backlog" }
@@ -13,7 +14,8 @@
 /** Milliseconds between two runs of the periodic timers. */
 export const timerPeriods = {
   list_vms: 1_000,
-  poll_configuration: 1_000,
+  poll_configuration: 30_000,
+  exchange: 100,
   poll_load: 250,
   flush_usage: 1_000,
   pump_backlog: 50,
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -1,4 +1,5 @@
 import { Timeline } from "@lavenderferry/configuration";
+import { FleetNode } from "@lavenderferry/fleet";
 import { UsageMeter } from "@lavenderferry/ledger";
 import type { Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
@@ -19,6 +20,8 @@
   configurationKnown: boolean;
   vms: ReadonlyMap<string, Vm>;
   vmsKnown: boolean;
+  /** This process's part in the fleet. */
+  readonly fleet: FleetNode;
   readonly dispatcher: Dispatcher;
   readonly generations: Map<string, Generation>;
   readonly readers: Map<string, string>;
@@ -39,6 +42,7 @@
 export function createEntryState(
   settings: EntrySettings,
   epoch: string,
+  startedAt = 0,
 ): EntryState {
   return {
     settings,
@@ -48,6 +52,14 @@
     configurationKnown: false,
     vms: new Map(),
     vmsKnown: false,
+    fleet: new FleetNode({
+      id: settings.vm,
+      epoch,
+      role: "entry",
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      seed: settings.seed,
+    }, startedAt),
     dispatcher: dispatchers[settings.policy](settings.seed),
     generations: new Map(),
     readers: new Map(),
--- a/packages/fleet/src/address_book.ts
+++ b/packages/fleet/src/address_book.ts
@@ -1,4 +1,5 @@
-import type { Vm } from "@lavenderferry/platform";
+import type { Member } from "./member.ts";
+import { rankByRendezvous } from "./rendezvous.ts";
 
 /** The addresses that callers should use, until a wall deadline. */
 export interface Addresses {
@@ -7,21 +8,61 @@
   readonly keepUntil: number;
 }
 
-const keepMs = 5_000;
+/** What an answer to one caller is made from. */
+export interface AddressQuery {
+  readonly dataCentre: string;
+  /** Grows with every answer, so that callers start at different entries. */
+  readonly turn: number;
+  /** Milliseconds since the Unix epoch. */
+  readonly wall: number;
+  /** Work in flight at an entry, where it is known. */
+  readonly load?: (id: string) => number | undefined;
+}
+
+/** Milliseconds for which callers may keep the answer. */
+export const keepAddressesMs = 3_000;
+
+/** Addresses in one answer at most. */
+export const maxAddresses = 16;
 
-/** Lists the live entries, those of the given data centre first. */
+/** Share of the mean load above which an entry is listed last. */
+const crowdedShare = 1.5;
+
+/**
+ * Lists live entries: those of the given data centre first, each group in an
+ * order that turns with every answer, crowded ones last within their group.
+ */
 export function listAddresses(
-  vms: readonly Vm[],
-  dataCentre: string,
-  wall: number,
+  members: readonly Member[],
+  query: AddressQuery,
 ): Addresses {
-  const entries = vms.filter((vm) =>
-    vm.role === "entry" && vm.state === "live"
+  const entries = members.filter((member) =>
+    member.role === "entry" && member.state === "live" && member.address !== ""
   );
-  const near = entries.filter((vm) => vm.dataCentre === dataCentre);
-  const far = entries.filter((vm) => vm.dataCentre !== dataCentre);
+  const near = entries.filter((each) => each.dataCentre === query.dataCentre);
+  const far = entries.filter((each) => each.dataCentre !== query.dataCentre);
+  const ordered = [...order(near, query), ...order(far, query)];
   return {
-    addresses: [...near, ...far].map((vm) => `http://${vm.address}`),
-    keepUntil: wall + keepMs,
+    addresses: ordered
+      .slice(0, maxAddresses)
+      .map(({ address }) => `http://${address}`),
+    keepUntil: query.wall + keepAddressesMs,
   };
 }
+
+function order(
+  entries: readonly Member[],
+  { turn, load = () => undefined }: AddressQuery,
+): readonly Member[] {
+  const fixed = rankByRendezvous("addresses", entries, entries.length);
+  const start = fixed.length === 0 ? 0 : turn % fixed.length;
+  const turned = [...fixed.slice(start), ...fixed.slice(0, start)];
+  const known = turned.flatMap(({ id }) => load(id) ?? []);
+  const sum = known.reduce((total, each) => total + each, 0);
+  const bound = crowdedShare * sum / Math.max(1, known.length);
+  const crowded = ({ id }: Member) => (load(id) ?? 0) > bound;
+  return [
+    ...turned.filter((member) => !crowded(member)),
+    ...turned.filter(crowded),
+  ];
+}
--- /dev/null
+++ b/packages/fleet/src/exchange_effect.ts
@@ -0,0 +1,15 @@
+import type { ExchangeMessage } from "@lavenderferry/protocol";
+
+/** Effects of the exchange with peers. */
+export type ExchangeEffect =
+  | {
+    readonly kind: "send_exchange";
+    readonly peer: string;
+    readonly address: string;
+    readonly message: ExchangeMessage;
+  }
+  | {
+    readonly kind: "answer_exchange";
+    readonly replyId: number;
+    readonly message: ExchangeMessage;
+  };
--- /dev/null
+++ b/packages/fleet/src/exchange_event.ts
@@ -0,0 +1,21 @@
+import type { ExchangeMessage__Output } from "@lavenderferry/protocol";
+
+/** Events of the exchange with peers. */
+export type ExchangeEvent =
+  | {
+    /** The process listens on these sockets. */
+    readonly kind: "listening";
+    readonly address: string;
+    readonly peers: string;
+  }
+  | {
+    readonly kind: "exchange_received";
+    readonly replyId: number;
+    readonly message: ExchangeMessage__Output;
+  }
+  | {
+    readonly kind: "exchange_replied";
+    readonly peer: string;
+    readonly reply: ExchangeMessage__Output;
+  }
+  | { readonly kind: "exchange_failed"; readonly peer: string };
--- /dev/null
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -0,0 +1,333 @@
+import type { Configuration } from "@lavenderferry/configuration";
+import { emptyConfiguration } from "@lavenderferry/configuration";
+import type { Vm } from "@lavenderferry/platform";
+import type { ExchangeMessage__Output } from "@lavenderferry/protocol";
+import type { Moment } from "@lavenderferry/runtime";
+import t from "tap";
+import type { Send } from "./exchange.ts";
+import { controlBytesPerSecond } from "./exchange_budget.ts";
+import { FleetNode } from "./fleet_node.ts";
+
+const wallStart = 1_800_000_000_000;
+const latencyMs = 5;
+const timeoutMs = 1_000;
+const stepMs = 20;
+
+/** A fleet in simulated time; messages are delivered by its own rules. */
+class Simulation {
+  readonly nodes = new Map<string, FleetNode>();
+  readonly dead = new Set<string>();
+  readonly #queue: { at: number; run: () => void }[] = [];
+  readonly #dataCentres: number;
+  /** Returns whether a message may pass. */
+  passes: (from: string, to: string) => boolean = () => true;
+  now = 0;
+  bytes = 0;
+
+  constructor(size: number, dataCentres: number) {
+    this.#dataCentres = dataCentres;
+    for (let index = 0; index < size; index++) {
+      this.start(`p${index}`, "a1");
+    }
+    this.list();
+  }
+
+  get at(): Moment {
+    return { monotonic: this.now, wall: wallStart + this.now };
+  }
+
+  start(id: string, epoch: string): FleetNode {
+    const index = Number(id.slice(1));
+    const node = new FleetNode({
+      id,
+      epoch,
+      role: index % 2 === 0 ? "entry" : "steward",
+      dataCentre: `dc${index % this.#dataCentres}`,
+      region: `region${index % 2}`,
+      seed: index + 1,
+    }, this.at.wall);
+    node.listen(`${id}:1`, id);
+    this.nodes.set(id, node);
+    this.dead.delete(id);
+    return node;
+  }
+
+  list(vms = this.vms()): void {
+    for (const node of this.nodes.values()) {
+      node.learnVms(vms, this.at);
+    }
+  }
+
+  vms(): Vm[] {
+    return [...this.nodes.values()].map(({ membership: { self } }) => ({
+      id: self.id,
+      role: self.role,
+      dataCentre: self.dataCentre,
+      region: self.region,
+      state: "live",
+      address: self.address,
+      peers: self.peers,
+      checksFence: false,
+    }));
+  }
+
+  node(id: string): FleetNode {
+    const node = this.nodes.get(id);
+    if (node === undefined) {
+      throw new Error(`No node is called "${id}"`);
+    }
+    return node;
+  }
+
+  living(): FleetNode[] {
+    return [...this.nodes]
+      .filter(([id]) => !this.dead.has(id))
+      .map(([, node]) => node);
+  }
+
+  run(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    while (this.now < end) {
+      this.now += stepMs;
+      this.#deliver();
+      for (const node of this.living()) {
+        this.#send(node);
+      }
+    }
+  }
+
+  /** Runs until it holds, and returns the milliseconds taken. */
+  until(holds: () => boolean, limitMs: number): number {
+    const start = this.now;
+    while (!holds() && this.now - start < limitMs) {
+      this.run(stepMs);
+    }
+    return this.now - start;
+  }
+
+  #deliver(): void {
+    this.#queue.sort((a, b) => a.at - b.at);
+    while ((this.#queue[0]?.at ?? Infinity) <= this.now) {
+      this.#queue.shift()?.run();
+    }
+  }
+
+  #send(node: FleetNode): void {
+    for (const send of node.poll(this.at)) {
+      this.#transmit(node, send);
+    }
+  }
+
+  #transmit(node: FleetNode, { peer, address, message }: Send): void {
+    const { id } = node.membership.self;
+    const receiver = this.nodes.get(address);
+    this.bytes += JSON.stringify(message).length;
+    const open = this.passes(id, address) && this.passes(address, id);
+    if (receiver === undefined || this.dead.has(address) || !open) {
+      const wait = open ? latencyMs : timeoutMs;
+      this.#later(wait, () => node.failed(peer, this.at));
+      return;
+    }
+    this.#later(latencyMs, () => {
+      const reply = receiver.receive(complete(message), this.at);
+      this.bytes += JSON.stringify(reply).length;
+      this.#later(
+        latencyMs,
+        () => node.replied(peer, complete(reply), this.at),
+      );
+    });
+  }
+
+  #later(milliseconds: number, run: () => void): void {
+    this.#queue.push({ at: this.now + milliseconds, run });
+  }
+}
+
+function complete(message: object): ExchangeMessage__Output {
+  const empty = {
+    sender: "",
+    epoch: "",
+    sequence: 0,
+    configurationVersion: 0,
+    configurations: [],
+    members: [],
+    marks: [],
+    shares: [],
+    lengths: [],
+    duties: [],
+    full: false,
+    acknowledged: 0,
+  };
+  return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
+}
+
+function versionOf(version: number): Configuration {
+  return { ...emptyConfiguration, version };
+}
+
+const sizes = [
+  { size: 3, dataCentres: 1 },
+  { size: 24, dataCentres: 3 },
+  { size: 60, dataCentres: 5 },
+];
+
+for (const { size, dataCentres } of sizes) {
+  const name = `${size} processes in ${dataCentres} data centres`;
+
+  t.test(`${name} notice a death within seconds`, (t) => {
+    const fleet = new Simulation(size, dataCentres);
+    fleet.run(8_000);
+    fleet.dead.add("p1");
+    const state = (node: FleetNode) => node.membership.get("p1")?.state;
+    const noticed = () =>
+      fleet.living().every((node) => state(node) !== "live");
+    t.ok(fleet.until(noticed, 5_000) < 5_000);
+    const gone = () => fleet.living().every((node) => state(node) === "gone");
+    t.ok(fleet.until(gone, 8_000) < 8_000);
+    t.end();
+  });
+
+  t.test(`${name} spread a mark within a second`, (t) => {
+    const fleet = new Simulation(size, dataCentres);
+    fleet.run(8_000);
+    fleet.node("p0").mark("engine-1", { reason: "draining", at: fleet.at });
+    const known = () =>
+      fleet.living().every((node) => node.marks.get("engine-1") !== undefined);
+    t.ok(fleet.until(known, 1_000) < 1_000);
+    t.end();
+  });
+
+  t.test(`${name} spread a configuration`, (t) => {
+    const fleet = new Simulation(size, dataCentres);
+    fleet.run(8_000);
+    fleet.node("p1").learnConfiguration(versionOf(1));
+    const learned = new Set(["p1"]);
+    const known = () => {
+      for (const node of fleet.living()) {
+        if (node.takeNews().configurations.length > 0) {
+          learned.add(node.membership.self.id);
+        }
+      }
+      return learned.size === size;
+    };
+    t.ok(fleet.until(known, 2_000) < 2_000);
+    t.end();
+  });
+
+  t.test(`${name} stay under the byte budget at rest`, (t) => {
+    const fleet = new Simulation(size, dataCentres);
+    fleet.run(20_000);
+    fleet.bytes = 0;
+    fleet.run(10_000);
+    const perProcess = 2 * fleet.bytes / size / 10;
+    t.ok(perProcess < controlBytesPerSecond);
+    for (const node of fleet.living()) {
+      t.ok(node.links <= 64);
+    }
+    t.end();
+  });
+}
+
+t.test("a restarted process is not taken for its former self", (t) => {
+  const fleet = new Simulation(12, 2);
+  fleet.run(5_000);
+  fleet.dead.add("p3");
+  fleet.run(10_000);
+  fleet.start("p3", "b2").learnVms(fleet.vms(), fleet.at);
+  const known = () =>
+    fleet.living().every((node) => {
+      const member = node.membership.get("p3");
+      return member?.state === "live" && member.epoch === "b2";
+    });
+  t.ok(fleet.until(known, 10_000) < 10_000);
+  t.end();
+});
+
+t.test("a process that was only cut off refutes and is live again", (t) => {
+  const fleet = new Simulation(12, 2);
+  fleet.run(5_000);
+  fleet.passes = (from) => from !== "p4";
+  fleet.run(10_000);
+  t.equal(fleet.node("p0").membership.get("p4")?.state, "gone");
+  const words = fleet.node("p4").membership.all();
+  t.ok(words.every(({ state }) => state === "live"), "it accuses no one");
+  fleet.passes = () => true;
+  const known = () =>
+    fleet.living().every((node) => node.membership.get("p4")?.state === "live");
+  t.ok(fleet.until(known, 30_000) < 30_000);
+  t.end();
+});
+
+t.test("two regions find each other after an hour of partition", (t) => {
+  const fleet = new Simulation(12, 2);
+  fleet.run(5_000);
+  const side = (id: string) => Number(id.slice(1)) % 2;
+  fleet.passes = (from, to) => side(from) === side(to);
+  fleet.run(100_000);
+  t.equal(fleet.node("p0").membership.get("p1")?.state, "gone");
+  fleet.node("p0").mark("engine-2", { reason: "draining", at: fleet.at });
+  fleet.passes = () => true;
+  const known = () =>
+    fleet.living().every((node) =>
+      node.membership.all().every(({ state }) => state === "live") &&
+      node.marks.get("engine-2") !== undefined
+    );
+  t.ok(fleet.until(known, 60_000) < 60_000);
+  t.end();
+});
+
+t.test("a leaving process says so itself", (t) => {
+  const fleet = new Simulation(12, 2);
+  fleet.run(5_000);
+  fleet.node("p2").leave(fleet.at);
+  const known = () =>
+    fleet.living().every((node) =>
+      node.membership.get("p2")?.state === "leaving"
+    );
+  t.ok(fleet.until(known, 1_000) < 1_000);
+  t.end();
+});
+
+t.test("a joining process gets the full state", (t) => {
+  const fleet = new Simulation(12, 2);
+  fleet.run(90_000);
+  fleet.node("p0").learnConfiguration(versionOf(3));
+  fleet.node("p0").setDuty(
+    { duty: "settlement/1", holder: "p1", fence: 2 },
+    fleet.at,
+  );
+  fleet.run(90_000);
+  const node = fleet.start("p12", "c3");
+  node.learnVms(fleet.vms(), fleet.at);
+  const known = () =>
+    node.holderOf("settlement/1")?.id === "p1" &&
+    node.configurationAnswers >= 2;
+  t.ok(fleet.until(known, 5_000) < 5_000);
+  t.equal(node.takeNews().configurations.at(-1)?.version, 3);
+  t.end();
+});
+
+t.test("shares arrive at peers whole, and end with their owner", (t) => {
+  const fleet = new Simulation(2, 1);
+  fleet.run(5_000);
+  const shares = [{ engine: "e1", running: 2, tokens: 30 }];
+  fleet.node("p0").setShares(shares, fleet.at);
+  fleet.run(3_000);
+  t.strictSame(fleet.node("p1").takeNews().shares.get("p0"), shares);
+  fleet.dead.add("p0");
+  fleet.run(10_000);
+  t.strictSame(fleet.node("p1").takeNews().shares.get("p0"), []);
+  t.end();
+});
+
+t.test("a configuration never goes back", (t) => {
+  const fleet = new Simulation(2, 1);
+  fleet.run(5_000);
+  fleet.node("p0").learnConfiguration(versionOf(5));
+  fleet.node("p1").learnConfiguration(versionOf(4));
+  fleet.run(3_000);
+  const versions = fleet.node("p1").takeNews().configurations;
+  t.strictSame(versions.map(({ version }) => version), [5]);
+  t.strictSame(fleet.node("p0").takeNews().configurations, []);
+  t.end();
+});
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -1,2 +1,13 @@
 /** Membership, exchange between processes, leases and duties. */
 export * from "./address_book.ts";
+export * from "./duty_directory.ts";
+export * from "./exchange_budget.ts";
+export * from "./exchange_effect.ts";
+export * from "./exchange_event.ts";
+export * from "./exchange_runner.ts";
+export * from "./fleet_node.ts";
+export * from "./marks.ts";
+export * from "./member.ts";
+export * from "./membership.ts";
+export * from "./peer_selection.ts";
+export * from "./rendezvous.ts";
--- a/packages/steward/src/fleet/fleet_event.ts
+++ b/packages/steward/src/fleet/fleet_event.ts
@@ -1,8 +1,10 @@
 import type { Configuration } from "@lavenderferry/configuration";
+import type { ExchangeEvent } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
 
 /** Events of VMs, peers and the configuration. */
 export type FleetEvent =
+  | ExchangeEvent
   | { readonly kind: "vms_listed"; readonly vms: readonly Vm[] }
   | { readonly kind: "vms_failed" }
   | {
--- a/packages/steward/src/fleet/fleet_part.ts
+++ b/packages/steward/src/fleet/fleet_part.ts
@@ -1,31 +1,56 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
-import type { TimerName } from "../process/process_event.ts";
 import { timerPeriods } from "../process/process_part.ts";
 import type { StewardState } from "../state.ts";
+import { exchangePart } from "./exchange_part.ts";
 import type { FleetEvent } from "./fleet_event.ts";
 
+/** Milliseconds of waiting for each VM of the list. */
+const listMsPerVm = 10;
+
+/** Milliseconds between reads while the configuration is not known. */
+const joiningPollMs = 1_000;
+
+/** Share by which the period of reads varies. */
+const pollJitter = 0.3;
+
 /** Keeps the list of VMs and the configuration. */
 export const fleetPart: EventHandlers<
   StewardState,
   FleetEvent,
   StewardEffect
 > = {
+  ...exchangePart,
   vms_listed: (state, event) => {
     state.vms = event.vms;
-    return [again("list_vms", event.at)];
+    state.fleet.learnVms(event.vms, event.at);
+    return [listAgain(event.vms.length, event.at)];
   },
-  vms_failed: (_state, event) => [again("list_vms", event.at)],
+  vms_failed: (_state, event) => [listAgain(0, event.at)],
   configuration_learned: (state, event) => {
     state.timeline.learn(event.configuration);
+    state.fleet.learnConfiguration(event.configuration);
     state.configurationKnown = true;
-    return [again("poll_configuration", event.at)];
+    return [pollAgain(state, event.at)];
   },
-  configuration_failed: (_state, event) => [
-    again("poll_configuration", event.at),
-  ],
+  configuration_failed: (state, event) => [pollAgain(state, event.at)],
 };
 
-function again(timer: TimerName, at: Moment): StewardEffect {
-  return { kind: "set_timer", timer, at: at.monotonic + timerPeriods[timer] };
+/** Waits longer for a longer list, so that its bytes stay bounded. */
+function listAgain(vms: number, at: Moment): StewardEffect {
+  const wait = Math.max(timerPeriods.list_vms, vms * listMsPerVm);
+  return { kind: "set_timer", timer: "list_vms", at: at.monotonic + wait };
+}
+
+/** Reads the table slowly once the version is known; peers push changes. */
+function pollAgain(state: StewardState, at: Moment): StewardEffect {
+  const period = state.configurationKnown
+    ? timerPeriods.poll_configuration
+    : joiningPollMs;
+  const wait = state.random.jitter(period, pollJitter);
+  return {
+    kind: "set_timer",
+    timer: "poll_configuration",
+    at: at.monotonic + wait,
+  };
 }
--- a/packages/steward/src/fleet/fleet_runner.ts
+++ b/packages/steward/src/fleet/fleet_runner.ts
@@ -1,4 +1,5 @@
 import { ConfigurationStore } from "@lavenderferry/configuration";
+import type { ExchangeEffect } from "@lavenderferry/fleet";
 import type { PlatformClient } from "@lavenderferry/platform";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
@@ -7,7 +8,7 @@
 /** Creates the handlers of the effects towards the platform and peers. */
 export function createFleetHandlers(
   platform: PlatformClient,
-): EffectHandlers<StewardEvent, FleetEffect> {
+): EffectHandlers<StewardEvent, Exclude<FleetEffect, ExchangeEffect>> {
   const configurations = new ConfigurationStore(platform);
   return {
     list_vms: (_effect, dispatch) => {
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,4 +1,5 @@
 import { KnownError } from "@lavenderferry/errors";
+import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { Batch, UsageUnit } from "@lavenderferry/ledger";
 import type { PeerMethods, UsageBatch__Output } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
@@ -9,21 +10,17 @@
 /** What the answers to peers work with. */
 export interface PeerMethodsOptions {
   readonly state: StewardState;
+  readonly exchanges: ExchangeRunner;
   readonly replies: Replies;
   readonly dispatch: Dispatch<StewardEvent>;
 }
 
 /** Creates the steward's answers to its peers. */
 export function createPeerMethods(
-  { state, replies, dispatch }: PeerMethodsOptions,
+  { state, exchanges, replies, dispatch }: PeerMethodsOptions,
 ): PeerMethods {
   return {
-    exchange: () =>
-      Promise.resolve({
-        sender: state.settings.vm,
-        epoch: state.epoch,
-        configurationVersion: state.timeline.latest.version,
-      }),
+    exchange: (message) => exchanges.receive(message, dispatch),
     settle: (request) => {
       if (!state.configurationKnown) {
         const failure = new KnownError("The steward is not ready", {
--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -1,6 +1,7 @@
 import { usageIntervalMs } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
+import { sendDue } from "../fleet/exchange_part.ts";
 
 import type { StewardState } from "../state.ts";
 import type { Operation, OperatorEvent } from "./operator_event.ts";
@@ -16,10 +17,12 @@
     const handler = operations[operation.kind] as OperationHandler<Operation>;
     return handler(state, operation, event);
   },
-  change_accepted: (state, { replyId, configuration }) => {
+  change_accepted: (state, { replyId, configuration, at }) => {
     state.timeline.learn(configuration);
+    state.fleet.learnConfiguration(configuration);
     const { version, effectiveAt } = configuration;
     return [
+      ...sendDue(state, at),
       {
         kind: "log",
         sentence: "Accepted a change",
--- a/packages/steward/src/process/process_event.ts
+++ b/packages/steward/src/process/process_event.ts
@@ -1,5 +1,5 @@
 /** Names of the steward's timers. */
-export type TimerName = "list_vms" | "poll_configuration";
+export type TimerName = "list_vms" | "poll_configuration" | "exchange";
 
 /** Events of the process itself. */
 export type ProcessEvent =
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -1,17 +1,33 @@
-import type { EventHandlers } from "@lavenderferry/runtime";
+import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
+import { applyNews, leaveFleet, sendDue } from "../fleet/exchange_part.ts";
 import type { StewardState } from "../state.ts";
 import type { ProcessEvent, TimerName } from "./process_event.ts";
 
 /** Milliseconds between two runs of the periodic timers. */
 export const timerPeriods: Readonly<Record<TimerName, number>> = {
   list_vms: 1_000,
-  poll_configuration: 1_000,
+  poll_configuration: 30_000,
+  exchange: 100,
 };
 
-const timerEffects: Readonly<Record<TimerName, StewardEffect>> = {
-  list_vms: { kind: "list_vms" },
-  poll_configuration: { kind: "read_latest" },
+type TimerHandler = (
+  state: StewardState,
+  at: Moment,
+) => readonly StewardEffect[];
+
+const timerHandlers: Readonly<Record<TimerName, TimerHandler>> = {
+  list_vms: () => [{ kind: "list_vms" }],
+  poll_configuration: () => [{ kind: "read_latest" }],
+  exchange: (state, at) => [
+    ...sendDue(state, at),
+    ...applyNews(state),
+    {
+      kind: "set_timer",
+      timer: "exchange",
+      at: at.monotonic + timerPeriods.exchange,
+    },
+  ],
 };
 
 /** Starts, timers and stops. */
@@ -20,7 +36,14 @@
   ProcessEvent,
   StewardEffect
 > = {
-  started: () => [{ kind: "list_vms" }, { kind: "read_latest" }],
-  timer_fired: (_state, { timer }) => [timerEffects[timer]],
-  stop_requested: () => [{ kind: "exit" }],
+  started: (state, { at }) => [
+    { kind: "list_vms" },
+    { kind: "read_latest" },
+    ...timerHandlers.exchange(state, at),
+  ],
+  timer_fired: (state, { timer, at }) => timerHandlers[timer](state, at),
+  stop_requested: (state, { at }) => [
+    ...leaveFleet(state, at),
+    { kind: "exit" },
+  ],
 };
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -1,6 +1,7 @@
 import { Timeline } from "@lavenderferry/configuration";
+import { FleetNode } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
-import { Decisions } from "@lavenderferry/runtime";
+import { Decisions, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
 
 /** Everything that the steward's reducer knows. */
@@ -10,6 +11,9 @@
   readonly timeline: Timeline;
   configurationKnown: boolean;
   vms: readonly Vm[];
+  /** This process's part in the fleet. */
+  readonly fleet: FleetNode;
+  readonly random: Random;
   readonly decisions: Decisions;
 }
 
@@ -19,6 +23,7 @@
 export function createStewardState(
   settings: StewardSettings,
   epoch: string,
+  startedAt = 0,
 ): StewardState {
   return {
     settings,
@@ -26,6 +31,15 @@
     timeline: new Timeline(),
     configurationKnown: false,
     vms: [],
+    fleet: new FleetNode({
+      id: settings.vm,
+      epoch,
+      role: "steward",
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      seed: settings.seed,
+    }, startedAt),
+    random: new Random(settings.seed),
     decisions: new Decisions(decisionCapacity),
   };
 }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
@@ -21,10 +22,11 @@
 /** Starts a steward; resolves once it listens. */
 export async function startSteward(settings: StewardSettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
-  const state = createStewardState(settings, epoch);
+  const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
   const replies = new Replies();
   const clients = new PeerClients();
+  const exchanges = new ExchangeRunner(clients);
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
@@ -37,6 +39,7 @@
         replies,
       }),
       ...createFleetHandlers(platform),
+      ...exchanges.handlers,
       ...createProcessHandlers({
         clock: systemClock,
         exit: () => process.exit(0),
@@ -44,15 +47,16 @@
     },
   });
   const operators = new OperatorServer({ settings, dispatch, replies });
-  const peers = new PeerServer(createPeerMethods({ state, replies, dispatch }));
+  const peers = new PeerServer(
+    createPeerMethods({ state, exchanges, replies, dispatch }),
+  );
   const { ip } = settings.operators;
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
-  announce("listening", {
-    address: `${ip}:${operatorPort}`,
-    peers: `${settings.peers.ip}:${peerPort}`,
-    epoch,
-  });
+  const address = `${ip}:${operatorPort}`;
+  const peersAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "listening", address, peers: peersAddress });
+  announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
   dispatch({ kind: "started" });
