feat(fleet): duties under leases, spread over all stewards

A steward did every job that reached it. Settlement shards, recovery parts and placement per pool are now duties under leases in the table: conditional writes, fences that grow with each holder, time counted from before the write was sent, lost answers read back, and at most about a tenth of the duties moving in one turn.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -1,11 +1,13 @@
 /** Membership, exchange between processes, leases and duties. */
 export * from "./address_book.ts";
+export * from "./duties.ts";
 export * from "./duty_directory.ts";
 export * from "./exchange_budget.ts";
 export * from "./exchange_effect.ts";
 export * from "./exchange_event.ts";
 export * from "./exchange_runner.ts";
 export * from "./fleet_node.ts";
+export * from "./lease.ts";
 export * from "./marks.ts";
 export * from "./member.ts";
 export * from "./membership.ts";
--- a/packages/steward/src/effects.ts
+++ b/packages/steward/src/effects.ts
@@ -1,3 +1,4 @@
+import type { DutyEffect } from "./fleet/duty_effect.ts";
 import type { FleetEffect } from "./fleet/fleet_effect.ts";
 import type { OperatorEffect } from "./operators/operator_effect.ts";
 import type { ProcessEffect } from "./process/process_effect.ts";
@@ -8,4 +9,5 @@
   | OperatorEffect
   | SettlementEffect
   | FleetEffect
+  | DutyEffect
   | ProcessEffect;
--- a/packages/steward/src/events.ts
+++ b/packages/steward/src/events.ts
@@ -1,3 +1,4 @@
+import type { DutyEvent } from "./fleet/duty_event.ts";
 import type { FleetEvent } from "./fleet/fleet_event.ts";
 import type { OperatorEvent } from "./operators/operator_event.ts";
 import type { ProcessEvent } from "./process/process_event.ts";
@@ -8,4 +9,5 @@
   | OperatorEvent
   | SettlementEvent
   | FleetEvent
+  | DutyEvent
   | ProcessEvent;
--- /dev/null
+++ b/packages/steward/src/fleet/duty_runner.ts
@@ -0,0 +1,35 @@
+import { toFailure } from "@lavenderferry/errors";
+import type { Table } from "@lavenderferry/platform";
+import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import type { StewardEvent } from "../events.ts";
+import type { DutyEffect } from "./duty_effect.ts";
+
+/** Creates the handlers of the operations on leases. */
+export function createDutyHandlers(
+  table: Table,
+): EffectHandlers<StewardEvent, DutyEffect> {
+  return {
+    read_lease: ({ duty, key }, dispatch) => {
+      table.read([key], "leases").then(
+        ([row = null]) => dispatch({ kind: "lease_read", duty, row }),
+        failTo(duty, dispatch),
+      );
+    },
+    write_lease: ({ duty, write }, dispatch) => {
+      table.commit([write], "leases").then(
+        (result) => dispatch({ kind: "lease_written", duty, result }),
+        failTo(duty, dispatch),
+      );
+    },
+  };
+}
+
+function failTo(
+  duty: string,
+  dispatch: Dispatch<StewardEvent>,
+): (error: unknown) => void {
+  return function fail(error) {
+    const notRun = toFailure(error).notRun === true;
+    dispatch({ kind: "lease_failed", duty, notRun });
+  };
+}
--- a/packages/steward/src/fleet/fleet_part.ts
+++ b/packages/steward/src/fleet/fleet_part.ts
@@ -1,3 +1,4 @@
+import type { Vm } from "@lavenderferry/platform";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
 import { timerPeriods } from "../process/process_part.ts";
@@ -23,6 +24,8 @@
   ...exchangePart,
   vms_listed: (state, event) => {
     state.vms = event.vms;
+    state.pools = poolsOf(event.vms);
+    state.joinedAt ??= event.at.monotonic;
     state.fleet.learnVms(event.vms, event.at);
     return [listAgain(event.vms.length, event.at)];
   },
@@ -36,6 +39,13 @@
   configuration_failed: (state, event) => [pollAgain(state, event.at)],
 };
 
+function poolsOf(vms: readonly Vm[]): readonly string[] {
+  const names = vms.flatMap(({ role, pool }) =>
+    role === "engine" && pool !== undefined ? [pool] : []
+  );
+  return [...new Set(names)].sort();
+}
+
 /** Waits longer for a longer list, so that its bytes stay bounded. */
 function listAgain(vms: number, at: Moment): StewardEffect {
   const wait = Math.max(timerPeriods.list_vms, vms * listMsPerVm);
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -1,5 +1,10 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
+import {
+  exitWhenReleased,
+  stepDuties,
+  stopDuties,
+} from "../fleet/duty_part.ts";
 import { applyNews, leaveFleet, sendDue } from "../fleet/exchange_part.ts";
 import type { StewardState } from "../state.ts";
 import type { ProcessEvent, TimerName } from "./process_event.ts";
@@ -22,6 +27,8 @@
   exchange: (state, at) => [
     ...sendDue(state, at),
     ...applyNews(state),
+    ...stepDuties(state, at),
+    ...exitWhenReleased(state, at),
     {
       kind: "set_timer",
       timer: "exchange",
@@ -42,8 +49,8 @@
     ...timerHandlers.exchange(state, at),
   ],
   timer_fired: (state, { timer, at }) => timerHandlers[timer](state, at),
-  stop_requested: (state, { at }) => [
-    ...leaveFleet(state, at),
-    { kind: "exit" },
-  ],
+  stop_requested: (state, { at }) =>
+    state.stopAt === null
+      ? [...leaveFleet(state, at), ...stopDuties(state, at)]
+      : [{ kind: "exit" }],
 };
--- a/packages/steward/src/reduce.ts
+++ b/packages/steward/src/reduce.ts
@@ -1,6 +1,7 @@
 import { reducerOf } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
+import { dutyPart } from "./fleet/duty_part.ts";
 import { fleetPart } from "./fleet/fleet_part.ts";
 import { operatorPart } from "./operators/operator_part.ts";
 import { processPart } from "./process/process_part.ts";
@@ -16,5 +17,6 @@
   ...operatorPart,
   ...settlementPart,
   ...fleetPart,
+  ...dutyPart,
   ...processPart,
 });
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -1,5 +1,5 @@
 import { Timeline } from "@lavenderferry/configuration";
-import { FleetNode } from "@lavenderferry/fleet";
+import { Duties, FleetNode } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
 import { Decisions, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
@@ -13,6 +13,16 @@
   vms: readonly Vm[];
   /** This process's part in the fleet. */
   readonly fleet: FleetNode;
+  /** The duties of this process and their leases. */
+  readonly duties: Duties;
+  /** Fences of the duties that the fleet was told to be held here. */
+  readonly holding: Map<string, number>;
+  /** Names of the pools of engines, in order. */
+  pools: readonly string[];
+  /** Monotonic milliseconds at which the VM list was first read. */
+  joinedAt: number | null;
+  /** Monotonic milliseconds at which a planned stop ends. */
+  stopAt: number | null;
   readonly random: Random;
   readonly decisions: Decisions;
 }
@@ -39,6 +49,11 @@
       region: settings.region,
       seed: settings.seed,
     }, startedAt),
+    duties: new Duties({ id: settings.vm, epoch }),
+    holding: new Map(),
+    pools: [],
+    joinedAt: null,
+    stopAt: null,
     random: new Random(settings.seed),
     decisions: new Decisions(decisionCapacity),
   };
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -5,6 +5,7 @@
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
+import { createDutyHandlers } from "./fleet/duty_runner.ts";
 import { createFleetHandlers } from "./fleet/fleet_runner.ts";
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { createOperatorHandlers } from "./operators/operator_runner.ts";
@@ -40,6 +41,7 @@
       }),
       ...createFleetHandlers(platform),
       ...exchanges.handlers,
+      ...createDutyHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
         exit: () => process.exit(0),
