--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -47,6 +47,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  #turn = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -139,12 +140,13 @@
   }
 
   #addresses(response: ServerResponse): void {
-    const { vms, settings, stopping } = this.#options.state;
-    const list = listAddresses(
-      [...vms.values()].filter(({ id }) => !stopping || id !== settings.vm),
-      settings.dataCentre,
-      Date.now(),
-    );
+    const { fleet, settings } = this.#options.state;
+    const list = listAddresses(fleet.membership.all(), {
+      dataCentre: settings.dataCentre,
+      turn: this.#turn++,
+      wall: Date.now(),
+      load: (id) => fleet.loadOf(id),
+    });
     sendJson(response, {
       addresses: list.addresses,
       keepUntil: new Date(list.keepUntil).toISOString(),
--- a/packages/entry/src/util/refuse_draining.ts
+++ b/packages/entry/src/util/refuse_draining.ts
@@ -6,6 +6,7 @@
 import { fail } from "./effects.ts";
 
 const retryAfterMs = 1_000;
+const maxTurn = 1_024;
 
 /** Refuses a request while this entry stops and names the other entries. */
 export function refuseDraining(
@@ -34,6 +35,7 @@
   at: Moment,
 ): readonly string[] {
   const { vm, dataCentre } = state.settings;
-  const others = [...state.vms.values()].filter(({ id }) => id !== vm);
-  return listAddresses(others, dataCentre, at.wall).addresses;
+  const others = state.fleet.membership.all().filter(({ id }) => id !== vm);
+  const turn = state.random.below(maxTurn);
+  return listAddresses(others, { dataCentre, turn, wall: at.wall }).addresses;
 }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,9 +1,11 @@
 import { randomBytes } from "node:crypto";
+import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
+import { createDutyHandlers } from "./fleet/duty_runner.ts";
 import { createFleetHandlers } from "./fleet/fleet_runner.ts";
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { createOperatorHandlers } from "./operators/operator_runner.ts";
@@ -21,10 +23,11 @@
 /** Starts a steward; resolves once it listens. */
 export async function startSteward(settings: StewardSettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
-  const state = createStewardState(settings, epoch);
+  const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
   const replies = new Replies();
   const clients = new PeerClients();
+  const exchanges = new ExchangeRunner(clients);
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
@@ -33,6 +36,8 @@
       ...createOperatorHandlers({ platform, peers: clients, replies }),
       ...createSettlementHandlers(platform),
       ...createFleetHandlers(platform),
+      ...exchanges.handlers,
+      ...createDutyHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
         exit: () => process.exit(0),
@@ -40,15 +45,16 @@
     },
   });
   const operators = new OperatorServer({ settings, dispatch, replies });
-  const peers = new PeerServer(createPeerMethods({ state, dispatch }));
+  const peers = new PeerServer(
+    createPeerMethods({ state, exchanges, dispatch }),
+  );
   const { ip } = settings.operators;
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
-  announce("listening", {
-    address: `${ip}:${operatorPort}`,
-    peers: `${settings.peers.ip}:${peerPort}`,
-    epoch,
-  });
+  const address = `${ip}:${operatorPort}`;
+  const peersAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "listening", address, peers: peersAddress });
+  announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
   dispatch({ kind: "started" });
