--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -3,6 +3,7 @@
   secretSchema,
   socketSchema,
 } from "@lavenderferry/settings";
+import { policyNames } from "@lavenderferry/policy";
 import { z } from "zod";
 
 /** Schema of the settings of one entry. */
@@ -19,7 +20,7 @@
   /** Largest request body in bytes. */
   maxBodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576),
   /** Policy of placement; the baselines serve measurements. */
-  policy: z.enum(["round_robin", "least_load"]).default("least_load"),
+  policy: z.enum(policyNames).default("adaptive"),
   /** Seed of random choices. */
   seed: z.int().default(1),
 });
--- /dev/null
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -0,0 +1,513 @@
+import type { Moment } from "@lavenderferry/runtime";
+import { Random } from "@lavenderferry/runtime";
+import type { AdaptiveOptions } from "./adaptive_options.ts";
+import { allParts } from "./adaptive_options.ts";
+import { Backlog } from "./backlog.ts";
+import { priorityOf, riskBound, startDeadline } from "./class_targets.ts";
+import type {
+  CacheChange,
+  Demand,
+  Dispatcher,
+  Ending,
+  EngineDescription,
+  Figures,
+  LengthSketch,
+  LoadReport,
+  PeerShare,
+  Placement,
+  PlacementReason,
+  Release,
+  Sent,
+} from "./dispatcher.ts";
+import { DrainRate } from "./drain_rate.ts";
+import { Engine } from "./engine.ts";
+import type { Flight } from "./engine_view.ts";
+import { candidatesOf } from "./engine_choice.ts";
+import type { Tail } from "./length_distribution.ts";
+import { meanRemaining, priorTail } from "./length_distribution.ts";
+import { OutputLengths } from "./output_lengths.ts";
+import { MemoryForecast } from "./overflow_risk.ts";
+import { tokensPerBlock } from "./prefix_digests.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { WorkspaceShares } from "./workspace_shares.ts";
+
+const minRetryAfterMs = 500;
+const maxRetryAfterMs = 30_000;
+const lookAhead = 16;
+const maxBacklog = 4_096;
+/** Start of a generation beside its queueing. */
+const startMs = 100;
+const prefillMsPerToken = 0.02;
+const sharePenaltyMs = 2_000;
+const stallMsPerRisk = 2_000;
+const maxRecentRequests = 4_096;
+/** Share of the strictest target that the time between tokens may take. */
+const stepTimeShare = 0.9;
+
+type Dispatch = Extract<Placement, { kind: "dispatch" }>;
+type Refusal = Extract<Placement, { kind: "refuse" }>;
+
+/** What is estimated of a demand. */
+interface Estimate {
+  readonly tail: Tail;
+  readonly outputTokens: number;
+  readonly forecast: MemoryForecast;
+}
+
+interface Candidate {
+  readonly engine: Engine;
+  readonly risk: number;
+  readonly cachedBlocks: number;
+  readonly score: number;
+}
+
+/**
+ * Places generations of unknown length so that every class meets its targets.
+ * Work that would put an engine's memory at risk waits here, ordered by slack.
+ */
+export class AdaptiveDispatcher implements Dispatcher {
+  readonly #options: AdaptiveOptions;
+  readonly #random: Random;
+  readonly #engines = new Map<string, Engine>();
+  readonly #lengths = new OutputLengths();
+  readonly #backlog = new Backlog();
+  readonly #shares = new WorkspaceShares();
+  readonly #drain = new DrainRate();
+  readonly #retries = new RetryBudget();
+  readonly #homes = new Map<string, Engine>();
+  readonly #sentRequests = new Set<string>();
+  /** Engines of released demands that the entry has not sent yet. */
+  readonly #reserved = new Map<string, Engine>();
+
+  constructor(seed: number, options: Partial<AdaptiveOptions> = {}) {
+    this.#options = { ...allParts, ...options };
+    this.#random = new Random(seed);
+  }
+
+  get waiting(): number {
+    return this.#backlog.size;
+  }
+
+  addEngine(description: EngineDescription): void {
+    const engine = this.#engines.get(description.id);
+    if (engine === undefined) {
+      this.#engines.set(
+        description.id,
+        new Engine(description, this.#options.lagCorrection),
+      );
+    } else {
+      engine.open = true;
+    }
+  }
+
+  removeEngine(id: string): void {
+    const engine = this.#engines.get(id);
+    if (engine === undefined) {
+      return;
+    }
+    engine.open = false;
+    this.#forgetIdle(engine);
+  }
+
+  report(id: string, report: LoadReport, at: Moment): void {
+    const engine = this.#engines.get(id);
+    if (engine === undefined) {
+      return;
+    }
+    engine.view.take(report, at);
+    if (engine.view.flights.size === 0) {
+      engine.circuit.succeeded(at.monotonic);
+    }
+  }
+
+  reportFailed(id: string, at: Moment): void {
+    this.#engines.get(id)?.circuit.failed("load_report", at.monotonic);
+  }
+
+  cacheChanged(id: string, change: CacheChange): void {
+    this.#engines.get(id)?.prefixes.take(change);
+  }
+
+  peerChanged(peer: string, shares: readonly PeerShare[], at: Moment): void {
+    for (const share of shares) {
+      this.#engines.get(share.engine)?.view.takePeer(peer, share, at);
+    }
+  }
+
+  learnLengths(peer: string, sketches: readonly LengthSketch[]): void {
+    this.#lengths.learnPeer(peer, sketches);
+  }
+
+  changedLengths(): readonly LengthSketch[] {
+    return this.#lengths.takeChanged();
+  }
+
+  shares(): readonly PeerShare[] {
+    return [...this.#engines.values()].map(({ id, view }) => ({
+      engine: id,
+      running: view.flights.size,
+      tokens: view.ownTokens,
+    }));
+  }
+
+  place(demand: Demand, at: Moment): Placement {
+    const refusal = this.#impossible(demand) ?? this.#overRetried(demand, at);
+    if (refusal !== null) {
+      return refusal;
+    }
+    const estimate = this.#estimate(demand);
+    const mustQueue = this.#options.slack && this.#urgentWait(demand, estimate);
+    const placed = mustQueue ? null : this.#choose(demand, estimate, at);
+    if (placed !== null) {
+      this.#noteStart(demand, this.#costOf(demand, estimate), at);
+      return placed;
+    }
+    return this.#enqueue(demand, estimate, at);
+  }
+
+  withdraw(requestId: string): void {
+    this.#backlog.take(requestId);
+  }
+
+  release(at: Moment): readonly Release[] {
+    const releases: Release[] = [];
+    this.#unreserve(at);
+    if (this.#options.refusals) {
+      releases.push(...this.#refuseLate(at));
+    }
+    for (const waiting of this.#backlog.head(lookAhead)) {
+      const { demand, cost } = waiting;
+      const impossible = this.#impossible(demand);
+      const placement = impossible ??
+        this.#choose(demand, this.#estimate(demand), at);
+      if (placement === null) {
+        continue;
+      }
+      this.#backlog.take(demand.requestId);
+      releases.push({ demand, placement });
+      if (placement.kind === "dispatch") {
+        this.#noteStart(demand, cost, at);
+        this.#reserve(demand, placement.engine, at);
+      }
+    }
+    if (releases.length === 0) {
+      this.#drain.started(0, at.monotonic, this.#backlog.size > 0);
+    }
+    return releases;
+  }
+
+  sent({ generationId, engine: id, demand }: Sent, at: Moment): void {
+    const engine = this.#engines.get(id);
+    if (engine === undefined) {
+      return;
+    }
+    this.#unreserve(at, demand.requestId);
+    engine.view.start(generationId, this.#flightOf(demand, at), at);
+    engine.prefixes.expect(demand.prefix);
+    this.#homes.set(generationId, engine);
+    this.#rememberSent(demand.requestId);
+  }
+
+  progressed(generationId: string, tokens: number, at: Moment): void {
+    const view = this.#homes.get(generationId)?.view;
+    const flight = view?.flights.get(generationId);
+    if (view === undefined || flight === undefined) {
+      return;
+    }
+    const fresh = tokens - flight.tokensOut;
+    if (flight.tokensOut > 0 && fresh > 0) {
+      const passed = at.monotonic - flight.progressedAt;
+      view.stepTime.observe(view.running, passed / fresh);
+    }
+    flight.tokensOut = tokens;
+    flight.progressedAt = at.monotonic;
+    view.sample(at);
+  }
+
+  ended(generationId: string, ending: Ending, at: Moment): void {
+    const engine = this.#homes.get(generationId);
+    this.#homes.delete(generationId);
+    const flight = engine?.view.end(generationId, at);
+    if (engine === undefined || flight === undefined) {
+      return;
+    }
+    if (ending === "finished") {
+      this.#lengths.learn(flight.demand, flight.tokensOut);
+      engine.circuit.succeeded(at.monotonic);
+    } else if (ending !== "cancelled") {
+      engine.circuit.failed(ending, at.monotonic);
+    }
+    this.#forgetIdle(engine);
+  }
+
+  /** Counts of failures by engine and reason. */
+  failures(): ReadonlyMap<string, ReadonlyMap<string, number>> {
+    return new Map(
+      [...this.#engines].map(([id, { circuit }]) => [id, circuit.reasons]),
+    );
+  }
+
+  #forgetIdle(engine: Engine): void {
+    if (!engine.open && engine.view.flights.size === 0) {
+      this.#engines.delete(engine.id);
+    }
+  }
+
+  #tailOf(demand: Demand): Tail {
+    return this.#options.lengths ? this.#lengths.tailOf(demand) : priorTail;
+  }
+
+  #estimate(demand: Demand): Estimate {
+    const { promptTokens: tokens, maxTokens } = demand;
+    const tail = this.#tailOf(demand);
+    const forecast = new MemoryForecast();
+    forecast.add({ tokens, done: 0, maxTokens, tail });
+    const outputTokens = meanRemaining(tail, 0, maxTokens);
+    return { tail, outputTokens, forecast };
+  }
+
+  #costOf(demand: Demand, { outputTokens }: Estimate): number {
+    return (demand.promptTokens + outputTokens / 2) * (outputTokens + 1);
+  }
+
+  #impossible(demand: Demand): Refusal | null {
+    const engines = [...this.#engines.values()].filter(({ open }) => open);
+    const retryAfterMs = minRetryAfterMs;
+    if (engines.length === 0) {
+      return refuse("no_upstream", "no_engine", { retryAfterMs });
+    }
+    const serving = engines.filter((each) => each.serves(demand.model));
+    if (serving.length === 0) {
+      return refuse("unknown_model", "no_model", { retryAfterMs });
+    }
+    const fits = serving.some(({ view }) =>
+      view.report === null || demand.promptTokens < view.report.memoryTokens
+    );
+    return fits ? null : refuse("prompt_too_long", "engines_full", {
+      retryAfterMs,
+      promptTokens: demand.promptTokens,
+    });
+  }
+
+  #overRetried(demand: Demand, at: Moment): Refusal | null {
+    if (!this.#sentRequests.has(demand.requestId)) {
+      this.#retries.earn();
+      return null;
+    }
+    if (!this.#options.circuits || this.#retries.spend()) {
+      return null;
+    }
+    return this.#overloaded("retry_budget", this.#backlog.cost, at);
+  }
+
+  /** Whether something that waits has an earlier deadline. */
+  #urgentWait(demand: Demand, estimate: Estimate): boolean {
+    const [first] = this.#backlog.head(1);
+    return first !== undefined &&
+      first.deadline <= this.#deadlineOf(demand, estimate);
+  }
+
+  #deadlineOf(demand: Demand, { outputTokens }: Estimate): number {
+    return startDeadline(demand, {
+      firstTokenMs: startMs + demand.promptTokens * prefillMsPerToken,
+      decodeMs: outputTokens * this.#stepMs(),
+    });
+  }
+
+  #stepMs(): number {
+    let sum = 0;
+    for (const { view } of this.#engines.values()) {
+      sum += view.stepTime.expected(view.running);
+    }
+    return sum / Math.max(1, this.#engines.size);
+  }
+
+  #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
+    const serving = [...this.#engines.values()].filter((engine) =>
+      engine.serves(demand.model) &&
+      (!this.#options.circuits || engine.circuit.allowance(at.monotonic) > 0)
+    );
+    const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
+    const candidates = candidatesOf(serving, this.#random, prefix)
+      .map((engine) => this.#weigh(engine, demand, { estimate, at }))
+      .filter((each) => each !== null);
+    const best = candidates.sort((a, b) => a.score - b.score)[0];
+    if (best === undefined) {
+      return null;
+    }
+    const { engine, risk, cachedBlocks } = best;
+    return {
+      kind: "dispatch",
+      engine: engine.id,
+      priority: this.#options.priorities ? priorityOf(demand.targets) : 0,
+      reason: cachedBlocks > 0 ? "cached_prefix" : "lowest_risk",
+      figures: {
+        risk: round(risk),
+        running: engine.view.running,
+        cachedBlocks,
+        expectedTokens: Math.round(estimate.outputTokens),
+        backlog: this.#backlog.size,
+      },
+    };
+  }
+
+  #weigh(
+    engine: Engine,
+    demand: Demand,
+    context: { readonly estimate: Estimate; readonly at: Moment },
+  ): Candidate | null {
+    const { view, circuit } = engine;
+    const { estimate, at } = context;
+    const memoryTokens = view.report?.memoryTokens ?? Infinity;
+    const allowance = this.#options.circuits
+      ? circuit.allowance(at.monotonic)
+      : 1;
+    const risk = view.forecast(at).risk(
+      memoryTokens * allowance,
+      estimate.forecast,
+    );
+    const stepMs = view.stepTime.expected(view.running + 1);
+    if (this.#options.admission && view.running > 0) {
+      const tooSlow = stepMs > stepTimeShare * demand.targets.betweenTokensMs;
+      if (risk > riskBound(demand.targets) || tooSlow) {
+        return null;
+      }
+    }
+    const cachedBlocks = this.#options.affinity
+      ? engine.prefixes.match(demand.prefix)
+      : 0;
+    const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
+    const score = stepMs * estimate.outputTokens + risk * stallMsPerRisk -
+      savedMs;
+    return { engine, risk, cachedBlocks, score };
+  }
+
+  #enqueue(demand: Demand, estimate: Estimate, at: Moment): Placement {
+    const now = at.monotonic;
+    const deadline = this.#options.slack
+      ? this.#deadlineOf(demand, estimate)
+      : demand.arrivedAt;
+    const share = this.#shares.shareOf(demand.workspace, now);
+    const penalty = this.#options.fairness ? share * sharePenaltyMs : 0;
+    const order = deadline + penalty;
+    const ahead = this.#backlog.costBefore(order);
+    const waitMs = this.#drain.wait(ahead);
+    const latest = this.#deadlineOf(demand, estimate);
+    const figures = {
+      waitMs: Math.round(waitMs),
+      slackMs: Math.round(latest - now),
+      backlog: this.#backlog.size,
+      share: round(share),
+    };
+    const unreachable = this.#options.refusals && now + waitMs > latest;
+    if (unreachable || this.#backlog.size >= maxBacklog) {
+      return this.#refusalOf(demand, { figures, share, at });
+    }
+    const cost = this.#costOf(demand, estimate);
+    const waiting = { demand, deadline: latest, cost };
+    this.#backlog.enqueue(waiting, { id: demand.requestId, order });
+    return { kind: "wait", reason: "memory_at_risk", figures };
+  }
+
+  #refusalOf(
+    demand: Demand,
+    cause: { figures: Figures; share: number; at: Moment },
+  ): Refusal {
+    const { figures, share, at } = cause;
+    const workspaces = this.#backlog.workspaces;
+    const overShare = this.#options.fairness && workspaces > 1 &&
+      share > 2 / workspaces && this.#backlog.countOf(demand.workspace) > 0;
+    const refusal = this.#overloaded(
+      "target_unreachable",
+      this.#backlog.cost,
+      at,
+    );
+    return overShare
+      ? {
+        ...refusal,
+        error: "workspace_limit",
+        reason: "workspace_share",
+        figures,
+      }
+      : { ...refusal, figures };
+  }
+
+  #overloaded(reason: PlacementReason, ahead: number, _at: Moment): Refusal {
+    const waitMs = this.#drain.wait(ahead);
+    const jittered = this.#random.jitter(waitMs, 0.25);
+    const retryAfterMs = Math.round(
+      Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, jittered)),
+    );
+    return refuse("overloaded", reason, { retryAfterMs });
+  }
+
+  #refuseLate(at: Moment): readonly Release[] {
+    return this.#backlog.late(at.monotonic).map(({ demand, deadline }) => {
+      this.#backlog.take(demand.requestId);
+      const placement = this.#overloaded(
+        "target_unreachable",
+        this.#backlog.cost,
+        at,
+      );
+      const lateMs = Math.round(at.monotonic - deadline);
+      return { demand, placement: { ...placement, figures: { lateMs } } };
+    });
+  }
+
+  #noteStart(demand: Demand, cost: number, at: Moment): void {
+    this.#shares.add(demand.workspace, cost, at.monotonic);
+    this.#drain.started(cost, at.monotonic, this.#backlog.size > 0);
+  }
+
+  /** Counts a released demand until the entry says that it was sent. */
+  #reserve(demand: Demand, id: string, at: Moment): void {
+    const engine = this.#engines.get(id);
+    if (engine !== undefined) {
+      this.#reserved.set(demand.requestId, engine);
+      const flight = this.#flightOf(demand, at);
+      engine.view.start(reservationOf(demand.requestId), flight, at);
+    }
+  }
+
+  /** Drops one reservation, or all that led to nothing. */
+  #unreserve(at: Moment, requestId?: string): void {
+    const ids = requestId === undefined
+      ? [...this.#reserved.keys()]
+      : [requestId];
+    for (const id of ids) {
+      this.#reserved.get(id)?.view.end(reservationOf(id), at);
+      this.#reserved.delete(id);
+    }
+  }
+
+  #flightOf(demand: Demand, at: Moment): Flight {
+    const now = at.monotonic;
+    const tail = this.#tailOf(demand);
+    return { demand, tail, sentAt: now, tokensOut: 0, progressedAt: now };
+  }
+
+  #rememberSent(requestId: string): void {
+    this.#sentRequests.add(requestId);
+    const [oldest] = this.#sentRequests;
+    if (this.#sentRequests.size > maxRecentRequests && oldest !== undefined) {
+      this.#sentRequests.delete(oldest);
+    }
+  }
+}
+
+function reservationOf(requestId: string): string {
+  return `reserved/${requestId}`;
+}
+
+function refuse(
+  error: Refusal["error"],
+  reason: PlacementReason,
+  figures: { readonly retryAfterMs: number } & Figures,
+): Refusal {
+  const { retryAfterMs, ...rest } = figures;
+  return { kind: "refuse", error, reason, retryAfterMs, figures: rest };
+}
+
+function round(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -53,6 +53,7 @@
   engines_full: "engines_full",
   target_unreachable: "target_unreachable",
   workspace_share: "workspace_share",
+  retry_budget: "retry_budget",
 } as const;
 
 /** One of the reasons of a placement. */
--- a/packages/policy/src/dispatchers.ts
+++ b/packages/policy/src/dispatchers.ts
@@ -1,12 +1,36 @@
+import { AdaptiveDispatcher } from "./adaptive_dispatcher.ts";
+import type { AdaptiveOptions } from "./adaptive_options.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { LeastLoad } from "./least_load.ts";
 import { RoundRobin } from "./round_robin.ts";
 
+type Create = (seed: number) => Dispatcher;
+
 /** Creates a dispatcher by the name of its policy. */
 export const dispatchers = {
-  round_robin: (_seed: number): Dispatcher => new RoundRobin(),
-  least_load: (_seed: number): Dispatcher => new LeastLoad(),
-} as const;
+  round_robin: () => new RoundRobin(),
+  least_load: () => new LeastLoad(),
+  adaptive: (seed) => new AdaptiveDispatcher(seed),
+  adaptive_no_lengths: without("lengths"),
+  adaptive_no_lag_correction: without("lagCorrection"),
+  adaptive_no_admission: without("admission"),
+  adaptive_no_slack: without("slack"),
+  adaptive_no_fairness: without("fairness"),
+  adaptive_no_affinity: without("affinity"),
+  adaptive_no_priorities: without("priorities"),
+  adaptive_no_refusals: without("refusals"),
+  adaptive_no_circuits: without("circuits"),
+} as const satisfies Record<string, Create>;
 
 /** The name of a policy. */
 export type PolicyName = keyof typeof dispatchers;
+
+/** Names of all policies. */
+export const policyNames = Object.keys(dispatchers) as [
+  PolicyName,
+  ...PolicyName[],
+];
+
+function without(part: keyof AdaptiveOptions): Create {
+  return (seed) => new AdaptiveDispatcher(seed, { [part]: false });
+}
--- /dev/null
+++ b/packages/policy/src/engine.ts
@@ -0,0 +1,29 @@
+import type { EngineDescription } from "./dispatcher.ts";
+import { Circuit } from "./circuit.ts";
+import { EngineView } from "./engine_view.ts";
+import { KnownPrefixes } from "./known_prefixes.ts";
+import { hashText } from "./rendezvous.ts";
+
+/** All that the adaptive policy keeps of one engine. */
+export class Engine {
+  readonly id: string;
+  readonly hash: number;
+  readonly view: EngineView;
+  readonly circuit = new Circuit();
+  readonly prefixes = new KnownPrefixes();
+  /** Whether it takes new work. */
+  open = true;
+
+  constructor(description: EngineDescription, lagCorrection: boolean) {
+    this.id = description.id;
+    this.hash = hashText(description.id);
+    this.view = new EngineView(lagCorrection);
+  }
+
+  /** Whether the engine takes work of a model. */
+  serves(model: string): boolean {
+    const { report } = this.view;
+    return this.open &&
+      (report === null || (!report.draining && report.models.includes(model)));
+  }
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,4 +1,6 @@
 /** Admission, order and choice of upstream. */
+export * from "./adaptive_dispatcher.ts";
+export * from "./adaptive_options.ts";
 export * from "./dispatcher.ts";
 export * from "./dispatchers.ts";
 export * from "./least_load.ts";
