--- /dev/null
+++ b/packages/bench/src/load/scenarios.ts
@@ -0,0 +1,144 @@
+import type { Targets } from "@lavenderferry/configuration";
+import type { Burst, Phase, Scenario, Stream } from "./scenario.ts";
+
+const tagTargets: Targets = {
+  firstTokenMs: 1_000,
+  betweenTokensMs: 55,
+  stallMs: 300,
+  preemptionsPerThousand: 20,
+  completionMs: 3_000,
+  percent: 95,
+};
+
+const summaryTargets: Targets = {
+  firstTokenMs: 2_000,
+  betweenTokensMs: 55,
+  stallMs: 500,
+  preemptionsPerThousand: 20,
+  completionMs: 15_000,
+  percent: 95,
+};
+
+const reportTargets: Targets = {
+  firstTokenMs: 5_000,
+  betweenTokensMs: 55,
+  stallMs: 1_000,
+  preemptionsPerThousand: 20,
+  completionMs: 60_000,
+  percent: 95,
+};
+
+const tags: Stream = {
+  workClass: "tag",
+  share: 0.7,
+  promptTokens: 30,
+  output: { median: 8, sigma: 0.5, most: 64 },
+};
+
+const summaries: Stream = {
+  workClass: "summary",
+  share: 0.3,
+  promptTokens: 100,
+  output: { median: 60, sigma: 0.6, most: 400 },
+};
+
+const reports: Stream = {
+  workClass: "report",
+  share: 0.3,
+  promptTokens: 60,
+  output: { median: 80, sigma: 0.9, most: 800 },
+};
+
+const speeds = {
+  stepMs: 20,
+  decodeMs: 0.5,
+  prefillMs: 0.02,
+  cacheTokens: 2_000,
+};
+const bursty: Burst = { share: 0.2, factor: 2, meanMs: 2_000 };
+const steady: readonly Phase[] = [{ durationMs: 25_000, load: 0.8 }];
+
+const kowalczyk: Scenario = {
+  name: "kowalczyk",
+  entries: 2,
+  engines: 4,
+  reportLagMs: 500,
+  sizes: { ...speeds, memoryTokens: 1_200 },
+  capacity: 50,
+  classes: { tag: tagTargets, summary: summaryTargets },
+  streams: [tags, summaries],
+  burst: { share: 0.2, factor: 3, meanMs: 2_000 },
+  phases: steady,
+  warmupMs: 5_000,
+};
+
+const tallinna: Scenario = {
+  ...kowalczyk,
+  name: "tallinna",
+  sizes: { ...speeds, memoryTokens: 2_000 },
+  capacity: 40,
+  classes: { tag: tagTargets, report: reportTargets },
+  streams: [tags, reports],
+  burst: bursty,
+};
+
+const overload: Scenario = {
+  ...kowalczyk,
+  name: "overload",
+  phases: [
+    { durationMs: 15_000, load: 1 },
+    { durationMs: 12_000, load: 2 },
+    { durationMs: 8_000, load: 0.5 },
+  ],
+};
+
+const shift: Scenario = {
+  ...kowalczyk,
+  name: "shift",
+  phases: [
+    { durationMs: 13_000, load: 0.8 },
+    { durationMs: 15_000, load: 0.3, lengthFactor: 2.5 },
+  ],
+};
+
+const prefix: Scenario = {
+  ...kowalczyk,
+  name: "prefix",
+  sizes: { ...speeds, memoryTokens: 3_000, prefillMs: 0.2, prefillTokens: 256 },
+  capacity: 40,
+  streams: [
+    { ...tags, promptTokens: 290, prefixes: 12 },
+    { ...summaries, promptTokens: 320, prefixes: 12 },
+  ],
+};
+
+const reclaim: Scenario = {
+  ...kowalczyk,
+  name: "reclaim",
+  phases: [{ durationMs: 25_000, load: 0.45 }],
+  reclaimAtMs: 10_000,
+};
+
+const all: readonly Scenario[] = [
+  kowalczyk,
+  tallinna,
+  overload,
+  shift,
+  ...[0, 1_000, 5_000].map((reportLagMs) => ({
+    ...kowalczyk,
+    name: `lag_${reportLagMs}`,
+    reportLagMs,
+  })),
+  prefix,
+  ...[1, 4, 8].map((entries) => ({
+    ...kowalczyk,
+    name: `entries_${entries}`,
+    entries,
+  })),
+  reclaim,
+];
+
+/** Scenarios by name. */
+export const scenarios: ReadonlyMap<string, Scenario> = new Map(
+  all.map((scenario) => [scenario.name, scenario]),
+);
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,29 @@
+import { cac } from "cac";
+import { runDecisionCost } from "./load/decision_cost.ts";
+import { runBench } from "./load/run_bench.ts";
+
+const cli = cac("bench");
+cli.option("--scenario <name>", "Scenario; decisions measures processor time", {
+  default: "kowalczyk",
+});
+cli.option("--policy <names>", "Policies, by commas", {
+  default: "round_robin,least_load,adaptive",
+});
+cli.option("--seed <n>", "Seed of the trace", { default: 1 });
+cli.option("--load <factor>", "Factor on the load", { default: 1 });
+cli.help();
+const { options } = cli.parse();
+
+if (!options["help"]) {
+  const scenario = String(options["scenario"]);
+  if (scenario === "decisions") {
+    runDecisionCost();
+  } else {
+    await runBench({
+      scenario,
+      policies: String(options["policy"]).split(","),
+      seed: Number(options["seed"]),
+      load: Number(options["load"]),
+    });
+  }
+}
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -3,7 +3,7 @@
 import type { AdaptiveOptions } from "./adaptive_options.ts";
 import { allParts } from "./adaptive_options.ts";
 import { Backlog } from "./backlog.ts";
-import { priorityOf, riskBound, startDeadline } from "./class_targets.ts";
+import { priorityOf, startDeadline } from "./class_targets.ts";
 import type {
   CacheChange,
   Demand,
@@ -21,16 +21,21 @@
 } from "./dispatcher.ts";
 import { DrainRate } from "./drain_rate.ts";
 import { Engine } from "./engine.ts";
-import type { Flight } from "./engine_view.ts";
+import type { EngineView, Flight } from "./engine_view.ts";
 import { candidatesOf } from "./engine_choice.ts";
 import type { Tail } from "./length_distribution.ts";
 import { meanRemaining, priorTail } from "./length_distribution.ts";
 import { OutputLengths } from "./output_lengths.ts";
-import { MemoryForecast } from "./overflow_risk.ts";
+import type { Footprint } from "./overflow_risk.ts";
 import { tokensPerBlock } from "./prefix_digests.ts";
+import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 
+/** Share of the first waiting cost below which a demand may pass it. */
+const passingCost = 0.25;
+/** Waits are overestimated in bursts; this much slack is still believed. */
+const waitDoubt = 0.5;
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 30_000;
 const lookAhead = 16;
@@ -49,9 +54,8 @@
 
 /** What is estimated of a demand. */
 interface Estimate {
-  readonly tail: Tail;
   readonly outputTokens: number;
-  readonly forecast: MemoryForecast;
+  readonly footprint: Footprint;
 }
 
 interface Candidate {
@@ -73,6 +77,7 @@
   readonly #backlog = new Backlog();
   readonly #shares = new WorkspaceShares();
   readonly #drain = new DrainRate();
+  readonly #bound = new RiskBound();
   readonly #retries = new RetryBudget();
   readonly #homes = new Map<string, Engine>();
   readonly #sentRequests = new Set<string>();
@@ -114,6 +119,13 @@
     if (engine === undefined) {
       return;
     }
+    const { report: former } = engine.view;
+    if (former !== null) {
+      this.#bound.observe(
+        report.preemptions - former.preemptions,
+        report.finished - former.finished,
+      );
+    }
     engine.view.take(report, at);
     if (engine.view.flights.size === 0) {
       engine.circuit.succeeded(at.monotonic);
@@ -260,10 +272,9 @@
   #estimate(demand: Demand): Estimate {
     const { promptTokens: tokens, maxTokens } = demand;
     const tail = this.#tailOf(demand);
-    const forecast = new MemoryForecast();
-    forecast.add({ tokens, done: 0, maxTokens, tail });
+    const footprint = { tokens, done: 0, maxTokens, tail };
     const outputTokens = meanRemaining(tail, 0, maxTokens);
-    return { tail, outputTokens, forecast };
+    return { outputTokens, footprint };
   }
 
   #costOf(demand: Demand, { outputTokens }: Estimate): number {
@@ -300,11 +311,12 @@
     return this.#overloaded("retry_budget", this.#backlog.cost, at);
   }
 
-  /** Whether something that waits has an earlier deadline. */
+  /** Whether something comparable that waits has an earlier deadline. */
   #urgentWait(demand: Demand, estimate: Estimate): boolean {
     const [first] = this.#backlog.head(1);
     return first !== undefined &&
-      first.deadline <= this.#deadlineOf(demand, estimate);
+      first.deadline <= this.#deadlineOf(demand, estimate) &&
+      this.#costOf(demand, estimate) > passingCost * first.cost;
   }
 
   #deadlineOf(demand: Demand, { outputTokens }: Estimate): number {
@@ -362,14 +374,14 @@
     const allowance = this.#options.circuits
       ? circuit.allowance(at.monotonic)
       : 1;
-    const risk = view.forecast(at).risk(
+    const risk = view.forecast(at).riskWith(
+      estimate.footprint,
       memoryTokens * allowance,
-      estimate.forecast,
     );
     const stepMs = view.stepTime.expected(view.running + 1);
     if (this.#options.admission && view.running > 0) {
-      const tooSlow = stepMs > stepTimeShare * demand.targets.betweenTokensMs;
-      if (risk > riskBound(demand.targets) || tooSlow) {
+      const bound = this.#bound.boundFor(demand.targets);
+      if (risk > bound || this.#tooCrowded(view, demand)) {
         return null;
       }
     }
@@ -382,6 +394,13 @@
     return { engine, risk, cachedBlocks, score };
   }
 
+  /** Whether one more generation makes the engine's tokens come too late. */
+  #tooCrowded({ stepTime, running }: EngineView, demand: Demand): boolean {
+    const limit = stepTimeShare * demand.targets.betweenTokensMs;
+    return stepTime.expected(running + 1) > limit &&
+      stepTime.expected(1) <= limit;
+  }
+
   #enqueue(demand: Demand, estimate: Estimate, at: Moment): Placement {
     const now = at.monotonic;
     const deadline = this.#options.slack
@@ -399,7 +418,8 @@
       backlog: this.#backlog.size,
       share: round(share),
     };
-    const unreachable = this.#options.refusals && now + waitMs > latest;
+    const unreachable = this.#options.refusals &&
+      now + waitDoubt * waitMs > latest;
     if (unreachable || this.#backlog.size >= maxBacklog) {
       return this.#refusalOf(demand, { figures, share, at });
     }
--- a/packages/policy/src/class_targets.ts
+++ b/packages/policy/src/class_targets.ts
@@ -1,16 +1,8 @@
 import type { Targets } from "@lavenderferry/configuration";
 
-const maxRisk = 0.3;
-const minRisk = 0.002;
 const priorityRange = 1_000;
 const priorityPerOctave = 40;
 
-/** Highest probability of overflow that keeps to a preemption target. */
-export function riskBound(targets: Targets): number {
-  const perGeneration = targets.preemptionsPerThousand / 1_000;
-  return Math.min(maxRisk, Math.max(minRisk, perGeneration));
-}
-
 /**
  * Priority inside an engine. Classes whose targets allow fewer preemptions and
  * less stall keep their memory longer.
--- a/packages/policy/src/overflow_risk.ts
+++ b/packages/policy/src/overflow_risk.ts
@@ -15,6 +15,9 @@
   2_048,
 ] as const;
 
+/** Chance of still running below which a generation no longer counts. */
+const leastSurvival = 0.05;
+
 /** Memory of one generation, now and to come. */
 export interface Footprint {
   /** Tokens held now. */
@@ -54,13 +57,25 @@
     }
   }
 
-  /** Returns the greatest probability of overflow, with a generation added. */
-  risk(memoryTokens: number, added: MemoryForecast): number {
+  /**
+   * Returns the greatest probability of overflow while the added generation
+   * probably still runs.
+   */
+  riskWith(added: Footprint, memoryTokens: number): number {
+    const { tokens, done, maxTokens, tail } = added;
     let worst = 0;
     for (let index = 0; index < horizonSteps.length; index++) {
-      const mean = (this.mean[index] ?? 0) + (added.mean[index] ?? 0);
+      const steps = horizonSteps[index] ?? 0;
+      const runs = done + steps >= maxTokens
+        ? 0
+        : conditionalSurvival(tail, done, steps);
+      if (runs < leastSurvival) {
+        break;
+      }
+      const held = tokens + steps;
+      const mean = (this.mean[index] ?? 0) + held * runs;
       const variance = (this.variance[index] ?? 0) +
-        (added.variance[index] ?? 0);
+        held * held * runs * (1 - runs);
       worst = Math.max(worst, exceedance(memoryTokens - mean, variance));
     }
     return worst;
--- a/packages/policy/src/step_time.ts
+++ b/packages/policy/src/step_time.ts
@@ -1,6 +1,8 @@
 const decay = 0.98;
 const initialMs = 20;
 const minSlopeMs = 0;
+/** Longer gaps are preemptions or stalls of the network. */
+const maxTimes = 4;
 
 /**
  * Learns how long an engine takes between two tokens as a line over the
@@ -15,6 +17,9 @@
 
   /** Takes one observed time between tokens. */
   observe(running: number, milliseconds: number): void {
+    if (milliseconds > maxTimes * this.expected(running)) {
+      return;
+    }
     this.#weight = this.#weight * decay + 1;
     this.#count = this.#count * decay + running;
     this.#time = this.#time * decay + milliseconds;
