--- a/packages/bench/src/load/scenarios.ts
+++ b/packages/bench/src/load/scenarios.ts
@@ -119,6 +119,21 @@
   reclaimAtMs: 10_000,
 };
 
+/** Rising load without bursts; the goodput shows where the capacity lies. */
+function calibrationOf(scenario: Scenario): Scenario {
+  return {
+    ...scenario,
+    name: `calibrate_${scenario.name}`,
+    burst: { share: 0.5, factor: 1, meanMs: 1_000 },
+    phases: [0.8, 1.1, 1.4, 1.7, 2].map((load) => ({
+      load,
+      durationMs: calibrationPhaseMs,
+    })),
+  };
+}
+
+const calibrationPhaseMs = 9_000;
+
 const all: readonly Scenario[] = [
   kowalczyk,
   tallinna,
@@ -136,6 +151,7 @@
     entries,
   })),
   reclaim,
+  ...[kowalczyk, tallinna, prefix].map((each) => calibrationOf(each)),
 ];
 
 /** Scenarios by name. */
