--- /dev/null
+++ b/packages/policy/src/adaptive_dispatcher_test.ts
@@ -0,0 +1,194 @@
+import fc from "fast-check";
+import t from "tap";
+import { AdaptiveDispatcher } from "./adaptive_dispatcher.ts";
+import type { AdaptiveOptions } from "./adaptive_options.ts";
+import { demandOf, reportOf } from "./testing/demand_of.ts";
+
+function at(milliseconds: number) {
+  return { monotonic: milliseconds, wall: milliseconds };
+}
+
+function dispatcherOf(
+  memoryTokens: readonly number[],
+  options: Partial<AdaptiveOptions> = {},
+): AdaptiveDispatcher {
+  const dispatcher = new AdaptiveDispatcher(1, options);
+  memoryTokens.forEach((tokens, index) => {
+    const id = `engine-${index}`;
+    dispatcher.addEngine({ id, dataCentre: "krakow", pool: "models" });
+    dispatcher.report(id, reportOf({ memoryTokens: tokens }), at(0));
+  });
+  return dispatcher;
+}
+
+/** Places and sends demands until one is not dispatched. */
+function fill(dispatcher: AdaptiveDispatcher): number {
+  for (let count = 0; count < 1_000; count++) {
+    const demand = demandOf({ requestId: `fill-${count}` });
+    const placement = dispatcher.place(demand, at(0));
+    if (placement.kind !== "dispatch") {
+      return count;
+    }
+    const { engine } = placement;
+    dispatcher.sent({ generationId: `g-${count}`, engine, demand }, at(0));
+  }
+  return 1_000;
+}
+
+t.test("what can not run is refused with its reason", (t) => {
+  const table = [
+    { memory: [], demand: {}, error: "no_upstream" },
+    { memory: [1_000], demand: { model: "other" }, error: "unknown_model" },
+    { memory: [100], demand: { promptTokens: 500 }, error: "prompt_too_long" },
+  ];
+  for (const { memory, demand, error } of table) {
+    const placement = dispatcherOf(memory).place(demandOf(demand), at(0));
+    t.match(placement, { kind: "refuse", error });
+  }
+  t.end();
+});
+
+t.test("an idle engine takes any prompt that fits", (t) => {
+  const dispatcher = dispatcherOf([100]);
+  const placement = dispatcher.place(demandOf({ promptTokens: 90 }), at(0));
+  t.equal(placement.kind, "dispatch");
+  t.end();
+});
+
+t.test("work waits before it puts the memory at risk", (t) => {
+  const dispatcher = dispatcherOf([2_000]);
+  const sent = fill(dispatcher);
+  t.ok(sent > 1 && sent * 30 < 2_000, `sent ${sent}`);
+  t.equal(dispatcher.waiting, 1);
+  t.end();
+});
+
+t.test("waiting work is released when memory frees", (t) => {
+  const dispatcher = dispatcherOf([2_000]);
+  const sent = fill(dispatcher);
+  t.strictSame(dispatcher.release(at(10)), []);
+  for (let index = 0; index < sent; index++) {
+    dispatcher.ended(`g-${index}`, "finished", at(20));
+  }
+  const [release] = dispatcher.release(at(30));
+  t.equal(release?.placement.kind, "dispatch");
+  t.equal(dispatcher.waiting, 0);
+  t.end();
+});
+
+t.test("work that can no longer meet its target is refused at once", (t) => {
+  const dispatcher = dispatcherOf([2_000]);
+  fill(dispatcher);
+  const [release] = dispatcher.release(at(1_000));
+  t.match(release?.placement, {
+    kind: "refuse",
+    error: "overloaded",
+    reason: "target_unreachable",
+  });
+  t.end();
+});
+
+t.test("work stays when refusals are switched off", (t) => {
+  const dispatcher = dispatcherOf([2_000], { refusals: false });
+  fill(dispatcher);
+  t.strictSame(dispatcher.release(at(60_000)), []);
+  t.end();
+});
+
+t.test("withdrawn work is not released", (t) => {
+  const dispatcher = dispatcherOf([2_000]);
+  const sent = fill(dispatcher);
+  dispatcher.withdraw(`fill-${sent}`);
+  t.equal(dispatcher.waiting, 0);
+  t.strictSame(dispatcher.release(at(1_000)), []);
+  t.end();
+});
+
+t.test("a removed or draining engine gets no new work", (t) => {
+  const dispatcher = dispatcherOf([8_000, 8_000]);
+  dispatcher.removeEngine("engine-0");
+  const first = dispatcher.place(demandOf(), at(0));
+  t.match(first, { kind: "dispatch", engine: "engine-1" });
+  dispatcher.report("engine-1", reportOf({ draining: true }), at(10));
+  t.equal(dispatcher.place(demandOf(), at(20)).kind, "refuse");
+  t.end();
+});
+
+t.test("an engine that refuses is avoided", (t) => {
+  const dispatcher = dispatcherOf([8_000, 8_000]);
+  for (let index = 0; index < 3; index++) {
+    const demand = demandOf({ requestId: `r-${index}` });
+    const generationId = `g-${index}`;
+    dispatcher.sent({ generationId, engine: "engine-0", demand }, at(0));
+    dispatcher.ended(generationId, "refused", at(1));
+  }
+  for (let index = 0; index < 20; index++) {
+    const demand = demandOf({ requestId: `s-${index}` });
+    t.match(dispatcher.place(demand, at(2)), { engine: "engine-1" });
+  }
+  t.strictSame(dispatcher.failures().get("engine-0")?.get("refused"), 3);
+  t.end();
+});
+
+t.test("a prefix that an engine holds draws work there", (t) => {
+  const dispatcher = dispatcherOf([8_000, 8_000, 8_000]);
+  const prefix = ["d-1", "d-2"];
+  const change = { stored: prefix, dropped: [], gap: false };
+  dispatcher.cacheChanged("engine-2", change);
+  const placement = dispatcher.place(demandOf({ prefix }), at(0));
+  t.match(placement, { engine: "engine-2", reason: "cached_prefix" });
+  t.end();
+});
+
+t.test("the same events lead to the same decisions", (t) => {
+  const tokens = fc.array(fc.integer({ min: 1, max: 400 }), { maxLength: 60 });
+  fc.assert(
+    fc.property(tokens, (prompts) => {
+      const run = () => {
+        const dispatcher = dispatcherOf([900, 900, 900, 900]);
+        return prompts.map((promptTokens, index) => {
+          const demand = demandOf({ requestId: `r-${index}`, promptTokens });
+          const placement = dispatcher.place(demand, at(index));
+          if (placement.kind === "dispatch") {
+            const { engine } = placement;
+            const generationId = `g-${index}`;
+            dispatcher.sent({ generationId, engine, demand }, at(index));
+          }
+          return placement;
+        });
+      };
+      return JSON.stringify(run()) === JSON.stringify(run());
+    }),
+    { seed: 5, numRuns: 50 },
+  );
+  t.end();
+});
+
+t.test("every demand is dispatched, refused or waits, exactly once", (t) => {
+  const steps = fc.array(fc.integer({ min: 1, max: 300 }), { maxLength: 80 });
+  fc.assert(
+    fc.property(steps, (prompts) => {
+      const dispatcher = dispatcherOf([700, 700]);
+      const decided = new Set<string>();
+      const once = (id: string) => {
+        if (decided.has(id)) {
+          throw new Error(`"${id}" was decided twice`);
+        }
+        decided.add(id);
+      };
+      prompts.forEach((promptTokens, index) => {
+        const now = at(index * 40);
+        const requestId = `r-${index}`;
+        const arrivedAt = now.monotonic;
+        const demand = demandOf({ requestId, promptTokens, arrivedAt });
+        if (dispatcher.place(demand, now).kind !== "wait") {
+          once(requestId);
+        }
+        dispatcher.release(now).forEach((each) => once(each.demand.requestId));
+      });
+      return decided.size + dispatcher.waiting === prompts.length;
+    }),
+    { seed: 6, numRuns: 50 },
+  );
+  t.end();
+});
--- /dev/null
+++ b/packages/policy/src/engine_view_test.ts
@@ -0,0 +1,52 @@
+import t from "tap";
+import { EngineView } from "./engine_view.ts";
+import { priorTail } from "./length_distribution.ts";
+import { demandOf, reportOf } from "./testing/demand_of.ts";
+
+function at(milliseconds: number) {
+  return { monotonic: milliseconds, wall: milliseconds };
+}
+
+function flight(promptTokens: number) {
+  const demand = demandOf({ promptTokens });
+  const now = { sentAt: 0, tokensOut: 0, progressedAt: 0 };
+  return { demand, tail: priorTail, ...now };
+}
+
+t.test("work sent after the report's time is added", (t) => {
+  const view = new EngineView();
+  view.take(reportOf({ at: 100, running: 2, usedTokens: 300 }), at(100));
+  view.start("g-1", flight(50), at(200));
+  t.equal(view.running, 3);
+  t.equal(view.forecast(at(200)).mean[0], 350);
+  t.end();
+});
+
+t.test("own work in a report is not counted twice", (t) => {
+  const view = new EngineView();
+  view.start("g-1", flight(50), at(100));
+  const report = reportOf({ at: 400, running: 3, usedTokens: 350 });
+  view.take(report, at(900));
+  t.equal(view.running, 3);
+  t.equal(view.forecast(at(900)).mean[0], 350);
+  t.end();
+});
+
+t.test("own work that ended since the report is taken off", (t) => {
+  const view = new EngineView();
+  view.start("g-1", flight(50), at(100));
+  view.end("g-1", at(500));
+  view.take(reportOf({ at: 400, running: 1, usedTokens: 50 }), at(900));
+  t.equal(view.running, 0);
+  t.equal(view.forecast(at(900)).mean[0], 0);
+  t.end();
+});
+
+t.test("a peer's fresh share counts beyond the report", (t) => {
+  const view = new EngineView();
+  view.take(reportOf({ usedTokens: 100, running: 1 }), at(0));
+  const share = { engine: "engine-0", running: 4, tokens: 400 };
+  view.takePeer("entry-1", share, at(10));
+  t.equal(view.forecast(at(100)).mean[0], 400);
+  t.end();
+});
