--- a/packages/cli/src/check_main.ts
+++ b/packages/cli/src/check_main.ts
@@ -1,21 +1,23 @@
 #!/usr/bin/env node
-import { statementSchema } from "@lavenderferry/configuration";
 import { entrySettingsSchema } from "@lavenderferry/entry";
-import { KnownError, toFailure } from "@lavenderferry/errors";
-import { exitCodes } from "@lavenderferry/runtime";
-import { loadSettings, version } from "@lavenderferry/settings";
+import { KnownError } from "@lavenderferry/errors";
+import { describeError, loadSettings, version } from "@lavenderferry/settings";
 import { stewardSettingsSchema } from "@lavenderferry/steward";
 import { cac } from "cac";
 import type { z } from "zod";
 import { cliSettingsSchema } from "./settings.ts";
+import { exitCodeOf } from "./util/exit_code.ts";
+import { statementFileSchema } from "./util/statement_file.ts";
 
 const schemas: Readonly<Record<string, z.ZodType>> = {
   entry: entrySettingsSchema,
   steward: stewardSettingsSchema,
   operator: cliSettingsSchema,
-  configuration: statementSchema,
+  configuration: statementFileSchema,
 };
 
+const knownOptions: ReadonlySet<string> = new Set(["--", "help", "version"]);
+
 const cli = cac("lavenderferry-check");
 cli.usage(`<${Object.keys(schemas).join("|")}> <file>`);
 cli.help();
@@ -24,18 +26,28 @@
 try {
   const { args, options } = cli.parse();
   if (!options["help"] && !options["version"]) {
+    checkOptions(options);
     check(args);
   }
 } catch (error) {
-  process.stderr.write(`lavenderferry-check: ${toFailure(error).message}\n`);
-  process.exitCode = exitCodes.usage;
+  process.stderr.write(`lavenderferry-check: ${describeError(error)}\n`);
+  process.exitCode = exitCodeOf(error);
+}
+
+function checkOptions(options: Readonly<Record<string, unknown>>): void {
+  const unknown = Object.keys(options).find((name) => !knownOptions.has(name));
+  if (unknown !== undefined) {
+    throw new KnownError(`Unknown option "--${unknown}"`, {
+      kind: "bad_request",
+    });
+  }
 }
 
-function check([kind, file]: readonly string[]): void {
+function check([kind, file, ...rest]: readonly string[]): void {
   const schema = schemas[kind ?? ""];
-  if (schema === undefined || file === undefined) {
+  if (schema === undefined || file === undefined || rest.length > 0) {
     const kinds = Object.keys(schemas).join(", ");
-    throw new KnownError(`Expected one of ${kinds} and a file`, {
+    throw new KnownError(`Expected one of ${kinds} and one file`, {
       kind: "bad_request",
     });
   }
--- a/packages/cli/src/commands/costs.ts
+++ b/packages/cli/src/commands/costs.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { parseDay } from "../util/parse_option.ts";
 import { printJson, printTable } from "../util/print.ts";
 import type { Command } from "./command.ts";
 
@@ -19,8 +20,20 @@
 export const costs: Command = {
   usage: "costs",
   description: "Print the settled cost by partner and class",
-  run: async ({ client, json }) => {
-    const { body } = await client.send("costs");
+  options: [
+    { usage: "--from <day>", description: "First day in UTC, YYYY-MM-DD" },
+    { usage: "--to <day>", description: "Last day in UTC, YYYY-MM-DD" },
+  ],
+  run: async ({ client, json, options }) => {
+    const query = new URLSearchParams();
+    for (const name of ["from", "to"]) {
+      const day = parseDay(`--${name}`, options[name]);
+      if (day !== undefined) {
+        query.set(name, day);
+      }
+    }
+    const suffix = query.size === 0 ? "" : `?${query.toString()}`;
+    const { body } = await client.send(`costs${suffix}`);
     if (json) {
       printJson(body);
       return;
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,3 +1,4 @@
+import { KnownError } from "@lavenderferry/errors";
 import { z } from "zod";
 import { printJson, printTable } from "../util/print.ts";
 import type { Command } from "./command.ts";
@@ -24,6 +25,11 @@
       return;
     }
     const { decisions } = explanationSchema.parse(body);
+    if (decisions.length === 0) {
+      throw new KnownError(`No process holds a decision about "${subject}"`, {
+        kind: "not_found",
+      });
+    }
     printTable(
       ["at", "process", "decision", "reason", "figures"],
       decisions.map(({ at, process: vm, kind, reason, figures }) => [
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { parseVersion } from "../util/parse_option.ts";
 import { printJson, printTable } from "../util/print.ts";
 import type { Command } from "./command.ts";
 
@@ -14,8 +15,13 @@
 export const history: Command = {
   usage: "history",
   description: "Print the accepted versions",
-  run: async ({ client, json }) => {
-    const { body } = await client.send("history");
+  options: [{
+    usage: "--after <n>",
+    description: "Only versions after this one",
+  }],
+  run: async ({ client, json, options }) => {
+    const after = parseVersion("--after", options["after"]) ?? 0;
+    const { body } = await client.send(`history?after=${after}`);
     if (json) {
       printJson(body);
       return;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,10 +1,12 @@
 #!/usr/bin/env node
-import { KnownError, toFailure } from "@lavenderferry/errors";
+import { KnownError } from "@lavenderferry/errors";
 import { exitCodes } from "@lavenderferry/runtime";
-import { loadSettings, version } from "@lavenderferry/settings";
+import { describeError, loadSettings, version } from "@lavenderferry/settings";
 import { cac } from "cac";
+import type { Command } from "./commands/command.ts";
 import { commands } from "./commands/mod.ts";
 import { cliSettingsSchema } from "./settings.ts";
+import { exitCodeOf } from "./util/exit_code.ts";
 import { OperatorClient } from "./util/operator_client.ts";
 
 const cli = cac("lavenderferry");
@@ -14,38 +16,60 @@
 cli.version(version);
 
 for (const command of commands) {
-  cli.command(command.usage, command.description).action(
-    async (...args: unknown[]) => {
-      const options = args.pop() as Record<string, unknown>;
-      const path = options["settings"];
-      if (typeof path !== "string") {
-        throw new KnownError("The option --settings is missing", {
-          kind: "bad_request",
-        });
-      }
-      const settings = loadSettings(path, cliSettingsSchema);
-      const client = new OperatorClient(settings);
-      const json = options["json"] === true;
-      await command.run({ client, json }, ...args.map(String));
-    },
-  );
+  const added = cli.command(command.usage, command.description);
+  for (const { usage, description } of command.options ?? []) {
+    added.option(usage, description);
+  }
+  added.action(async (...args: unknown[]) => {
+    const options = args.pop() as Record<string, unknown>;
+    await run(command, args, options);
+  });
 }
 
 try {
   cli.parse(process.argv, { run: false });
   if (cli.matchedCommand === undefined && !asksForHelp(cli.options)) {
-    throw new KnownError("Expected a command; see --help", {
+    throw new KnownError(describeMissingCommand(cli.args), {
       kind: "bad_request",
     });
   }
   await cli.runMatchedCommand();
 } catch (error) {
-  const failure = toFailure(error);
-  process.stderr.write(`lavenderferry: ${failure.message}\n`);
-  const usage = failure.kind === "bad_request" || failure.kind === "internal";
-  process.exitCode = usage ? exitCodes.usage : exitCodes.failed;
+  process.stderr.write(`lavenderferry: ${describeError(error)}\n`);
+  process.exitCode = exitCodeOf(error);
+}
+
+async function run(
+  command: Command,
+  args: readonly unknown[],
+  values: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  const { settings: path, json } = values;
+  if (typeof path !== "string") {
+    throw new KnownError("The option --settings is missing", {
+      kind: "bad_request",
+    });
+  }
+  const settings = loadSettings(path, cliSettingsSchema);
+  const client = new OperatorClient(settings);
+  const texts = Object.entries(values).map(([name, value]) =>
+    [name, value === undefined ? undefined : String(value)] as const
+  );
+  const options = Object.fromEntries(texts);
+  const given = args.filter((arg) => arg !== undefined).map(String);
+  await command.run(
+    { settings, client, json: json === true, options },
+    ...given,
+  );
+  process.exitCode ??= exitCodes.ok;
 }
 
 function asksForHelp(options: Readonly<Record<string, unknown>>): boolean {
   return Boolean(options["help"] ?? options["version"]);
 }
+
+function describeMissingCommand([name]: readonly string[]): string {
+  return name === undefined
+    ? "Expected a command; see --help"
+    : `Unknown command "${name}"; see --help`;
+}
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -1,4 +1,5 @@
 /** Settings files: JSON with comments under strict schemas. */
+export * from "./describe_error.ts";
 export * from "./load_settings.ts";
 export * from "./parse_settings.ts";
 export * from "./run_program.ts";
--- a/packages/settings/src/util/describe_start_error.ts
+++ b/packages/settings/src/util/describe_start_error.ts
@@ -1,4 +1,4 @@
-import { toFailure } from "@lavenderferry/errors";
+import { describeError } from "../describe_error.ts";
 
 const listenFailures: Readonly<Record<string, string>> = {
   EADDRINUSE: "the port is in use",
@@ -18,7 +18,7 @@
     const reason = listenFailures[error.code] ?? error.code;
     return `Cannot listen on ${error.address}:${error.port}: ${reason}`;
   }
-  return toFailure(error).message;
+  return describeError(error);
 }
 
 function isListenError(error: unknown): error is ListenError {
