feat(steward): settle shards under their duty's fence, hand others to the holder

A steward commits a shard only while it holds the shard's lease and carries its fence into the commit; without the lease it sends the batches to the holder. Entries prefer the holder that the exchange names.

--- a/packages/entry/src/usage/usage_part.ts
+++ b/packages/entry/src/usage/usage_part.ts
@@ -1,4 +1,4 @@
-import { shardOf } from "@lavenderferry/ledger";
+import { settlementDuty, shardOf } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import type { EntryState } from "../state.ts";
@@ -68,7 +68,9 @@
   if (late || !ranked.some(({ id }) => id === current?.id)) {
     dropSettler(state);
   }
-  const steward = ranked[usageHandover.settlerRank % ranked.length];
+  const holder = state.fleet.holderOf(settlementDuty(shardOf(epoch)));
+  const steward = ranked.find(({ id }) => id === holder?.id) ??
+    ranked[usageHandover.settlerRank % ranked.length];
   if (steward === undefined) {
     return [];
   }
--- a/packages/entry/src/usage/usage_runner.ts
+++ b/packages/entry/src/usage/usage_runner.ts
@@ -1,5 +1,5 @@
-import type { Batch } from "@lavenderferry/ledger";
-import type { PeerClients, UsageBatch } from "@lavenderferry/protocol";
+import { toUsageMessage } from "@lavenderferry/ledger";
+import type { PeerClients } from "@lavenderferry/protocol";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { UsageEffect } from "./usage_effect.ts";
@@ -10,7 +10,7 @@
 ): EffectHandlers<EntryEvent, UsageEffect> {
   return {
     settle_usage: ({ steward, address, batches }, dispatch) => {
-      peers.at(address).settle({ batches: batches.map(toMessage) }).then(
+      peers.at(address).settle({ batches: batches.map(toUsageMessage) }).then(
         ({ settled = 0 }) =>
           dispatch({
             kind: "usage_settled",
@@ -21,7 +21,7 @@
       );
     },
     hold_usage: ({ steward, address, epoch, batches, settled }, dispatch) => {
-      const request = { epoch, settled, batches: batches.map(toMessage) };
+      const request = { epoch, settled, batches: batches.map(toUsageMessage) };
       peers.at(address).hold(request).then(
         ({ held = 0 }) =>
           dispatch({ kind: "usage_held", steward, held: Number(held) }),
@@ -30,7 +30,3 @@
     },
   };
 }
-
-function toMessage({ epoch, sequence, records }: Batch): UsageBatch {
-  return { epoch, sequence, records: records.map((record) => ({ ...record })) };
-}
--- a/packages/ledger/src/mod.ts
+++ b/packages/ledger/src/mod.ts
@@ -8,4 +8,5 @@
 export * from "./shard.ts";
 export * from "./split_history.ts";
 export * from "./usage.ts";
+export * from "./usage_message.ts";
 export * from "./usage_meter.ts";
--- a/packages/ledger/src/shard.ts
+++ b/packages/ledger/src/shard.ts
@@ -49,3 +49,8 @@
 function padShard(shard: number): string {
   return String(shard).padStart(2, "0");
 }
+
+/** Name of the duty under which a shard is settled. */
+export function settlementDuty(shard: number): string {
+  return `settlement/${shard}`;
+}
--- a/packages/steward/src/settlement/settlement_effect.ts
+++ b/packages/steward/src/settlement/settlement_effect.ts
@@ -1,12 +1,20 @@
 import type { Batch } from "@lavenderferry/ledger";
 
 /** Effects of the settlement of usage. */
-export type SettlementEffect = {
-  readonly kind: "settle_batches";
-  readonly shard: number;
-  readonly batches: readonly Batch[];
-  /** Wall time in milliseconds. */
-  readonly now: number;
-  /** Fence of the shard's lease; 0 when none is held. */
-  readonly fence: number;
-};
+export type SettlementEffect =
+  | {
+    readonly kind: "settle_batches";
+    readonly shard: number;
+    readonly batches: readonly Batch[];
+    /** Wall time in milliseconds. */
+    readonly now: number;
+    /** Fence of the shard's lease. */
+    readonly fence: number;
+  }
+  | {
+    readonly kind: "forward_batches";
+    /** Address of the steward that holds the shard's duty. */
+    readonly address: string;
+    readonly epoch: string;
+    readonly batches: readonly Batch[];
+  };
--- a/packages/steward/src/settlement/settlement_event.ts
+++ b/packages/steward/src/settlement/settlement_event.ts
@@ -14,6 +14,12 @@
     readonly batches: readonly Batch[];
     readonly result: SettlementResult;
   }
+  | {
+    readonly kind: "batches_forwarded";
+    readonly epoch: string;
+    /** Highest sequence of the epoch that is settled. */
+    readonly settled: number;
+  }
   | {
     readonly kind: "batches_failed";
     readonly shard: number;
--- a/packages/steward/src/settlement/settlement_part.ts
+++ b/packages/steward/src/settlement/settlement_part.ts
@@ -1,5 +1,5 @@
 import type { Batch } from "@lavenderferry/ledger";
-import { isSettled, shardOf } from "@lavenderferry/ledger";
+import { isSettled, settlementDuty, shardOf } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
 import type { StewardState } from "../state.ts";
@@ -8,6 +8,7 @@
 /** Most batches of a shard that wait; origins send the others again. */
 const maxPendingBatches = 2_048;
 const maxBatchesPerCommit = 512;
+const maxBatchesPerForward = 32;
 const maxKnownEpochs = 2_048;
 
 /** Settles batches of usage, with one commit of a shard at a time. */
@@ -25,6 +26,16 @@
     return [];
   },
   batches_settled: finishCommit,
+  batches_forwarded: (state, { epoch, settled }) => {
+    const waiting = state.settlement.pending.get(shardOf(epoch));
+    for (const [name, batch] of waiting ?? []) {
+      if (batch.epoch === epoch && batch.sequence <= settled) {
+        waiting?.delete(name);
+      }
+    }
+    learnThrough(state, epoch, settled);
+    return [];
+  },
   batches_failed: (state, { shard, failure }) => {
     state.settlement.running.delete(shard);
     const { kind: reason, message } = failure;
@@ -49,16 +60,45 @@
   const effects: StewardEffect[] = [];
   for (const [shard, waiting] of pending) {
     if (waiting.size > 0 && !running.has(shard)) {
-      running.add(shard);
       const batches = [...waiting.values()].slice(0, maxBatchesPerCommit);
-      const fence = 0;
-      const now = at.wall;
-      effects.push({ kind: "settle_batches", shard, batches, now, fence });
+      effects.push(...settleShard(state, { shard, batches, at }));
     }
   }
   return effects;
 }
 
+/** Settles under the shard's duty, or hands the batches to its holder. */
+function settleShard(
+  state: StewardState,
+  work: {
+    readonly shard: number;
+    readonly batches: readonly Batch[];
+    readonly at: Moment;
+  },
+): readonly StewardEffect[] {
+  const { shard, batches, at } = work;
+  const duty = settlementDuty(shard);
+  const fence = state.duties.dutyFence(duty, at);
+  if (fence !== null) {
+    state.settlement.running.add(shard);
+    return [
+      { kind: "settle_batches", shard, batches, now: at.wall, fence },
+    ];
+  }
+  const address = state.fleet.holderOf(duty)?.peers ?? "";
+  if (address === "") {
+    return [];
+  }
+  const epochs = new Set(batches.map(({ epoch }) => epoch));
+  return [...epochs].map((epoch) => ({
+    kind: "forward_batches",
+    address,
+    epoch,
+    batches: batches.filter((batch) => batch.epoch === epoch)
+      .slice(0, maxBatchesPerForward),
+  }));
+}
+
 /** Returns whether no batch waits for settlement here. */
 export function holdsNothing({ settlement }: StewardState): boolean {
   const waiting = [...settlement.pending.values()];
@@ -105,7 +145,7 @@
   };
   state.decisions.add({
     kind: "settle",
-    subject: `settlement/${shard}`,
+    subject: settlementDuty(shard),
     reason: "interval",
     figures,
     at: at.wall,
--- a/packages/steward/src/settlement/usage_methods.ts
+++ b/packages/steward/src/settlement/usage_methods.ts
@@ -1,5 +1,5 @@
-import type { Batch, UsageUnit } from "@lavenderferry/ledger";
-import type { PeerMethods, UsageBatch__Output } from "@lavenderferry/protocol";
+import { fromUsageMessage } from "@lavenderferry/ledger";
+import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import type { StewardState } from "../state.ts";
@@ -15,28 +15,17 @@
   const { settledThrough, held } = state.settlement;
   return {
     settle: (request) => {
-      const batches = request.batches.map(toBatch);
+      const batches = request.batches.map(fromUsageMessage);
       dispatch({ kind: "settle_requested", batches });
       const settled = settledThrough.get(batches[0]?.epoch ?? "") ?? 0;
       return Promise.resolve({ settled });
     },
     hold: (request) => {
       const { epoch, settled } = request;
-      const batches = request.batches.map(toBatch);
+      const batches = request.batches.map(fromUsageMessage);
       const handover = { epoch, settled, batches };
       dispatch({ kind: "hold_requested", handover });
       return Promise.resolve({ held: held.heldThrough(epoch, settled) });
     },
   };
 }
-
-function toBatch({ epoch, sequence, records }: UsageBatch__Output): Batch {
-  return {
-    epoch,
-    sequence,
-    records: records.map((record) => ({
-      ...record,
-      unit: record.unit as UsageUnit,
-    })),
-  };
-}
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -34,7 +34,7 @@
     reduce: reduceSteward,
     handlers: {
       ...createOperatorHandlers({ platform, peers: clients, replies }),
-      ...createSettlementHandlers(platform),
+      ...createSettlementHandlers(platform, clients),
       ...createFleetHandlers(platform),
       ...exchanges.handlers,
       ...createDutyHandlers(platform),
