feat(steward): serve metrics; check samples and program starts

The steward counted nothing. Its counters are taken from events and effects outside the reducer; /metrics stands on the operators' port. Sample settings, the metrics page and the messages of a refused start are now tested.

--- /dev/null
+++ b/packages/cli/src/programs_test.ts
@@ -0,0 +1,136 @@
+import { spawn } from "node:child_process";
+import { readdirSync, readFileSync } from "node:fs";
+import { writeFile } from "node:fs/promises";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { text } from "node:stream/consumers";
+import { fileURLToPath } from "node:url";
+import { entryProgram } from "@lavenderferry/entry";
+import { stewardProgram } from "@lavenderferry/steward";
+import t from "tap";
+import { request } from "undici";
+import { cliPrograms } from "./mod.ts";
+
+const secret = "a-secret-that-only-this-test-knows-0";
+const samples = fileURLToPath(
+  new URL("../../../docs/samples/", import.meta.url),
+);
+
+const programs = [
+  { name: "entry", program: entryProgram, socket: "callers" },
+  { name: "steward", program: stewardProgram, socket: "operators" },
+];
+
+async function run(program: URL, args: readonly string[]): Promise<string> {
+  const child = spawn(process.execPath, [fileURLToPath(program), ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+    env: { ...process.env, UV_USE_IO_URING: "0" },
+  });
+  const [output, errors, code] = await Promise.all([
+    text(child.stdout),
+    text(child.stderr),
+    new Promise((resolve) => child.once("exit", resolve)),
+  ]);
+  return `${output}${errors}exit code ${code}`
+    .replaceAll(process.version, "NODE")
+    .replaceAll(`${process.platform}-${process.arch}`, "PLATFORM");
+}
+
+function settingsOf(socket: string, port: number): object {
+  return {
+    vm: "vm-0",
+    dataCentre: "krakow",
+    region: "centre",
+    platform: "http://127.0.0.1:1",
+    peers: { ip: "127.0.0.1", port: 0 },
+    [socket]: { ip: "127.0.0.1", port },
+    ...(socket === "callers"
+      ? { callerSecret: secret, streamSecret: secret }
+      : { operatorKeys: { anna: secret } }),
+  };
+}
+
+for (const { name, program, socket } of programs) {
+  t.test(`lavenderferry-${name} refuses to start half configured`, async (t) => {
+    const file = join(t.testdir(), "settings.jsonc");
+    const usage = [
+      ["--help"],
+      ["--version"],
+      [],
+      ["--weights", "1"],
+      ["now", "--settings", file],
+      ["--settings", file],
+    ];
+    for (const args of usage) {
+      const output = await run(program, args);
+      const line = args.join(" ").replaceAll(file, "FILE");
+      t.matchSnapshot(output.replaceAll(file, "FILE"), line);
+    }
+    await writeFile(file, "{}");
+    const empty = await run(program, ["--settings", file]);
+    t.matchSnapshot(empty.replaceAll(file, "FILE"), "an empty document");
+  });
+
+  t.test(`lavenderferry-${name} names a port that is in use`, async (t) => {
+    const server = createServer();
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    t.teardown(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const file = join(t.testdir(), "settings.json");
+    await writeFile(file, JSON.stringify(settingsOf(socket, port)));
+    const output = await run(program, ["--settings", file]);
+    t.matchSnapshot(output.replaceAll(String(port), "PORT"));
+  });
+}
+
+t.test("the sample settings pass the checker", async (t) => {
+  const files = readdirSync(samples);
+  t.strictSame(files.sort(), [
+    "configuration.jsonc",
+    "entry.jsonc",
+    "operator.jsonc",
+    "steward.jsonc",
+  ]);
+  for (const file of files) {
+    const path = join(samples, file);
+    const kind = file.replace(".jsonc", "");
+    const output = await run(cliPrograms.check, [kind, path]);
+    t.equal(output, `${path}: no errors found\nexit code 0`);
+  }
+});
+
+async function seriesOf(program: URL, settings: string): Promise<string[]> {
+  const args = [fileURLToPath(program), "--settings", settings];
+  const child = spawn(process.execPath, args, {
+    stdio: ["ignore", "pipe", "ignore"],
+    env: { ...process.env, UV_USE_IO_URING: "0" },
+  });
+  try {
+    for await (const line of createInterface({ input: child.stdout })) {
+      const { address } = JSON.parse(line) as { address: string };
+      const response = await request(`http://${address}/metrics`);
+      const lines = (await response.body.text()).split("\n");
+      return lines.filter((each) => each.startsWith("# TYPE ")).map((each) =>
+        each.split(" ")[2] ?? ""
+      );
+    }
+  } finally {
+    child.kill("SIGKILL");
+  }
+  throw new Error("The program did not start");
+}
+
+t.test("the metrics page names exactly the series that exist", async (t) => {
+  const page = readFileSync(join(samples, "../METRICS.md"), "utf8");
+  const rows = page.matchAll(/^\| `(lavenderferry_\w+)`/gm);
+  const documented = [...rows].map(([, name = ""]) => name);
+  const served: string[] = [];
+  for (const { program, socket } of programs) {
+    const file = join(t.testdir(), "settings.json");
+    await writeFile(file, JSON.stringify(settingsOf(socket, 0)));
+    served.push(...await seriesOf(program, file));
+  }
+  t.strictSame(documented.sort(), served.sort());
+});
--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -12,6 +12,7 @@
 } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import polka from "polka";
+import type { Registry } from "prom-client";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
@@ -22,6 +23,8 @@
   readonly settings: StewardSettings;
   readonly dispatch: Dispatch<StewardEvent>;
   readonly replies: Replies;
+  /** Series that `/metrics` shows. */
+  readonly registry: Registry;
 }
 
 interface Answer {
@@ -45,6 +48,9 @@
     this.#options = options;
     const application = polka()
       .get("/healthz", (_request, response) => send(response, { body: {} }))
+      .get("/metrics", (_request, response) => {
+        void sendMetrics(response, options.registry);
+      })
       .get(
         "/operator/v1/configuration",
         this.#handle(() => ({
@@ -163,6 +169,15 @@
   }
 }
 
+async function sendMetrics(
+  response: ServerResponse,
+  registry: Registry,
+): Promise<void> {
+  const text = await registry.metrics();
+  response.writeHead(200, { "content-type": registry.contentType });
+  response.end(text);
+}
+
 function send(response: ServerResponse, { body, version }: Answer): void {
   const text = JSON.stringify(body);
   response.writeHead(200, {
--- /dev/null
+++ b/packages/steward/src/process/meter_reducer.ts
@@ -0,0 +1,73 @@
+import type { Reducer } from "@lavenderferry/runtime";
+import type { StewardEffect } from "../effects.ts";
+import type { StewardEvent } from "../events.ts";
+import type { StewardState } from "../state.ts";
+import type { CounterName, StewardMetrics } from "./metrics.ts";
+
+type StewardReducer = Reducer<StewardState, StewardEvent, StewardEffect>;
+
+/** One step of a counter. */
+interface Count {
+  readonly counter: CounterName;
+  readonly reason: string;
+}
+
+/** What the counters take from events and effects, by kind. */
+type Counts<Tagged extends { readonly kind: string }> = {
+  readonly [Kind in Tagged["kind"]]?: (
+    tagged: Extract<Tagged, { kind: Kind }>,
+  ) => Count;
+};
+
+const eventCounts: Counts<StewardEvent> = {
+  operator_requested: ({ operation }) => ({
+    counter: "operations",
+    reason: operation.kind,
+  }),
+  change_accepted: () => ({ counter: "changes", reason: "accepted" }),
+  vms_failed: () => ({ counter: "retries", reason: "vm_list" }),
+  configuration_failed: () => ({ counter: "retries", reason: "configuration" }),
+};
+
+const effectCounts: Counts<StewardEffect> = {
+  refuse_operator: ({ failure }) => ({
+    counter: "refusals",
+    reason: failure.kind,
+  }),
+  answer_settlement: () => ({ counter: "settlements", reason: "settled" }),
+  refuse_settlement: ({ failure }) => ({
+    counter: "settlements",
+    reason: failure.kind,
+  }),
+};
+
+/** Counts what goes into a reducer and what it decides. */
+export function meterReducer(
+  reduce: StewardReducer,
+  { counters }: StewardMetrics,
+): StewardReducer {
+  function count({ counter, reason }: Count): void {
+    counters[counter].inc({ reason });
+  }
+  return function reduceMetered(state, event) {
+    const effects = reduce(state, event);
+    countFrom(eventCounts, event, count);
+    for (const effect of effects) {
+      countFrom(effectCounts, effect, count);
+    }
+    return effects;
+  };
+}
+
+function countFrom<Tagged extends { readonly kind: string }>(
+  counts: Counts<Tagged>,
+  tagged: Tagged,
+  count: (step: Count) => void,
+): void {
+  const read = counts[tagged.kind as Tagged["kind"]] as
+    | ((tagged: Tagged) => Count)
+    | undefined;
+  if (read !== undefined) {
+    count(read(tagged));
+  }
+}
--- /dev/null
+++ b/packages/steward/src/process/metrics.ts
@@ -0,0 +1,55 @@
+import { Counter, Gauge, Registry } from "prom-client";
+
+/** Counters of the steward. */
+export type CounterName =
+  | "operations"
+  | "refusals"
+  | "changes"
+  | "settlements"
+  | "retries";
+
+/** The steward's series. */
+export interface StewardMetrics {
+  readonly registry: Registry;
+  readonly counters: Readonly<Record<CounterName, Counter<"reason">>>;
+}
+
+const counterHelp: Readonly<Record<CounterName, string>> = {
+  operations: "Operations asked for by operators, by kind",
+  refusals: "Operations refused or failed, by error kind",
+  changes: "Changes of the configuration, by outcome",
+  settlements: "Requests to settle usage, by outcome",
+  retries: "Operations tried again, by reason",
+};
+
+/** Creates the steward's series in a registry of their own. */
+export function createStewardMetrics(
+  gauges: Readonly<Record<string, () => number>>,
+): StewardMetrics {
+  const registry = new Registry();
+  for (const [name, read] of Object.entries(gauges)) {
+    new Gauge({
+      name: `lavenderferry_steward_${name}`,
+      help: `Number of ${name.replaceAll("_", " ")}`,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+  const counters = Object.entries(counterHelp).map(([name, help]) =>
+    [
+      name,
+      new Counter({
+        name: `lavenderferry_steward_${name}_total`,
+        help,
+        labelNames: ["reason"],
+        registers: [registry],
+      }),
+    ] as const
+  );
+  return {
+    registry,
+    counters: Object.fromEntries(counters) as StewardMetrics["counters"],
+  };
+}
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -8,6 +8,8 @@
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { createOperatorHandlers } from "./operators/operator_runner.ts";
 import { OperatorServer } from "./operators/operator_server.ts";
+import { meterReducer } from "./process/meter_reducer.ts";
+import { createStewardMetrics } from "./process/metrics.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
 import { Replies } from "./process/replies.ts";
 import { reduceSteward } from "./reduce.ts";
@@ -25,10 +27,15 @@
   const platform = new PlatformClient({ url: settings.platform });
   const replies = new Replies();
   const clients = new PeerClients();
+  const metrics = createStewardMetrics({
+    configuration_version: () => state.timeline.latest.version,
+    vms: () => state.vms.length,
+    resident_bytes: () => process.memoryUsage.rss(),
+  });
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
-    reduce: reduceSteward,
+    reduce: meterReducer(reduceSteward, metrics),
     handlers: {
       ...createOperatorHandlers({ platform, peers: clients, replies }),
       ...createSettlementHandlers({
@@ -43,7 +50,13 @@
       }),
     },
   });
-  const operators = new OperatorServer({ settings, dispatch, replies });
+  const { registry } = metrics;
+  const operators = new OperatorServer({
+    settings,
+    dispatch,
+    replies,
+    registry,
+  });
   const peers = new PeerServer(createPeerMethods({ state, replies, dispatch }));
   const { ip } = settings.operators;
   const operatorPort = await operators.listen(ip, settings.operators.port);
