--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -5,6 +5,7 @@
 import { KnownError, toFailure } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import polka from "polka";
+import type { Registry } from "prom-client";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
@@ -19,6 +20,8 @@
   readonly settings: StewardSettings;
   readonly dispatch: Dispatch<StewardEvent>;
   readonly replies: Replies;
+  /** Series that `/metrics` shows. */
+  readonly registry: Registry;
 }
 
 type Request = IncomingMessage & {
@@ -38,6 +41,9 @@
         "/healthz",
         (_request, response) => sendAnswer(response, { body: {} }),
       )
+      .get("/metrics", (_request, response) => {
+        void sendMetrics(response, options.registry);
+      })
       .get(
         "/operator/v1/configuration",
         this.#handle(() => ({
@@ -142,3 +148,12 @@
     return found[0];
   }
 }
+
+async function sendMetrics(
+  response: ServerResponse,
+  registry: Registry,
+): Promise<void> {
+  const text = await registry.metrics();
+  response.writeHead(200, { "content-type": registry.contentType });
+  response.end(text);
+}
