feat(steward): order engines under the duty of their pool

The holder of placement/<pool> reads the wanted models, states them whole to every engine with its fence, takes the engine's statement back and states them again after 30 s.

--- a/packages/proof/src/harness/system.ts
+++ b/packages/proof/src/harness/system.ts
@@ -132,6 +132,15 @@
     return await response.body.json();
   }
 
+  /** Writes a new row into the platform's table. */
+  async write(key: string, value: object): Promise<void> {
+    const writes = [{ key, ifVersion: null, value }];
+    await request(`${this.platform}/v1/table/commit`, {
+      method: "POST",
+      body: JSON.stringify({ writes }),
+    });
+  }
+
   /** Returns a running program by its name. */
   program(name: string): Program {
     const program = this.programs.get(name);
--- a/packages/steward/src/events.ts
+++ b/packages/steward/src/events.ts
@@ -1,5 +1,6 @@
 import type { DutyEvent } from "./fleet/duty_event.ts";
 import type { FleetEvent } from "./fleet/fleet_event.ts";
+import type { PlacementEvent } from "./fleet/placement_event.ts";
 import type { OperatorEvent } from "./operators/operator_event.ts";
 import type { ProcessEvent } from "./process/process_event.ts";
 import type { SettlementEvent } from "./settlement/settlement_event.ts";
@@ -10,4 +11,5 @@
   | SettlementEvent
   | FleetEvent
   | DutyEvent
+  | PlacementEvent
   | ProcessEvent;
--- a/packages/steward/src/fleet/fleet_part.ts
+++ b/packages/steward/src/fleet/fleet_part.ts
@@ -25,6 +25,7 @@
   vms_listed: (state, event) => {
     state.vms = event.vms;
     state.pools = poolsOf(event.vms);
+    forgetOrders(state);
     state.joinedAt ??= event.at.monotonic;
     state.fleet.learnVms(event.vms, event.at);
     return [listAgain(event.vms.length, event.at)];
@@ -39,6 +40,15 @@
   configuration_failed: (state, event) => [pollAgain(state, event.at)],
 };
 
+function forgetOrders(state: StewardState): void {
+  const ids = new Set(state.vms.map(({ id }) => id));
+  for (const engine of state.ordered.keys()) {
+    if (!ids.has(engine)) {
+      state.ordered.delete(engine);
+    }
+  }
+}
+
 function poolsOf(vms: readonly Vm[]): readonly string[] {
   const names = vms.flatMap(({ role, pool }) =>
     role === "engine" && pool !== undefined ? [pool] : []
--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -97,7 +97,17 @@
       dataCentre,
       state: phase,
     }));
-    return [{ kind: "answer_operator", replyId, body: { version, vms } }];
+    const members = state.fleet.membership.all()
+      .map(({ id, role, dataCentre, epoch, state: phase }) => ({
+        id,
+        role,
+        dataCentre,
+        epoch,
+        state: phase,
+      }));
+    const duties = state.fleet.duties.all();
+    const body = { version, vms, members, duties };
+    return [{ kind: "answer_operator", replyId, body }];
   },
   explain: (state, { subject }, { replyId }) => {
     const peers = state.vms.flatMap(({ id, peers }) =>
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -5,6 +5,7 @@
   stepDuties,
   stopDuties,
 } from "../fleet/duty_part.ts";
+import { stepPlacement } from "../fleet/placement_part.ts";
 import { applyNews, leaveFleet, sendDue } from "../fleet/exchange_part.ts";
 import type { StewardState } from "../state.ts";
 import type { ProcessEvent, TimerName } from "./process_event.ts";
@@ -28,6 +29,7 @@
     ...sendDue(state, at),
     ...applyNews(state),
     ...stepDuties(state, at),
+    ...stepPlacement(state, at),
     ...exitWhenReleased(state, at),
     {
       kind: "set_timer",
--- a/packages/steward/src/reduce.ts
+++ b/packages/steward/src/reduce.ts
@@ -3,6 +3,7 @@
 import type { StewardEvent } from "./events.ts";
 import { dutyPart } from "./fleet/duty_part.ts";
 import { fleetPart } from "./fleet/fleet_part.ts";
+import { placementPart } from "./fleet/placement_part.ts";
 import { operatorPart } from "./operators/operator_part.ts";
 import { processPart } from "./process/process_part.ts";
 import { settlementPart } from "./settlement/settlement_part.ts";
@@ -18,5 +19,6 @@
   ...settlementPart,
   ...fleetPart,
   ...dutyPart,
+  ...placementPart,
   ...processPart,
 });
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -4,6 +4,14 @@
 import { Decisions, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
 
+/** What an engine was ordered, as it confirmed. */
+export interface Ordered {
+  readonly fence: number;
+  readonly models: string;
+  /** Monotonic milliseconds at which it is stated again. */
+  readonly until: number;
+}
+
 /** Everything that the steward's reducer knows. */
 export interface StewardState {
   readonly settings: StewardSettings;
@@ -19,6 +27,10 @@
   readonly holding: Map<string, number>;
   /** Names of the pools of engines, in order. */
   pools: readonly string[];
+  /** What each engine was last ordered, as it confirmed. */
+  readonly ordered: Map<string, Ordered>;
+  /** Monotonic milliseconds at which the wanted models are read next. */
+  placementAt: number;
   /** Monotonic milliseconds at which the VM list was first read. */
   joinedAt: number | null;
   /** Monotonic milliseconds at which a planned stop ends. */
@@ -52,6 +64,8 @@
     duties: new Duties({ id: settings.vm, epoch }),
     holding: new Map(),
     pools: [],
+    ordered: new Map(),
+    placementAt: 0,
     joinedAt: null,
     stopAt: null,
     random: new Random(settings.seed),
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -8,6 +8,7 @@
 import { createDutyHandlers } from "./fleet/duty_runner.ts";
 import { createFleetHandlers } from "./fleet/fleet_runner.ts";
 import { createPeerMethods } from "./fleet/peer_methods.ts";
+import { createPlacementHandlers } from "./fleet/placement_runner.ts";
 import { createOperatorHandlers } from "./operators/operator_runner.ts";
 import { OperatorServer } from "./operators/operator_server.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
@@ -42,6 +43,7 @@
       ...createFleetHandlers(platform),
       ...exchanges.handlers,
       ...createDutyHandlers(platform),
+      ...createPlacementHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
         exit: () => process.exit(0),
