feat(platform): budget, circuit and gentle return for the table

Every caller asked the platform as often as it liked, also while it was down. The client now has a budget of reads and writes a second, sends what waits by priority, repeats reads with jitter but never a commit, refuses at once with notRun true while the circuit is open, probes with one operation at a jittered time and grows its concurrency over 2 s after a recovery.

--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,4 +1,5 @@
 /** Client of the platform's table, objects, VM list and weight store. */
+export * from "./circuit.ts";
 export * from "./memory_table.ts";
 export * from "./platform_client.ts";
 export * from "./table.ts";
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -1,8 +1,11 @@
 import type { Failure } from "@lavenderferry/errors";
 import { KnownError } from "@lavenderferry/errors";
+import { Random } from "@lavenderferry/runtime";
 import PQueue from "p-queue";
 import { Pool } from "undici";
 import { z } from "zod";
+import type { CircuitState } from "./circuit.ts";
+import { Circuit } from "./circuit.ts";
 import type {
   CommitResult,
   Json,
@@ -24,10 +27,29 @@
   readonly timeoutMs?: number;
   /** Operations in flight at the same time. */
   readonly concurrency?: number;
+  /** Reads that this process may send in a second. */
+  readonly readsPerSecond?: number;
+  /** Writes that this process may send in a second. */
+  readonly writesPerSecond?: number;
+  /** Seed of the jitter. */
+  readonly seed?: number;
 }
 
 const defaultTimeoutMs = 2_000;
 const defaultConcurrency = 16;
+const defaultReadsPerSecond = 400;
+const defaultWritesPerSecond = 200;
+
+/** Operations that wait at most; further ones are refused. */
+const maxWaiting = 2_000;
+
+/** Times that a read is sent. */
+const readTries = 3;
+
+/** Milliseconds before a read is sent again; they double. */
+const retryMs = 50;
+
+const secondMs = 1_000;
 
 const rowSchema = z.object({
   key: z.string(),
@@ -39,6 +61,16 @@
 const committedSchema = z.object({ versions: z.array(z.number()) });
 const vmsSchema = z.object({ vms: z.array(vmSchema) });
 
+/** Share by which the wait before a repeated read varies. */
+const retryJitter = 0.5;
+
+interface Operation {
+  readonly queue: PQueue;
+  readonly path: string;
+  readonly body: object;
+  readonly priority: Priority;
+}
+
 interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -47,21 +79,50 @@
 /** Client of the platform's table, objects and VM list, over HTTP. */
 export class PlatformClient implements Table {
   readonly #pool: Pool;
-  readonly #queue: PQueue;
+  readonly #reads: PQueue;
+  readonly #writes: PQueue;
+  readonly #circuit: Circuit;
+  readonly #random: Random;
+  readonly #concurrency: number;
   readonly #timeoutMs: number;
+  readonly #operations = { reads: 0, writes: 0, refused: 0 };
 
   constructor(options: PlatformOptions) {
     const concurrency = options.concurrency ?? defaultConcurrency;
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
     this.#pool = new Pool(options.url, { connections: concurrency });
-    this.#queue = new PQueue({ concurrency });
+    this.#concurrency = concurrency;
+    this.#reads = createQueue(
+      concurrency,
+      options.readsPerSecond ?? defaultReadsPerSecond,
+    );
+    this.#writes = createQueue(
+      concurrency,
+      options.writesPerSecond ?? defaultWritesPerSecond,
+    );
+    this.#random = new Random(options.seed ?? Date.now());
+    this.#circuit = new Circuit(() => this.#random.fraction());
+  }
+
+  /** State of the circuit towards the store. */
+  get circuit(): CircuitState {
+    return this.#circuit.state;
+  }
+
+  /** Operations sent, and refused before they were sent. */
+  get operations(): {
+    readonly reads: number;
+    readonly writes: number;
+    readonly refused: number;
+  } {
+    return { ...this.#operations };
   }
 
   async read(
     keys: readonly string[],
     priority: Priority,
   ): Promise<readonly (Row | null)[]> {
-    const reply = await this.#post("/v1/table/read", { keys }, priority);
+    const reply = await this.#read("/v1/table/read", { keys }, priority);
     return rowsSchema.parse(reply.body).rows as (Row | null)[];
   }
 
@@ -71,7 +132,7 @@
     options: ScanOptions = {},
   ): Promise<readonly Row[]> {
     const request = { prefix, ...options };
-    const reply = await this.#post("/v1/table/scan", request, priority);
+    const reply = await this.#read("/v1/table/scan", request, priority);
     return scanSchema.parse(reply.body).rows as Row[];
   }
 
@@ -79,7 +140,7 @@
     writes: readonly Write[],
     priority: Priority,
   ): Promise<CommitResult> {
-    const reply = await this.#post("/v1/table/commit", { writes }, priority);
+    const reply = await this.#write("/v1/table/commit", { writes }, priority);
     if (reply.status === 409) {
       const { rows } = rowsSchema.parse(reply.body);
       return { kind: "conflict", rows: rows as (Row | null)[] };
@@ -90,30 +151,86 @@
 
   /** Reads the platform's list of live and leaving VMs; it lags. */
   async listVms(): Promise<readonly Vm[]> {
-    const reply = await this.#post("/v1/vms/list", {}, "leases");
+    const reply = await this.#read("/v1/vms/list", {}, "leases");
     return vmsSchema.parse(reply.body).vms;
   }
 
   /** Writes an object under a key. */
   async putObject(key: string, value: Json): Promise<void> {
-    await this.#post("/v1/objects/put", { key, value }, "cost");
+    await this.#write("/v1/objects/put", { key, value }, "cost");
   }
 
   /** Reads an object; `null` when it does not exist. */
   async getObject(key: string): Promise<Json> {
-    const reply = await this.#post("/v1/objects/get", { key }, "reports");
+    const reply = await this.#read("/v1/objects/get", { key }, "reports");
     return z.object({ value: z.json() }).parse(reply.body).value as Json;
   }
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    this.#queue.clear();
+    this.#reads.clear();
+    this.#writes.clear();
     await this.#pool.destroy();
   }
 
-  async #post(path: string, body: object, priority: Priority): Promise<Reply> {
-    const send = () => this.#send(path, body);
-    return await this.#queue.add(send, { priority: priorities[priority] });
+  /** Sends a read, and sends it again where that can help. */
+  async #read(path: string, body: object, priority: Priority): Promise<Reply> {
+    for (let round = 1;; round++) {
+      try {
+        this.#operations.reads += 1;
+        return await this.#post({ queue: this.#reads, path, body, priority });
+      } catch (error) {
+        const closed = this.#circuit.state === "closed";
+        if (round === readTries || !closed) {
+          throw error;
+        }
+      }
+      await wait(this.#random.jitter(retryMs * 2 ** round, retryJitter));
+    }
+  }
+
+  async #write(path: string, body: object, priority: Priority): Promise<Reply> {
+    this.#operations.writes += 1;
+    return await this.#post({ queue: this.#writes, path, body, priority });
+  }
+
+  /** Waits for the operation's turn; what was not sent has not run. */
+  async #post({ queue, path, body, priority }: Operation): Promise<Reply> {
+    if (queue.size >= maxWaiting) {
+      throw this.#refuse("Too many operations wait for the platform");
+    }
+    const deadline = performance.now() + this.#timeoutMs;
+    const send = () => {
+      if (performance.now() >= deadline) {
+        throw this.#refuse("The operation waited too long for the platform");
+      }
+      if (!this.#circuit.allow(performance.now())) {
+        throw this.#refuse("The platform is down");
+      }
+      this.#paceReturn();
+      return this.#send(path, body);
+    };
+    return await queue.add(send, { priority: priorities[priority] });
+  }
+
+  #refuse(message: string): Failure {
+    this.#operations.refused += 1;
+    return new KnownError(message, {
+      kind: "store_unavailable",
+      notRun: true,
+      retryAfterMs: Math.ceil(this.#circuit.waitMs(performance.now())),
+    });
+  }
+
+  /** Lets the concurrency grow after an outage. */
+  #paceReturn(): void {
+    const share = this.#circuit.share(performance.now());
+    const concurrency = Math.max(1, Math.ceil(this.#concurrency * share));
+    for (const queue of [this.#reads, this.#writes]) {
+      if (queue.concurrency !== concurrency) {
+        queue.concurrency = concurrency;
+      }
+    }
   }
 
   async #send(path: string, body: object): Promise<Reply> {
@@ -131,11 +248,14 @@
         body: await response.body.json(),
       };
     } catch (cause) {
+      this.#circuit.failed(performance.now());
       throw unavailable("The platform did not answer", "unknown", cause);
     }
     if (reply.status === 200 || reply.status === 409) {
+      this.#circuit.succeeded(performance.now());
       return reply;
     }
+    this.#circuit.failed(performance.now());
     const refused = reply.status === 429 || reply.status === 503;
     throw unavailable(
       `The platform answered with status ${reply.status}`,
@@ -145,6 +265,18 @@
   }
 }
 
+function createQueue(concurrency: number, perSecond: number): PQueue {
+  return new PQueue({
+    concurrency,
+    interval: secondMs,
+    intervalCap: perSecond,
+  });
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 function unavailable(
   message: string,
   notRun: true | "unknown",
