--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -120,11 +120,21 @@
       dataCentre,
       state: phase,
     }));
+    const members = state.fleet.membership.all()
+      .map(({ id, role, dataCentre, epoch, state: phase }) => ({
+        id,
+        role,
+        dataCentre,
+        epoch,
+        state: phase,
+      }));
     const body = {
       version: latest.version,
       inForce: describe(inForce),
       accepted: describe(latest),
       vms,
+      members,
+      duties: state.fleet.duties.all(),
     };
     return [{ kind: "answer_operator", replyId, body }];
   },
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -1,6 +1,7 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
 import { dutiesGivenUp, stepDuties, stopDuties } from "../fleet/duty_part.ts";
+import { stepPlacement } from "../fleet/placement_part.ts";
 import { applyNews, leaveFleet, sendDue } from "../fleet/exchange_part.ts";
 import { holdsNothing, settlePending } from "../settlement/settlement_part.ts";
 import type { StewardState } from "../state.ts";
@@ -29,6 +30,7 @@
     ...sendDue(state, at),
     ...applyNews(state),
     ...stepDuties(state, at),
+    ...stepPlacement(state, at),
     ...exitWhenDone(state, at),
     again("exchange", at),
   ],
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -6,6 +6,14 @@
 import type { SettlementState } from "./settlement/settlement_state.ts";
 import { createSettlementState } from "./settlement/settlement_state.ts";
 
+/** What an engine was ordered, as it confirmed. */
+export interface Ordered {
+  readonly fence: number;
+  readonly models: string;
+  /** Monotonic milliseconds at which it is stated again. */
+  readonly until: number;
+}
+
 /** Everything that the steward's reducer knows. */
 export interface StewardState {
   readonly settings: StewardSettings;
@@ -24,6 +32,10 @@
   readonly holding: Map<string, number>;
   /** Names of the pools of engines, in order. */
   pools: readonly string[];
+  /** What each engine was last ordered, as it confirmed. */
+  readonly ordered: Map<string, Ordered>;
+  /** Monotonic milliseconds at which the wanted models are read next. */
+  placementAt: number;
   /** Monotonic milliseconds at which the VM list was first read. */
   joinedAt: number | null;
   /** Monotonic milliseconds at which a planned stop ends. */
@@ -59,6 +71,8 @@
     duties: new Duties({ id: settings.vm, epoch }),
     holding: new Map(),
     pools: [],
+    ordered: new Map(),
+    placementAt: 0,
     joinedAt: null,
     stopAt: null,
     random: new Random(settings.seed),
