feat(entry): follow the engines' cache events

Cause: the policy knew prefixes only from its own dispatches. Conclusion: polled each 500 ms; a failed read forgets the sequence, so that the next answer counts as a gap.

--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import type { EntryEvent } from "../events.ts";
 import { neverSent } from "../util/never_sent.ts";
+import { CacheFeed } from "./cache_feed.ts";
 import type { EngineEffect } from "./generation_effect.ts";
 import type { EngineFailure, EngineUsage, Token } from "./generation_event.ts";
 
@@ -66,6 +67,8 @@
     keepAliveTimeout: 10_000,
   });
   readonly #attempts = new Map<string, AbortController>();
+  /** Cache feeds by engine address. */
+  readonly #feeds = new Map<string, CacheFeed>();
 
   readonly handlers: EngineHandlers = {
     start_generation: (effect, dispatch) => {
@@ -117,6 +120,9 @@
     read_load: ({ engine, address }, dispatch) => {
       void this.#readLoad(engine, address, dispatch);
     },
+    read_cache: ({ engine, address }, dispatch) => {
+      void this.#readCache(engine, address, dispatch);
+    },
   };
 
   /** Closes all connections. */
@@ -189,6 +195,28 @@
       dispatch({ kind: "load_failed", engine });
     }
   }
+
+  async #readCache(
+    engine: string,
+    address: string,
+    dispatch: Dispatch<EntryEvent>,
+  ): Promise<void> {
+    const feed = this.#feeds.get(address) ?? new CacheFeed();
+    this.#feeds.set(address, feed);
+    try {
+      const response = await this.#agent.request({
+        origin: `http://${address}`,
+        path: `/v1/cache-events?after=${feed.after}`,
+        method: "GET",
+        signal: AbortSignal.timeout(shortTimeoutMs),
+      });
+      for (const change of feed.take(await response.body.json())) {
+        dispatch({ kind: "cache_changed", engine, change });
+      }
+    } catch {
+      this.#feeds.delete(address);
+    }
+  }
 }
 
 interface Attempt {
--- a/packages/entry/src/generations/generation_effect.ts
+++ b/packages/entry/src/generations/generation_effect.ts
@@ -39,6 +39,11 @@
     readonly kind: "read_load";
     readonly engine: string;
     readonly address: string;
+  }
+  | {
+    readonly kind: "read_cache";
+    readonly engine: string;
+    readonly address: string;
   };
 
 /** Effects towards the callers. */
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -20,6 +20,7 @@
     { kind: "list_vms" },
     { kind: "read_configuration", known: 0 },
     repeat("poll_load", event.at),
+    repeat("poll_cache", event.at),
     repeat("flush_usage", event.at),
     repeat("pump_backlog", event.at),
   ],
@@ -41,9 +42,13 @@
     { kind: "read_configuration", known: state.timeline.latest.version },
   ],
   poll_load: (state, _timer, at) => [
-    ...readLoads(state),
+    ...readEngines(state, "read_load"),
     repeat("poll_load", at),
   ],
+  poll_cache: (state, _timer, at) => [
+    ...readEngines(state, "read_cache"),
+    repeat("poll_cache", at),
+  ],
   flush_usage: (state, _timer, at) => [
     ...flushUsage(state),
     repeat("flush_usage", at),
@@ -85,10 +90,13 @@
   return { kind: "set_timer", timer: { kind }, at: due };
 }
 
-function readLoads(state: EntryState): readonly EntryEffect[] {
+function readEngines(
+  state: EntryState,
+  kind: "read_load" | "read_cache",
+): readonly EntryEffect[] {
   return [...state.vms.values()]
     .filter((vm) => vm.role === "engine")
-    .map(({ id, address }) => ({ kind: "read_load", engine: id, address }));
+    .map(({ id, address }) => ({ kind, engine: id, address }));
 }
 
 function requestStop(
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -3,6 +3,7 @@
   | { readonly kind: "list_vms" }
   | { readonly kind: "poll_configuration" }
   | { readonly kind: "poll_load" }
+  | { readonly kind: "poll_cache" }
   | { readonly kind: "flush_usage" }
   | { readonly kind: "pump_backlog" }
   | { readonly kind: "retry_generation"; readonly generationId: string }
@@ -15,6 +16,7 @@
   list_vms: 1_000,
   poll_configuration: 1_000,
   poll_load: 250,
+  poll_cache: 500,
   flush_usage: 1_000,
   pump_backlog: 50,
 } as const;
