--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -20,7 +20,8 @@
   Sent,
 } from "./dispatcher.ts";
 import { DrainRate } from "./drain_rate.ts";
-import { Engine } from "./engine.ts";
+import type { Engine } from "./engine.ts";
+import { EnginePool } from "./engine_pool.ts";
 import type { EngineView, Flight } from "./engine_view.ts";
 import { candidatesOf } from "./engine_choice.ts";
 import type { Tail } from "./length_distribution.ts";
@@ -72,7 +73,7 @@
 export class AdaptiveDispatcher implements Dispatcher {
   readonly #options: AdaptiveOptions;
   readonly #random: Random;
-  readonly #engines = new Map<string, Engine>();
+  readonly #engines: EnginePool;
   readonly #lengths = new OutputLengths();
   readonly #backlog = new Backlog();
   readonly #shares = new WorkspaceShares();
@@ -87,6 +88,7 @@
   constructor(seed: number, options: Partial<AdaptiveOptions> = {}) {
     this.#options = { ...allParts, ...options };
     this.#random = new Random(seed);
+    this.#engines = new EnginePool(this.#options.lagCorrection);
   }
 
   get waiting(): number {
@@ -94,24 +96,14 @@
   }
 
   addEngine(description: EngineDescription): void {
-    const engine = this.#engines.get(description.id);
-    if (engine === undefined) {
-      this.#engines.set(
-        description.id,
-        new Engine(description, this.#options.lagCorrection),
-      );
-    } else {
-      engine.open = true;
-    }
+    this.#engines.add(description);
   }
 
   removeEngine(id: string): void {
     const engine = this.#engines.get(id);
-    if (engine === undefined) {
-      return;
+    if (engine !== undefined) {
+      this.#engines.close(engine);
     }
-    engine.open = false;
-    this.#forgetIdle(engine);
   }
 
   report(id: string, report: LoadReport, at: Moment): void {
@@ -127,6 +119,7 @@
       );
     }
     engine.view.take(report, at);
+    this.#engines.reported(former, report);
     if (engine.view.flights.size === 0) {
       engine.circuit.succeeded(at.monotonic);
     }
@@ -168,7 +161,8 @@
       return refusal;
     }
     const estimate = this.#estimate(demand);
-    const mustQueue = this.#options.slack && this.#urgentWait(demand, estimate);
+    const mustQueue = this.#options.slack &&
+      this.#urgentWait(demand, estimate, at.monotonic);
     const placed = mustQueue ? null : this.#choose(demand, estimate, at);
     if (placed !== null) {
       this.#noteStart(demand, this.#costOf(demand, estimate), at);
@@ -221,19 +215,8 @@
   }
 
   progressed(generationId: string, tokens: number, at: Moment): void {
-    const view = this.#homes.get(generationId)?.view;
-    const flight = view?.flights.get(generationId);
-    if (view === undefined || flight === undefined) {
-      return;
-    }
-    const fresh = tokens - flight.tokensOut;
-    if (flight.tokensOut > 0 && fresh > 0) {
-      const passed = at.monotonic - flight.progressedAt;
-      view.stepTime.observe(view.running, passed / fresh);
-    }
-    flight.tokensOut = tokens;
-    flight.progressedAt = at.monotonic;
-    view.sample(at);
+    const engine = this.#homes.get(generationId);
+    engine?.view.progress(generationId, tokens, at);
   }
 
   ended(generationId: string, ending: Ending, at: Moment): void {
@@ -249,22 +232,18 @@
     } else if (ending !== "cancelled") {
       engine.circuit.failed(ending, at.monotonic);
     }
-    this.#forgetIdle(engine);
+    this.#engines.forgetIdle(engine);
   }
 
   /** Counts of failures by engine and reason. */
   failures(): ReadonlyMap<string, ReadonlyMap<string, number>> {
     return new Map(
-      [...this.#engines].map(([id, { circuit }]) => [id, circuit.reasons]),
+      [...this.#engines.values()].map((
+        { id, circuit },
+      ) => [id, circuit.reasons]),
     );
   }
 
-  #forgetIdle(engine: Engine): void {
-    if (!engine.open && engine.view.flights.size === 0) {
-      this.#engines.delete(engine.id);
-    }
-  }
-
   #tailOf(demand: Demand): Tail {
     return this.#options.lengths ? this.#lengths.tailOf(demand) : priorTail;
   }
@@ -282,22 +261,20 @@
   }
 
   #impossible(demand: Demand): Refusal | null {
-    const engines = [...this.#engines.values()].filter(({ open }) => open);
     const retryAfterMs = minRetryAfterMs;
+    const { engines, memoryTokens } = this.#engines.serving(demand.model);
     if (engines.length === 0) {
-      return refuse("no_upstream", "no_engine", { retryAfterMs });
-    }
-    const serving = engines.filter((each) => each.serves(demand.model));
-    if (serving.length === 0) {
-      return refuse("unknown_model", "no_model", { retryAfterMs });
+      return this.#engines.open
+        ? refuse("unknown_model", "no_model", { retryAfterMs })
+        : refuse("no_upstream", "no_engine", { retryAfterMs });
     }
-    const fits = serving.some(({ view }) =>
-      view.report === null || demand.promptTokens < view.report.memoryTokens
-    );
-    return fits ? null : refuse("prompt_too_long", "engines_full", {
-      retryAfterMs,
-      promptTokens: demand.promptTokens,
-    });
+    const { promptTokens } = demand;
+    return promptTokens < memoryTokens
+      ? null
+      : refuse("prompt_too_long", "engines_full", {
+        retryAfterMs,
+        promptTokens,
+      });
   }
 
   #overRetried(demand: Demand, at: Moment): Refusal | null {
@@ -312,35 +289,28 @@
   }
 
   /** Whether something comparable that waits has an earlier deadline. */
-  #urgentWait(demand: Demand, estimate: Estimate): boolean {
+  #urgentWait(demand: Demand, estimate: Estimate, now: number): boolean {
     const [first] = this.#backlog.head(1);
     return first !== undefined &&
-      first.deadline <= this.#deadlineOf(demand, estimate) &&
+      first.deadline <= this.#deadlineOf(demand, estimate, now) &&
       this.#costOf(demand, estimate) > passingCost * first.cost;
   }
 
-  #deadlineOf(demand: Demand, { outputTokens }: Estimate): number {
+  #deadlineOf(
+    demand: Demand,
+    { outputTokens }: Estimate,
+    now: number,
+  ): number {
     return startDeadline(demand, {
       firstTokenMs: startMs + demand.promptTokens * prefillMsPerToken,
-      decodeMs: outputTokens * this.#stepMs(),
+      decodeMs: outputTokens * this.#engines.stepMs(now),
     });
   }
 
-  #stepMs(): number {
-    let sum = 0;
-    for (const { view } of this.#engines.values()) {
-      sum += view.stepTime.expected(view.running);
-    }
-    return sum / Math.max(1, this.#engines.size);
-  }
-
   #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
-    const serving = [...this.#engines.values()].filter((engine) =>
-      engine.serves(demand.model) &&
-      (!this.#options.circuits || engine.circuit.allowance(at.monotonic) > 0)
-    );
+    const { engines } = this.#engines.serving(demand.model);
     const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
-    const candidates = candidatesOf(serving, this.#random, prefix)
+    const candidates = candidatesOf(engines, this.#random, prefix)
       .map((engine) => this.#weigh(engine, demand, { estimate, at }))
       .filter((each) => each !== null);
     const best = candidates.sort((a, b) => a.score - b.score)[0];
@@ -374,6 +344,9 @@
     const allowance = this.#options.circuits
       ? circuit.allowance(at.monotonic)
       : 1;
+    if (allowance === 0) {
+      return null;
+    }
     const risk = view.forecast(at).riskWith(
       estimate.footprint,
       memoryTokens * allowance,
@@ -404,14 +377,14 @@
   #enqueue(demand: Demand, estimate: Estimate, at: Moment): Placement {
     const now = at.monotonic;
     const deadline = this.#options.slack
-      ? this.#deadlineOf(demand, estimate)
+      ? this.#deadlineOf(demand, estimate, now)
       : demand.arrivedAt;
     const share = this.#shares.shareOf(demand.workspace, now);
     const penalty = this.#options.fairness ? share * sharePenaltyMs : 0;
     const order = deadline + penalty;
     const ahead = this.#backlog.costBefore(order);
     const waitMs = this.#drain.wait(ahead);
-    const latest = this.#deadlineOf(demand, estimate);
+    const latest = this.#deadlineOf(demand, estimate, now);
     const figures = {
       waitMs: Math.round(waitMs),
       slackMs: Math.round(latest - now),
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -4,9 +4,12 @@
 import { MemoryForecast } from "./overflow_risk.ts";
 import { StepTime } from "./step_time.ts";
 
-const sampleEveryMs = 50;
+const sampleMs = 50;
 const keepSamplesMs = 15_000;
 const forecastMaxAgeMs = 40;
+const ratioDecay = 0.9;
+const fewFlights = 2;
+const maxScale = 20;
 const peerShareMaxAgeMs = 3_000;
 
 /** One own generation that runs at the engine. */
@@ -36,6 +39,12 @@
   readonly #samples: Sample[] = [];
   #othersTokens = 0;
   #othersCount = 0;
+  #ownTokens = 0;
+  #ownReported = 0;
+  #ownMean = 0;
+  #othersMean = 0;
+  /** Others' memory over this process's own, over the last reports. */
+  #othersRatio = 0;
   readonly #peers = new Map<string, PeerShare & { readonly at: number }>();
   #forecast = new MemoryForecast();
   #forecastAt = -Infinity;
@@ -46,11 +55,7 @@
 
   /** Tokens that this process's generations hold. */
   get ownTokens(): number {
-    let sum = 0;
-    for (const { demand, tokensOut } of this.flights.values()) {
-      sum += demand.promptTokens + tokensOut;
-    }
-    return sum;
+    return this.#ownTokens;
   }
 
   /** Generations at the engine, as believed. */
@@ -66,10 +71,22 @@
     this.report = report;
     const own = this.#ownAt(report.at);
     const count = report.running + report.waiting;
-    this.#othersTokens = Math.max(0, report.usedTokens - own.tokens);
+    const waiting = report.waiting * report.usedTokens /
+      Math.max(1, report.running);
+    this.#othersTokens = Math.max(0, report.usedTokens + waiting - own.tokens);
+    this.#ownReported = own.tokens;
+    this.#learnRatio(own.tokens);
     this.#othersCount = Math.max(0, count - own.count);
     this.#forecastAt = -Infinity;
-    this.sample(at);
+    this.#sample(at);
+  }
+
+  #learnRatio(own: number): void {
+    this.#ownMean = this.#ownMean * ratioDecay + own;
+    this.#othersMean = this.#othersMean * ratioDecay + this.#othersTokens;
+    this.#othersRatio = this.#ownMean <= 0
+      ? 0
+      : Math.min(maxScale, this.#othersMean / this.#ownMean);
   }
 
   /** Takes a peer's share; it counts while it says more than the report. */
@@ -78,35 +95,58 @@
     this.#forecastAt = -Infinity;
   }
 
-  /** Notes what this process holds, to compare later reports with. */
-  sample(at: Moment): void {
-    const last = this.#samples.at(-1);
-    if (last !== undefined && at.wall - last.wall < sampleEveryMs) {
-      return;
-    }
-    const { ownTokens: tokens, flights } = this;
-    this.#samples.push({ wall: at.wall, tokens, count: flights.size });
-    while ((this.#samples[0]?.wall ?? at.wall) < at.wall - keepSamplesMs) {
-      this.#samples.shift();
-    }
-  }
-
   /** Adds an own generation. */
   start(generationId: string, flight: Flight, at: Moment): void {
     this.flights.set(generationId, flight);
+    this.#ownTokens += flight.demand.promptTokens + flight.tokensOut;
     this.#forecast.add(footprintOf(flight));
-    this.sample(at);
+    this.#sample(at);
+  }
+
+  /** Notes the tokens that an own generation has produced. */
+  progress(generationId: string, tokens: number, at: Moment): void {
+    const flight = this.flights.get(generationId);
+    if (flight === undefined) {
+      return;
+    }
+    const fresh = tokens - flight.tokensOut;
+    if (flight.tokensOut > 0 && fresh > 0) {
+      const passed = at.monotonic - flight.progressedAt;
+      this.stepTime.observe(this.running, passed / fresh);
+    }
+    flight.tokensOut = tokens;
+    flight.progressedAt = at.monotonic;
+    this.#ownTokens += fresh;
+    this.#sample(at);
   }
 
   /** Removes an own generation. */
   end(generationId: string, at: Moment): Flight | undefined {
     const flight = this.flights.get(generationId);
+    if (flight === undefined) {
+      return undefined;
+    }
     this.flights.delete(generationId);
+    this.#ownTokens -= flight.demand.promptTokens + flight.tokensOut;
     this.#forecastAt = -Infinity;
-    this.sample(at);
+    this.#sample(at);
     return flight;
   }
 
+  /** Notes what this process holds, to compare later reports with. */
+  #sample(at: Moment): void {
+    const wall = Math.floor(at.wall / sampleMs) * sampleMs;
+    const sample = { wall, tokens: this.#ownTokens, count: this.flights.size };
+    if (this.#samples.at(-1)?.wall === wall) {
+      this.#samples[this.#samples.length - 1] = sample;
+      return;
+    }
+    this.#samples.push(sample);
+    while ((this.#samples[0]?.wall ?? wall) < wall - keepSamplesMs) {
+      this.#samples.shift();
+    }
+  }
+
   /** Returns the memory to come of all that runs. */
   forecast(at: Moment): MemoryForecast {
     if (at.monotonic - this.#forecastAt < forecastMaxAgeMs) {
@@ -121,10 +161,21 @@
     for (const flight of this.flights.values()) {
       this.#forecast.add(footprintOf(flight));
     }
-    this.#forecast.addConstant(this.#othersNow(at));
+    this.#addOthers(at);
     return this.#forecast;
   }
 
+  /** Others' work is taken to grow and end like this process's own. */
+  #addOthers(at: Moment): void {
+    const others = this.#othersNow(at);
+    const own = this.ownTokens;
+    if (this.flights.size < fewFlights || others > maxScale * own) {
+      this.#forecast.addConstant(others);
+    } else {
+      this.#forecast.scale(1 + others / own);
+    }
+  }
+
   #othersNow(at: Moment): number {
     let shared = 0;
     for (const share of this.#peers.values()) {
@@ -132,7 +183,8 @@
         shared += share.tokens;
       }
     }
-    return Math.max(this.#othersTokens, shared);
+    const change = this.#othersRatio * (this.ownTokens - this.#ownReported);
+    return Math.max(0, this.#othersTokens + change, shared);
   }
 
   #ownAt(wall: number): { readonly tokens: number; readonly count: number } {
--- a/packages/policy/src/engine_view_test.ts
+++ b/packages/policy/src/engine_view_test.ts
@@ -42,6 +42,35 @@
   t.end();
 });
 
+t.test("others' work is taken to grow like the own", (t) => {
+  const view = new EngineView();
+  ["g-1", "g-2", "g-3"].forEach((id) => view.start(id, flight(50), at(0)));
+  const before = view.forecast(at(50)).mean;
+  view.take(reportOf({ at: 100, running: 6, usedTokens: 300 }), at(600));
+  const after = view.forecast(at(600)).mean;
+  before.forEach((each, step) => {
+    t.ok(Math.abs((after[step] ?? 0) - 2 * each) < 1e-6);
+  });
+  t.end();
+});
+
+t.test("others are taken to send as this process does", (t) => {
+  const view = new EngineView();
+  ["g-1", "g-2"].forEach((id) => view.start(id, flight(50), at(0)));
+  view.take(reportOf({ at: 100, running: 4, usedTokens: 200 }), at(600));
+  ["g-3", "g-4"].forEach((id) => view.start(id, flight(50), at(650)));
+  t.equal(view.forecast(at(700)).mean[0], 400);
+  t.end();
+});
+
+t.test("work that waits in the engine counts as memory", (t) => {
+  const view = new EngineView();
+  const report = reportOf({ running: 2, waiting: 2, usedTokens: 200 });
+  view.take(report, at(100));
+  t.equal(view.forecast(at(100)).mean[0], 400);
+  t.end();
+});
+
 t.test("a peer's fresh share counts beyond the report", (t) => {
   const view = new EngineView();
   view.take(reportOf({ usedTokens: 100, running: 1 }), at(0));
--- a/packages/policy/src/overflow_risk.ts
+++ b/packages/policy/src/overflow_risk.ts
@@ -50,6 +50,14 @@
     }
   }
 
+  /** Multiplies the number of generations. */
+  scale(factor: number): void {
+    for (let index = 0; index < horizonSteps.length; index++) {
+      this.mean[index] = (this.mean[index] ?? 0) * factor;
+      this.variance[index] = (this.variance[index] ?? 0) * factor;
+    }
+  }
+
   /** Adds memory that is held throughout. */
   addConstant(tokens: number): void {
     for (let index = 0; index < horizonSteps.length; index++) {
