--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -3,6 +3,7 @@
 import { Agent } from "undici";
 import { z } from "zod";
 import type { EntryEvent } from "../events.ts";
+import { CacheFeed } from "./cache_feed.ts";
 import type { EngineEffect } from "./generation_effect.ts";
 import type { Attempt } from "./engine_stream.ts";
 import { EngineStream } from "./engine_stream.ts";
@@ -38,6 +39,8 @@
     keepAliveTimeout: 10_000,
   });
   readonly #attempts = new Map<string, EngineStream>();
+  /** Cache feeds by engine address. */
+  readonly #feeds = new Map<string, CacheFeed>();
 
   readonly handlers: EngineHandlers = {
     start_generation: (effect, dispatch) => {
@@ -89,6 +92,9 @@
     read_load: ({ engine, address }, dispatch) => {
       void this.#readLoad(engine, address, dispatch);
     },
+    read_cache: ({ engine, address }, dispatch) => {
+      void this.#readCache(engine, address, dispatch);
+    },
   };
 
   /** Closes all connections. */
@@ -151,4 +157,26 @@
       dispatch({ kind: "load_failed", engine });
     }
   }
+
+  async #readCache(
+    engine: string,
+    address: string,
+    dispatch: Dispatch<EntryEvent>,
+  ): Promise<void> {
+    const feed = this.#feeds.get(address) ?? new CacheFeed();
+    this.#feeds.set(address, feed);
+    try {
+      const response = await this.#agent.request({
+        origin: `http://${address}`,
+        path: `/v1/cache-events?after=${feed.after}`,
+        method: "GET",
+        signal: AbortSignal.timeout(shortTimeoutMs),
+      });
+      for (const change of feed.take(await response.body.json())) {
+        dispatch({ kind: "cache_changed", engine, change });
+      }
+    } catch {
+      this.#feeds.delete(address);
+    }
+  }
 }
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -4,6 +4,7 @@
   | { readonly kind: "poll_configuration" }
   | { readonly kind: "exchange" }
   | { readonly kind: "poll_load" }
+  | { readonly kind: "poll_cache" }
   | { readonly kind: "flush_usage" }
   | { readonly kind: "pump_backlog" }
   | { readonly kind: "retry_generation"; readonly generationId: string }
@@ -20,6 +21,7 @@
   poll_configuration: 30_000,
   exchange: 100,
   poll_load: 250,
+  poll_cache: 500,
   flush_usage: 1_000,
   pump_backlog: 50,
   watch_progress: 250,
