fix(standins): a draining engine ends after its last answer is sent

Cause: fleet_test failed once under load (what ran there ends whole): the drain looked at the model, which forgets a generation one step before its last tokens are written, and closed the connections under them. It now waits for every answer and for the connections.

--- a/packages/standins/src/engine/engine_server.ts
+++ b/packages/standins/src/engine/engine_server.ts
@@ -114,11 +114,24 @@
     return listening.port;
   }
 
-  /** Refuses new work; resolves once the running work has ended. */
+  /** Refuses new work; resolves once the running work has been answered. */
   async drain(): Promise<void> {
     this.#draining = true;
-    while (this.#model.running + this.#model.waiting > 0) {
-      await new Promise((resolve) => setTimeout(resolve, snapshotMs));
+    while ([...this.#held.values()].some(({ endedAt }) => endedAt === null)) {
+      await pause(snapshotMs);
+    }
+    await this.#closeWhenSent();
+  }
+
+  /** Closes the server once every answer has been sent. */
+  async #closeWhenSent(): Promise<void> {
+    let closed = false;
+    this.#server?.close(() => {
+      closed = true;
+    });
+    while (!closed) {
+      this.#server?.closeIdleConnections();
+      await pause(snapshotMs);
     }
   }
 
@@ -377,3 +390,7 @@
 ): void {
   sendJson(response, status, { error: { reason }, not_started: true });
 }
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
