feat(entry): charge streams exactly that outlive their entry

Cause: an entry killed in mid-stream lost the usage of its open second, and the entry that resumed charged tokens again that the first one had charged. Now: entries tell two stewards of their open generations with the index up to which batches charge them; batches are settled only once held; an entry that takes a stream over withholds its charge until a steward, or the former entry, tells that index, and charges from there on, at the instants of arrival.

--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -13,6 +13,7 @@
 } from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
+import { beginTakeOver, chargeOutput } from "../usage/taken_over.ts";
 import { count, fail } from "../util/effects.ts";
 import { recoverGeneration } from "./generation_recovery.ts";
 import {
@@ -144,6 +145,8 @@
   if (previous !== undefined) {
     effects.push({ kind: "drop_attempt", attemptId: previous.attemptId });
     forgetGeneration(state, previous);
+  } else {
+    beginTakeOver(state, { stream: token, start: index + 1 }, at);
   }
   const generation: Generation = {
     stream: token,
@@ -295,7 +298,7 @@
   generation.nextIndex += fresh.length;
   state.dispatcher.progressed(event.generationId, generation.nextIndex, at);
   const amount = fresh.length;
-  state.usage.add(generation.stream, "output", { amount, wall: at.wall });
+  chargeOutput(state, generation.stream, { amount, wall: at.wall });
   effects.push(count("tokens", generation.demand.workClass, amount));
   effects.push(...deliver(generation, fresh));
   return effects;
--- a/packages/entry/src/usage/usage_effect.ts
+++ b/packages/entry/src/usage/usage_effect.ts
@@ -1,4 +1,4 @@
-import type { Batch } from "@lavenderferry/ledger";
+import type { Batch, OpenGeneration } from "@lavenderferry/ledger";
 
 /** Effects of the settlement of usage. */
 export type UsageEffect =
@@ -16,4 +16,11 @@
     readonly batches: readonly Batch[];
     /** Batches up to this sequence are settled. */
     readonly settled: number;
+    readonly generations: readonly OpenGeneration[];
+  }
+  | {
+    readonly kind: "ask_charged";
+    readonly generationId: string;
+    /** Peer addresses of stewards that may hold the former entry's usage. */
+    readonly addresses: readonly string[];
   };
--- a/packages/entry/src/usage/usage_event.ts
+++ b/packages/entry/src/usage/usage_event.ts
@@ -13,4 +13,10 @@
     /** Batches up to this sequence are held or settled. */
     readonly held: number;
   }
-  | { readonly kind: "usage_not_held"; readonly steward: string };
+  | { readonly kind: "usage_not_held"; readonly steward: string }
+  | {
+    readonly kind: "charged_learned";
+    readonly generationId: string;
+    /** Tokens below this index are charged by the former entry. */
+    readonly charged: number;
+  };
--- a/packages/entry/src/usage/usage_handover.ts
+++ b/packages/entry/src/usage/usage_handover.ts
@@ -1,3 +1,6 @@
+import type { OpenGeneration } from "@lavenderferry/ledger";
+import type { TakenOver } from "./taken_over.ts";
+
 /** The steward that settles this entry's batches. */
 export interface Settler {
   readonly id: string;
@@ -22,9 +25,19 @@
   /** Raised when a settler fails, so that the next one is taken. */
   settlerRank: number;
   holders: readonly Holder[];
+  /** Generations that other entries carried before, by id. */
+  readonly takenOver: Map<string, TakenOver>;
+  /** Open generations as the holders were last told of them. */
+  open: readonly OpenGeneration[];
 }
 
 /** Creates the state of an entry that has handed nothing over. */
 export function createUsageHandover(): UsageHandover {
-  return { settler: null, settlerRank: 0, holders: [] };
+  return {
+    settler: null,
+    settlerRank: 0,
+    holders: [],
+    takenOver: new Map(),
+    open: [],
+  };
 }
--- a/packages/entry/src/usage/usage_part.ts
+++ b/packages/entry/src/usage/usage_part.ts
@@ -1,10 +1,12 @@
-import { shardOf } from "@lavenderferry/ledger";
+import type { Batch, OpenGeneration } from "@lavenderferry/ledger";
+import { maxUnsettledBatches, shardOf } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import type { EntryState } from "../state.ts";
 import { count } from "../util/effects.ts";
 import type { Steward } from "./rank_stewards.ts";
 import { rankStewards } from "./rank_stewards.ts";
+import { askHolders, chargedIndex, resolveTakeOver } from "./taken_over.ts";
 import type { UsageEvent } from "./usage_event.ts";
 import type { Holder, Settler } from "./usage_handover.ts";
 
@@ -45,6 +47,10 @@
     }
     return [count("retries", "usage_hold")];
   },
+  charged_learned: (state, { generationId, charged }) => {
+    resolveTakeOver(state, generationId, charged);
+    return [];
+  },
 };
 
 /** Closes the open usage and hands the unsettled batches to stewards. */
@@ -56,7 +62,11 @@
     now: at.wall,
     versionAt: (wall) => state.timeline.at(wall).version,
   });
-  return [...settleUsage(state, at), ...holdUsage(state)];
+  return [
+    ...holdUsage(state),
+    ...settleUsage(state, at),
+    ...askHolders(state, at),
+  ];
 }
 
 function settleUsage(state: EntryState, at: Moment): readonly EntryEffect[] {
@@ -76,15 +86,35 @@
   usageHandover.settler = settler;
   const { peers: address = "" } = ranked.find(({ id }) => id === settler.id) ??
     {};
-  const batches = usage.unsettled(settler.sentThrough, maxBatchesPerCall);
+  const batches = heldBatches(state, settler.sentThrough);
   settler.sentThrough = batches.at(-1)?.sequence ?? settler.sentThrough;
   // The oldest batch is sent again to learn how far settlement has come.
-  const sent = batches.length > 0 ? batches : usage.unsettled(0, 1);
+  const again = settler.sentThrough > usage.settledThrough
+    ? usage.unsettled(0, 1)
+    : [];
+  const sent = batches.length > 0 ? batches : again;
   return sent.length === 0
     ? []
     : [{ kind: "settle_usage", steward: settler.id, address, batches: sent }];
 }
 
+/**
+ * Returns batches to settle: those that every answering holder has, so that
+ * what holders know of a dead entry is never behind what was settled.
+ */
+function heldBatches(
+  { usage, usageHandover }: EntryState,
+  after: number,
+): readonly Batch[] {
+  const answering = usageHandover.holders.filter(({ failures }) =>
+    failures === 0
+  );
+  const held = answering.map(({ heldThrough }) => heldThrough);
+  const limit = held.length === 0 ? Infinity : Math.min(...held);
+  const batches = usage.unsettled(after, maxBatchesPerCall);
+  return batches.filter(({ sequence }) => sequence <= limit);
+}
+
 function newSettler(
   state: EntryState,
   { id }: Steward,
@@ -115,6 +145,7 @@
       findHolder(state, id) ?? { id, heldThrough: 0, failures: 0 }
     ),
   ];
+  const generations = openGenerations(state);
   return stewards.map(({ id, peers: address }) => ({
     kind: "hold_usage",
     steward: id,
@@ -122,12 +153,34 @@
     epoch,
     batches: usage.unsettled(
       findHolder(state, id)?.heldThrough ?? 0,
-      maxBatchesPerCall,
+      maxUnsettledBatches,
     ),
     settled: usage.settledThrough,
+    generations,
   }));
 }
 
+/**
+ * Lists the generations at engines. Every token received so far stands in a
+ * batch that was closed just now, unless there was no room for another batch.
+ */
+function openGenerations(state: EntryState): readonly OpenGeneration[] {
+  if (state.usage.openRecords > 0) {
+    return state.usageHandover.open;
+  }
+  const open: OpenGeneration[] = [];
+  for (const { phase, stream, nextIndex } of state.generations.values()) {
+    const { generationId, upstream, workClass, workspace } = stream;
+    const charged = chargedIndex(state, generationId, nextIndex);
+    if (phase !== "waiting" && charged !== null) {
+      const generation = generationId;
+      open.push({ generation, upstream, workClass, workspace, charged });
+    }
+  }
+  state.usageHandover.open = open;
+  return open;
+}
+
 /** Prefers other data centres, and the holders that already answer. */
 function chooseHolders(state: EntryState): readonly Steward[] {
   const ranked = rankStewards(state.vms, `hold/${state.epoch}`);
--- a/packages/entry/src/usage/usage_runner.ts
+++ b/packages/entry/src/usage/usage_runner.ts
@@ -20,17 +20,47 @@
         () => dispatch({ kind: "usage_not_settled", steward }),
       );
     },
-    hold_usage: ({ steward, address, epoch, batches, settled }, dispatch) => {
-      const request = { epoch, settled, batches: batches.map(toMessage) };
+    hold_usage: (effect, dispatch) => {
+      const { steward, address, epoch, batches, settled } = effect;
+      const request = {
+        epoch,
+        settled,
+        batches: batches.map(toMessage),
+        generations: effect.generations.map((each) => ({ ...each })),
+      };
       peers.at(address).hold(request).then(
         ({ held = 0 }) =>
           dispatch({ kind: "usage_held", steward, held: Number(held) }),
         () => dispatch({ kind: "usage_not_held", steward }),
       );
     },
+    ask_charged: ({ generationId, addresses }, dispatch) => {
+      void askCharged(peers, generationId, addresses).then((charged) => {
+        if (charged !== null) {
+          dispatch({ kind: "charged_learned", generationId, charged });
+        }
+      });
+    },
   };
 }
 
 function toMessage({ epoch, sequence, records }: Batch): UsageBatch {
   return { epoch, sequence, records: records.map((record) => ({ ...record })) };
 }
+
+/** Returns the highest index that a steward knows; `null`: none knows. */
+async function askCharged(
+  peers: PeerClients,
+  generation: string,
+  addresses: readonly string[],
+): Promise<number | null> {
+  const replies = await Promise.allSettled(
+    addresses.map((address) => peers.at(address).takeOver({ generation })),
+  );
+  const known = replies.flatMap((reply) =>
+    reply.status === "fulfilled" && reply.value.known
+      ? [Number(reply.value.charged)]
+      : []
+  );
+  return known.length === 0 ? null : Math.max(...known);
+}
--- a/packages/ledger/src/held_usage.ts
+++ b/packages/ledger/src/held_usage.ts
@@ -3,8 +3,27 @@
 /** Milliseconds without a word of the origin, after which it counts as gone. */
 export const originTimeoutMs = 5_000;
 
+/** Milliseconds of silence after which an origin's generations may change hands. */
+export const yieldTimeoutMs = 2_500;
+
+/** A generation that runs at an engine on behalf of an origin. */
+export interface OpenGeneration {
+  readonly generation: string;
+  readonly upstream: string;
+  readonly workClass: string;
+  readonly workspace: string;
+  /** Tokens whose usage stands in the batches handed over so far. */
+  readonly charged: number;
+}
+
+const keepOrphansMs = 600_000;
+
 interface HeldEpoch {
   readonly batches: Map<number, Batch>;
+  /** Open generations by id, as the origin last stated them. */
+  generations: ReadonlyMap<string, OpenGeneration>;
+  /** Monotonic milliseconds after which its generations may change hands. */
+  yieldAt: number;
   /** Monotonic milliseconds after which the holder settles the batches. */
   settleAt: number;
 }
@@ -15,6 +34,7 @@
   readonly batches: readonly Batch[];
   /** Batches up to this sequence are settled. */
   readonly settled: number;
+  readonly generations: readonly OpenGeneration[];
 }
 
 /** Batches that are kept on behalf of other processes until settled. */
@@ -31,10 +51,17 @@
   }
 
   /** Keeps the batches and takes the hand-over as a sign of life. */
-  hold({ epoch, batches, settled }: Handover, monotonic: number): void {
-    const held = this.#epochs.get(epoch) ?? { batches: new Map(), settleAt: 0 };
+  hold(
+    { epoch, batches, settled, generations }: Handover,
+    monotonic: number,
+  ): void {
+    const held = this.#epochs.get(epoch) ?? createEpoch();
     this.#epochs.set(epoch, held);
     held.settleAt = monotonic + originTimeoutMs;
+    held.yieldAt = monotonic + yieldTimeoutMs;
+    held.generations = new Map(
+      generations.map((each) => [each.generation, each]),
+    );
     for (const batch of batches) {
       held.batches.set(batch.sequence, batch);
     }
@@ -51,6 +78,20 @@
     return through;
   }
 
+  /**
+   * Returns a generation of an origin that is silent; the tokens up to its
+   * `charged` index are charged by the origin's batches, and no others.
+   */
+  orphan(generation: string, monotonic: number): OpenGeneration | null {
+    for (const { generations, yieldAt } of this.#epochs.values()) {
+      const found = generations.get(generation);
+      if (found !== undefined && yieldAt <= monotonic) {
+        return found;
+      }
+    }
+    return null;
+  }
+
   /** Returns batches whose origin has been silent for too long. */
   overdue(monotonic: number): readonly Batch[] {
     const epochs = [...this.#epochs.values()];
@@ -69,12 +110,21 @@
     }
   }
 
-  /** Forgets the silent origins of which nothing is held. */
+  /** Forgets origins of which nothing is held, some time after their end. */
   trim(monotonic: number): void {
     for (const [epoch, { batches, settleAt }] of this.#epochs) {
-      if (batches.size === 0 && settleAt <= monotonic) {
+      if (batches.size === 0 && settleAt + keepOrphansMs <= monotonic) {
         this.#epochs.delete(epoch);
       }
     }
   }
 }
+
+function createEpoch(): HeldEpoch {
+  return {
+    batches: new Map(),
+    generations: new Map(),
+    yieldAt: 0,
+    settleAt: 0,
+  };
+}
--- a/packages/ledger/src/held_usage_test.ts
+++ b/packages/ledger/src/held_usage_test.ts
@@ -1,10 +1,16 @@
 import t from "tap";
-import { HeldUsage, originTimeoutMs } from "./held_usage.ts";
+import type { OpenGeneration } from "./held_usage.ts";
+import { HeldUsage, originTimeoutMs, yieldTimeoutMs } from "./held_usage.ts";
 import type { Batch } from "./usage.ts";
 
+const generations: readonly OpenGeneration[] = [];
+
 t.test("a holder tells up to where it holds without a gap", (t) => {
   const held = new HeldUsage();
-  held.hold({ epoch: "e", batches: batches(3, 4, 6), settled: 2 }, 0);
+  held.hold(
+    { epoch: "e", batches: batches(3, 4, 6), settled: 2, generations },
+    0,
+  );
   t.equal(held.heldThrough("e", 2), 4);
   t.equal(held.heldThrough("e", 0), 0);
   t.equal(held.heldThrough("f", 7), 7);
@@ -13,8 +19,11 @@
 
 t.test("batches are settled by the holder once the origin is silent", (t) => {
   const held = new HeldUsage();
-  held.hold({ epoch: "e", batches: batches(1, 2), settled: 0 }, 0);
-  held.hold({ epoch: "e", batches: batches(3), settled: 1 }, 1_000);
+  held.hold({ epoch: "e", batches: batches(1, 2), settled: 0, generations }, 0);
+  held.hold(
+    { epoch: "e", batches: batches(3), settled: 1, generations },
+    1_000,
+  );
   const due = 1_000 + originTimeoutMs;
   t.strictSame(held.overdue(due - 1), []);
   t.strictSame(held.overdue(due).map(({ sequence }) => sequence), [2, 3]);
@@ -26,6 +35,28 @@
   t.end();
 });
 
+t.test("a generation changes hands once its origin is silent", (t) => {
+  const held = new HeldUsage();
+  const open = {
+    generation: "e-1",
+    upstream: "engine-0",
+    workClass: "report",
+    workspace: "household",
+    charged: 0,
+  };
+  for (const [charged, at] of [[10, 0], [25, 1_000]] as const) {
+    const generations = [{ ...open, charged }];
+    held.hold({ epoch: "e", batches: [], settled: 0, generations }, at);
+  }
+  const due = 1_000 + yieldTimeoutMs;
+  t.equal(held.orphan("e-1", due - 1), null);
+  t.equal(held.orphan("e-1", due)?.charged, 25);
+  t.equal(held.orphan("e-2", due), null);
+  held.trim(due);
+  t.equal(held.orphan("e-1", due)?.charged, 25);
+  t.end();
+});
+
 function batches(...sequences: readonly number[]): readonly Batch[] {
   return sequences.map((sequence) => ({ epoch: "e", sequence, records: [] }));
 }
--- a/packages/proof/src/integration/ledger_test.ts
+++ b/packages/proof/src/integration/ledger_test.ts
@@ -1,13 +1,13 @@
 import type { Statement } from "@lavenderferry/configuration";
 import t from "tap";
-import type { StreamResult } from "../harness/caller.ts";
+import type { Ask, StreamResult } from "../harness/caller.ts";
 import { Caller } from "../harness/caller.ts";
 import { eventually } from "../harness/eventually.ts";
 import { sampleStatement } from "../harness/sample_statement.ts";
 import { System } from "../harness/system.ts";
 
 const { report } = sampleStatement.classes;
-const classNames = ["outage", "lost", "steward", "entry", "split"];
+const classNames = ["outage", "lost", "moved", "steward", "entry", "split"];
 const statement: Statement = {
   ...sampleStatement,
   classes: Object.fromEntries(classNames.map((name) => [
@@ -76,6 +76,24 @@
   t.pass("settled");
 });
 
+t.test("cost is exact over a stream that outlives its entry", async (t) => {
+  const ask = { class: "moved", prompt: `Survey [out:${longTokens}]` };
+  const running = startStreams(ask, "entry-0");
+  await new Promise((resolve) => setTimeout(resolve, 2_500));
+  await system.program("entry-0").kill();
+  const firsts = await running;
+  t.ok(firsts.every(({ whole }) => !whole), "every stream was cut");
+  const seconds = await Promise.all(
+    firsts.map(({ eventIds }) =>
+      caller.resume(system.url("entry-1"), eventIds.at(-1) ?? "")
+    ),
+  );
+  const tokens = deliveredOf(seconds) +
+    firsts.reduce((sum, { texts }) => sum + texts.length, 0);
+  t.equal(tokens, streams * longTokens);
+  await settledCosts("moved", tokens);
+});
+
 t.test("cost is exact over the death of stewards", async (t) => {
   const running = runStreams("steward", "entry-2");
   await system.program("steward-0").kill();
@@ -98,17 +116,24 @@
 
 const streams = 6;
 const tokensPerStream = 150;
+const longTokens = 400;
 
 /** Runs streams at once and returns how many tokens were delivered. */
 async function runStreams(name: string, entry: string): Promise<number> {
   const ask = { class: name, prompt: `Survey [out:${tokensPerStream}]` };
-  const results = await Promise.all(
+  return deliveredOf(await startStreams(ask, entry));
+}
+
+async function startStreams(
+  ask: Ask,
+  entry: string,
+): Promise<readonly StreamResult[]> {
+  return await Promise.all(
     Array.from(
       { length: streams },
       () => caller.generate(system.url(entry), ask),
     ),
   );
-  return deliveredOf(results);
 }
 
 function deliveredOf(results: readonly StreamResult[]): number {
@@ -157,13 +182,15 @@
   return [...costs.values()].reduce((sum, each) => sum + each, 0n);
 }
 
+/** Waits until the newest version of the table is in force. */
 async function currentVersion(): Promise<number> {
-  const { version } = await eventually(
-    () => system.operator("steward-2").get("status"),
-    ({ inForce, version }) =>
-      (inForce as { version?: number } | undefined)?.version === version,
+  const operator = system.operator("steward-2");
+  const { to } = await operator.get("diff");
+  await eventually(
+    () => operator.get("status"),
+    ({ inForce }) => (inForce as { version: number }).version === to,
   );
-  return Number(version);
+  return Number(to);
 }
 
 function withSplit({ kowalczyk }: { kowalczyk: number }): Statement {
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,5 +1,6 @@
 import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
+import { systemClock } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import { createUsageMethods } from "../settlement/usage_methods.ts";
 import type { StewardState } from "../state.ts";
@@ -21,8 +22,7 @@
         epoch: state.epoch,
         configurationVersion: state.timeline.latest.version,
       }),
-    ...createUsageMethods(state, dispatch),
-    takeOver: () => Promise.resolve({ known: false }),
+    ...createUsageMethods({ state, clock: systemClock, dispatch }),
     drain: () => {
       dispatch({ kind: "stop_requested" });
       return Promise.resolve({ running: 0 });
--- a/packages/steward/src/settlement/usage_methods.ts
+++ b/packages/steward/src/settlement/usage_methods.ts
@@ -1,17 +1,23 @@
 import type { Batch, UsageUnit } from "@lavenderferry/ledger";
 import type { PeerMethods, UsageBatch__Output } from "@lavenderferry/protocol";
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { Clock, Dispatch } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import type { StewardState } from "../state.ts";
 
+/** What the answers to processes that hand usage over work with. */
+export interface UsageMethodsOptions {
+  readonly state: StewardState;
+  readonly clock: Clock;
+  readonly dispatch: Dispatch<StewardEvent>;
+}
+
 /**
  * Creates the answers to processes that hand usage over. A batch is only put
  * in line: the answer tells how far settlement has come.
  */
 export function createUsageMethods(
-  state: StewardState,
-  dispatch: Dispatch<StewardEvent>,
-): Pick<PeerMethods, "settle" | "hold"> {
+  { state, clock, dispatch }: UsageMethodsOptions,
+): Pick<PeerMethods, "settle" | "hold" | "takeOver"> {
   const { settledThrough, held } = state.settlement;
   return {
     settle: (request) => {
@@ -23,10 +29,26 @@
     hold: (request) => {
       const { epoch, settled } = request;
       const batches = request.batches.map(toBatch);
-      const handover = { epoch, settled, batches };
+      const generations = request.generations.map(
+        ({ generation, upstream, workClass, workspace, charged }) => ({
+          generation,
+          upstream,
+          workClass,
+          workspace,
+          charged,
+        }),
+      );
+      const handover = { epoch, settled, batches, generations };
       dispatch({ kind: "hold_requested", handover });
       return Promise.resolve({ held: held.heldThrough(epoch, settled) });
     },
+    takeOver: ({ generation }) => {
+      const orphan = held.orphan(generation, clock.now().monotonic);
+      return Promise.resolve({
+        known: orphan !== null,
+        charged: orphan?.charged ?? 0,
+      });
+    },
   };
 }
 
