--- a/packages/ledger/src/settlement.ts
+++ b/packages/ledger/src/settlement.ts
@@ -48,10 +48,14 @@
   readonly unassigned: number;
 }
 
+type SummedUsage = { -readonly [Key in keyof Usage]: Usage[Key] };
+
 interface Plan {
   readonly shard: Shard;
   /** Millionths of a unit to add, by row key and name. */
   readonly sums: Map<string, Map<string, bigint>>;
+  /** Usage to divide, summed by instant, class and unit. */
+  readonly usage: Map<string, SummedUsage>;
   readonly expired: Batch[];
   unassigned: number;
   changed: boolean;
@@ -102,9 +106,12 @@
     const rows = await this.#table.read(keys, "cost");
     const plan = planOf(rows[0] ?? null, shard, terms);
     for (const batch of batches) {
-      this.#settleBatch(plan, batch, { shard, now: terms.now });
+      settleBatch(plan, batch, terms.now);
     }
     if (plan.changed) {
+      for (const usage of plan.usage.values()) {
+        this.#addUsage(plan, usage, shard);
+      }
       prune(plan.shard, batches, terms.now);
       const writes = writesOf(plan, keys, rows);
       const result = await this.#table.commit(writes, "cost");
@@ -115,34 +122,6 @@
     return resultOf(plan, batches);
   }
 
-  #settleBatch(
-    plan: Plan,
-    batch: Batch,
-    context: { readonly shard: number; readonly now: number },
-  ): void {
-    const { epoch, sequence, records } = batch;
-    const known = plan.shard.epochs[epoch];
-    if (known === undefined && mayBePruned(plan.shard, batch)) {
-      plan.expired.push(batch);
-      return;
-    }
-    const progress = known ?? noProgress;
-    const full = progress.beyond.length >= maxBeyond &&
-      sequence !== progress.through + 1;
-    if (isSettled(progress, sequence) || full) {
-      return;
-    }
-    plan.changed = true;
-    plan.shard.epochs[epoch] = {
-      ...addSettled(progress, sequence),
-      settledAt: context.now,
-      expiresAt: context.now + keepProgressMs,
-    } as Shard["epochs"][string];
-    for (const usage of records) {
-      this.#addUsage(plan, usage, context.shard);
-    }
-  }
-
   #addUsage(plan: Plan, usage: Usage, shard: number): void {
     const { workClass, unit, amount, at } = usage;
     const debts = debtsOf(this.#history.at(at), usage);
@@ -159,6 +138,41 @@
   }
 }
 
+function settleBatch(plan: Plan, batch: Batch, now: number): void {
+  const { epoch, sequence, records } = batch;
+  const known = plan.shard.epochs[epoch];
+  if (known === undefined && mayBePruned(plan.shard, batch)) {
+    plan.expired.push(batch);
+    return;
+  }
+  const progress = known ?? noProgress;
+  const full = progress.beyond.length >= maxBeyond &&
+    sequence !== progress.through + 1;
+  if (isSettled(progress, sequence) || full) {
+    return;
+  }
+  plan.changed = true;
+  plan.shard.epochs[epoch] = {
+    ...addSettled(progress, sequence),
+    settledAt: now,
+    expiresAt: now + keepProgressMs,
+  } as Shard["epochs"][string];
+  for (const usage of records) {
+    sumUsage(plan, usage);
+  }
+}
+
+function sumUsage({ usage }: Plan, record: Usage): void {
+  const { at, workClass, unit, amount } = record;
+  const key = `${at}|${workClass}|${unit}`;
+  const sum = usage.get(key);
+  if (sum === undefined) {
+    usage.set(key, { ...record });
+  } else {
+    sum.amount += amount;
+  }
+}
+
 function debtsOf(
   { statement }: Configuration,
   { workClass, amount }: Usage,
@@ -187,7 +201,8 @@
   }
   shard.fence = fence;
   const sums = new Map<string, Map<string, bigint>>();
-  return { shard, sums, expired: [], unassigned: 0, changed: false };
+  const usage = new Map<string, SummedUsage>();
+  return { shard, sums, usage, expired: [], unassigned: 0, changed: false };
 }
 
 /** An epoch without progress may have been settled and removed since. */
@@ -245,10 +260,10 @@
 }
 
 function daysOf(batches: readonly Batch[]): readonly string[] {
-  const days = batches.flatMap(({ records }) =>
-    records.map(({ at }) => dayOf(at))
+  const times = new Set(
+    batches.flatMap(({ records }) => records.map(({ at }) => at)),
   );
-  return [...new Set(days)];
+  return [...new Set([...times].map(dayOf))];
 }
 
 function oldestAt(batches: readonly Batch[], now: number): number {
--- a/packages/ledger/src/shard.ts
+++ b/packages/ledger/src/shard.ts
@@ -2,7 +2,7 @@
 import { progressSchema } from "./progress.ts";
 
 /** Number of rows over which the progress of settlement is spread. */
-export const shardCount = 16;
+export const shardCount = 64;
 
 /** Schema of the row that keeps the progress of one shard. */
 export const shardSchema = z.object({
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -8,7 +8,7 @@
 export const timerPeriods = {
   list_vms: 1_000,
   poll_configuration: 1_000,
-  settle: 1_000,
+  settle: 2_000,
 } as const satisfies Partial<Record<TimerName, number>>;
 
 /** Milliseconds that a planned stop waits for usage to be settled. */
