--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -29,7 +29,9 @@
     takeOver: ({ generation: generationId, by }) => {
       const generation = state.generations.get(generationId);
       if (generation === undefined) {
-        return Promise.resolve({ known: false, charged: 0 });
+        const charged = state.usageHandover.charged.get(generationId);
+        const known = charged !== undefined;
+        return Promise.resolve({ known, charged: charged ?? 0 });
       }
       const { nextIndex, chargedIndex } = generation;
       dispatch({ kind: "generation_taken_over", generationId, by });
--- a/packages/entry/src/generations/generation_event.ts
+++ b/packages/entry/src/generations/generation_event.ts
@@ -52,7 +52,7 @@
     /** The former carrier answered, or did not. */
     readonly kind: "take_over_answered";
     readonly generationId: string;
-    /** Tokens whose usage the former carrier recorded; `null`: no answer. */
+    /** Tokens whose usage the former carrier recorded; `null`: it is not known. */
     readonly charged: number | null;
   }
   | {
--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -13,6 +13,7 @@
 } from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
+import { chargeOutput } from "../usage/taken_over.ts";
 import { count, fail } from "../util/effects.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
 import { maxSilenceMs } from "./generation.ts";
@@ -287,7 +288,7 @@
   state.dispatcher.progressed(event.generationId, generation.nextIndex, at);
   const { chargedIndex, nextIndex, stream } = generation;
   const amount = Math.min(fresh.length, nextIndex - chargedIndex);
-  state.usage.add(stream, "output", { amount, wall: at.wall });
+  chargeOutput(state, stream, { amount, wall: at.wall });
   effects.push(count("tokens", stream.workClass, fresh.length));
   effects.push(...deliver(generation, fresh));
   return effects;
--- a/packages/entry/src/generations/generation_take_over.ts
+++ b/packages/entry/src/generations/generation_take_over.ts
@@ -1,8 +1,9 @@
-import type { EventHandlers, Timed } from "@lavenderferry/runtime";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import type { EntryState } from "../state.ts";
 import type { Generation } from "./generation.ts";
 import type { GenerationEvent } from "./generation_event.ts";
+import { beginTakeOver, resolveTakeOver } from "../usage/taken_over.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
@@ -35,7 +36,7 @@
   const previous = state.generations.get(generationId);
   const generation = createResumed(state, event, stated.targets);
   const effects = previous === undefined
-    ? []
+    ? takeOverCharge(state, generation, at)
     : replacePrevious(state, previous, generation);
   state.generations.set(generationId, generation);
   state.readers.set(readerId, generationId);
@@ -75,7 +76,7 @@
     : [];
   if (charged !== null) {
     generation.formerCarrier = null;
-    generation.chargedIndex = Math.max(generation.chargedIndex, charged);
+    resolveTakeOver(state, generationId, charged);
     return effects;
   }
   const due = at.monotonic + takeOverRetryMs;
@@ -127,6 +128,22 @@
   ];
 };
 
+/** Charges from where this entry stopped, or waits for the former carrier. */
+function takeOverCharge(
+  state: EntryState,
+  generation: Generation,
+  at: Moment,
+): readonly EntryEffect[] {
+  const { stream, nextIndex: start } = generation;
+  const charged = state.usageHandover.charged.get(stream.generationId);
+  if (charged === undefined) {
+    beginTakeOver(state, { stream, start }, at);
+  } else {
+    generation.chargedIndex = charged;
+  }
+  return [];
+}
+
 function replacePrevious(
   state: EntryState,
   previous: Generation,
--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -1,3 +1,4 @@
+import { shardCount } from "@lavenderferry/ledger";
 import type { CommitResult, Row } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 import type { DutyDirectory } from "./duty_directory.ts";
@@ -6,9 +7,6 @@
 import type { Member } from "./member.ts";
 import { hashText } from "./rendezvous.ts";
 
-/** Shards of the settlement, each a duty. */
-export const settlementShards = 16;
-
 /** Parts of the recovery of what dead processes left, each a duty. */
 export const recoveryParts = 16;
 
@@ -46,7 +44,7 @@
 /** Returns the names of all duties. */
 export function dutyNames(pools: readonly string[]): readonly string[] {
   return [
-    ...numbered("settlement", settlementShards),
+    ...numbered("settlement", shardCount),
     ...numbered("recovery", recoveryParts),
     ...pools.map((pool) => `placement/${pool}`),
   ];
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -12,7 +12,7 @@
   list_vms: 1_000,
   poll_configuration: 30_000,
   exchange: 100,
-  settle: 1_000,
+  settle: 2_000,
 } as const satisfies Partial<Record<TimerName, number>>;
 
 /** Milliseconds that a planned stop waits for usage to be settled. */
