feat(cli): take differences between versions from the steward

The history no longer carries whole statements, so the command line asks /diff for what changed since the version of a file, and lists the changed entities of each version.

--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,14 +1,11 @@
 import { KnownError } from "@lavenderferry/errors";
 import { loadSettings } from "@lavenderferry/settings";
-import type { StatedVersion } from "../util/current_statement.ts";
-import { readCurrent } from "../util/current_statement.ts";
-import { diffStatements } from "../util/diff_statements.ts";
 import { isConflict } from "../util/operator_client.ts";
 import { parseVersion } from "../util/parse_option.ts";
 import { printChanges } from "../util/print_changes.ts";
 import { printJson, printLine } from "../util/print.ts";
+import { readDifference } from "../util/read_difference.ts";
 import { statementFileSchema, toStatement } from "../util/statement_file.ts";
-import { readVersion } from "../util/version_statement.ts";
 import type { Command, CommandContext } from "./command.ts";
 
 /** States a configuration in place of the version that it was made from. */
@@ -56,25 +53,11 @@
   { client, json }: CommandContext,
   ifVersion: number,
 ): Promise<void> {
-  const current = await readCurrent(client);
-  const before = await readVersion(client, ifVersion);
-  if (before === null) {
-    return;
-  }
-  const changes = diffStatements(before, current.statement);
-  const { version, author } = current;
+  const { to, changes } = await readDifference(client, { from: ifVersion });
   if (json) {
-    printJson({ conflict: { ifVersion, version, author, changes } });
+    printJson({ conflict: { ifVersion, version: to, changes } });
     return;
   }
-  printLine(describeConflict(ifVersion, current));
+  printLine(`Changed between version ${ifVersion} and version ${to}:`);
   printChanges(changes);
 }
-
-function describeConflict(
-  ifVersion: number,
-  { version, author }: StatedVersion,
-): string {
-  return `Changed between version ${ifVersion} and version ${version}, ` +
-    `last by ${author}:`;
-}
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -1,16 +1,16 @@
-import type { Statement } from "@lavenderferry/configuration";
+import type { EntityDifference } from "@lavenderferry/configuration";
+import { diffStatements } from "@lavenderferry/configuration";
 import { KnownError } from "@lavenderferry/errors";
 import { loadSettings } from "@lavenderferry/settings";
 import { readCurrent } from "../util/current_statement.ts";
-import { diffStatements } from "../util/diff_statements.ts";
 import { parseVersion } from "../util/parse_option.ts";
 import { printChanges } from "../util/print_changes.ts";
 import { printJson, printLine } from "../util/print.ts";
+import { readDifference } from "../util/read_difference.ts";
 import { statementFileSchema, toStatement } from "../util/statement_file.ts";
-import { readVersion } from "../util/version_statement.ts";
 import type { Command, CommandContext } from "./command.ts";
 
-/** Prints what differs between two versions, or what a file would change. */
+/** Prints what a file would change, or what versions changed. */
 export const diff: Command = {
   usage: "diff [file]",
   description: "Print what apply would change, or what versions changed",
@@ -19,10 +19,9 @@
     { usage: "--to <n>", description: "Version to compare it with" },
   ],
   run: async (context, file) => {
-    const [before, after] = file === undefined
-      ? await readVersions(context)
-      : await readFile(context, file);
-    const changes = diffStatements(before, after);
+    const changes = file === undefined
+      ? await compareVersions(context)
+      : await compareFile(context, file);
     if (context.json) {
       printJson({ changes });
     } else if (changes.length === 0) {
@@ -33,10 +32,10 @@
   },
 };
 
-async function readFile(
+async function compareFile(
   { client, options }: CommandContext,
   file: string,
-): Promise<readonly [Statement, Statement]> {
+): Promise<readonly EntityDifference[]> {
   if (options["from"] !== undefined || options["to"] !== undefined) {
     throw new KnownError("Expected either a file or --from and --to", {
       kind: "bad_request",
@@ -44,35 +43,14 @@
   }
   const stated = loadSettings(file, statementFileSchema);
   const { statement } = await readCurrent(client);
-  return [statement, toStatement(stated)];
+  return diffStatements(statement, toStatement(stated));
 }
 
-async function readVersions(
+async function compareVersions(
   { client, options }: CommandContext,
-): Promise<readonly [Statement, Statement]> {
+): Promise<readonly EntityDifference[]> {
   const from = parseVersion("--from", options["from"]);
   const to = parseVersion("--to", options["to"]);
-  if (from === undefined) {
-    throw new KnownError("Expected a file, or --from and --to", {
-      kind: "bad_request",
-    });
-  }
-  const before = await requireVersion(client, from);
-  const after = to === undefined
-    ? (await readCurrent(client)).statement
-    : await requireVersion(client, to);
-  return [before, after];
-}
-
-async function requireVersion(
-  client: CommandContext["client"],
-  version: number,
-): Promise<Statement> {
-  const statement = await readVersion(client, version);
-  if (statement === null) {
-    throw new KnownError(`Configuration version ${version} does not exist`, {
-      kind: "not_found",
-    });
-  }
-  return statement;
+  const { changes } = await readDifference(client, { from, to });
+  return changes;
 }
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { parseVersion } from "../util/parse_option.ts";
+import { nameEntity } from "../util/print_changes.ts";
 import { printJson, printTable } from "../util/print.ts";
+import { changesSchema } from "../util/read_difference.ts";
 import type { Command } from "./command.ts";
 
 const historySchema = z.object({
@@ -8,6 +10,7 @@
     version: z.number(),
     author: z.string(),
     effectiveAt: z.number(),
+    changes: changesSchema.optional(),
   })),
 });
 
@@ -28,11 +31,12 @@
     }
     const { versions } = historySchema.parse(body);
     printTable(
-      ["version", "author", "in force from"],
-      versions.map(({ version, author, effectiveAt }) => [
+      ["version", "author", "in force from", "changes"],
+      versions.map(({ version, author, effectiveAt, changes = [] }) => [
         String(version),
         author,
         new Date(effectiveAt).toISOString(),
+        changes.map(nameEntity).join(", "),
       ]),
     );
   },
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -4,6 +4,7 @@
 
 const statusSchema = z.object({
   version: z.number(),
+  inForce: z.object({ version: z.number() }).optional(),
   vms: z.array(z.object({
     id: z.string(),
     role: z.string(),
@@ -22,8 +23,13 @@
       printJson(body);
       return;
     }
-    const { version, vms } = statusSchema.parse(body);
-    printLine(`Configuration version ${version}`);
+    const { version, inForce, vms } = statusSchema.parse(body);
+    printLine(
+      inForce === undefined
+        ? `Configuration version ${version}`
+        : `Configuration version ${inForce.version} in force, ` +
+          `${version} accepted`,
+    );
     printTable(
       ["vm", "role", "data centre", "state"],
       vms.map(({ id, role, dataCentre, state }) => [
--- a/packages/cli/src/main_test.ts
+++ b/packages/cli/src/main_test.ts
@@ -6,6 +6,11 @@
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
 import { fileURLToPath } from "node:url";
+import type { Statement } from "@lavenderferry/configuration";
+import {
+  diffStatements,
+  emptyConfiguration,
+} from "@lavenderferry/configuration";
 import type { ErrorKind } from "@lavenderferry/errors";
 import { toProblem } from "@lavenderferry/errors";
 import PQueue from "p-queue";
@@ -24,7 +29,9 @@
   percent: 95,
 };
 
-const statement = {
+const { statement: empty } = emptyConfiguration;
+
+const statement: Statement = {
   partners: { left: { title: "Left" }, right: { title: "Right" } },
   splits: { shared: { parts: { left: 400_000, right: 600_000 } } },
   classes: {
@@ -32,7 +39,7 @@
   },
 };
 
-const changed = {
+const changed: Statement = {
   ...statement,
   splits: { shared: { parts: { left: 500_000, right: 500_000 } } },
   classes: {
@@ -43,9 +50,11 @@
 
 const stamp = { effectiveAt: 1_796_000_000_000, author: "anna" };
 
+const changes = diffStatements(statement, changed);
+
 const versions = [
-  { version: 1, acceptedAt: 0, ...stamp, statement },
-  { version: 2, acceptedAt: 0, ...stamp, author: "jaan", statement: changed },
+  { version: 1, ...stamp, changes: diffStatements(empty, statement) },
+  { version: 2, ...stamp, author: "jaan", changes },
 ];
 
 const documents: Readonly<Record<string, object>> = {
@@ -61,6 +70,7 @@
   },
   "/status": {
     version: 2,
+    inForce: { version: 1 },
     vms: [{
       id: "entry-0",
       role: "entry",
@@ -96,6 +106,14 @@
       const found = versions.filter(({ version }) => version > after);
       answer(response, { versions: found });
     })
+    .get("/operator/v1/diff", (request, response) => {
+      const { from = "1", to = "2" } = request.query;
+      if (Number(from) > 2) {
+        refuse(response, "not_found");
+      } else {
+        answer(response, { from: Number(from), to: Number(to), changes });
+      }
+    })
     .put("/operator/v1/configuration", (request, response) => {
       request.resume();
       if (request.headers["if-match"] === '"2"') {
@@ -231,6 +249,7 @@
   "diff old.jsonc",
   "diff old.jsonc --json",
   "diff --from 1 --to 2",
+  "diff",
   "diff --from 7",
   "diff old.jsonc --from 1",
   "history",
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,4 +1,5 @@
 /** Classes, targets and splits, with their versions. */
 export * from "./configuration.ts";
 export * from "./configuration_store.ts";
+export * from "./diff_statements.ts";
 export * from "./timeline.ts";
--- a/tap-snapshots/packages/cli/build/main_test.js.test.cjs
+++ b/tap-snapshots/packages/cli/build/main_test.js.test.cjs
@@ -26,95 +26,29 @@
   "conflict": {
     "ifVersion": 1,
     "version": 2,
-    "author": "jaan",
     "changes": [
       {
-        "change": "changed",
-        "entity": "split",
+        "entity": "splits",
         "name": "shared",
-        "member": "parts.left",
-        "before": "400000",
-        "after": "500000"
+        "kind": "changed",
+        "members": [
+          {
+            "path": "parts.left",
+            "before": 400000,
+            "after": 500000
+          },
+          {
+            "path": "parts.right",
+            "before": 600000,
+            "after": 500000
+          }
+        ]
       },
       {
-        "change": "changed",
-        "entity": "split",
-        "name": "shared",
-        "member": "parts.right",
-        "before": "600000",
-        "after": "500000"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "title",
-        "before": "",
-        "after": "Report"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "targets.firstTokenMs",
-        "before": "",
-        "after": "1000"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "targets.betweenTokensMs",
-        "before": "",
-        "after": "55"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "targets.stallMs",
-        "before": "",
-        "after": "2000"
-      },
-      {
-        "change": "added",
-        "entity": "class",
+        "entity": "classes",
         "name": "report",
-        "member": "targets.preemptionsPerThousand",
-        "before": "",
-        "after": "100"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "targets.completionMs",
-        "before": "",
-        "after": "120000"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "targets.percent",
-        "before": "",
-        "after": "95"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "split",
-        "before": "",
-        "after": "shared"
-      },
-      {
-        "change": "added",
-        "entity": "class",
-        "name": "report",
-        "member": "delivery",
-        "before": "",
-        "after": "stream"
+        "kind": "added",
+        "members": []
       }
     ]
   }
@@ -124,32 +58,16 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry apply old.jsonc 1`] = `
-Changed between version 1 and version 2, last by jaan:
-┌─────────┬────────┬────────┬────────────────────────────────┬────────┬────────┐
-│ change  │ entity │ name   │ member                         │ before │ after  │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.left                     │ 400000 │ 500000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.right                    │ 600000 │ 500000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ title                          │        │ Report │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.firstTokenMs           │        │ 1000   │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.betweenTokensMs        │        │ 55     │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.stallMs                │        │ 2000   │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.preemptionsPerThousand │        │ 100    │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.completionMs           │        │ 120000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.percent                │        │ 95     │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ split                          │        │ shared │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ delivery                       │        │ stream │
-└─────────┴────────┴────────┴────────────────────────────────┴────────┴────────┘
+Changed between version 1 and version 2:
+┌─────────┬────────┬────────┬─────────────┬────────┬────────┐
+│ change  │ entity │ name   │ member      │ before │ after  │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.left  │ 400000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.right │ 600000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ added   │ class  │ report │             │        │        │
+└─────────┴────────┴────────┴─────────────┴────────┴────────┘
 lavenderferry: Refused as conflict
 exit code 1
 `
@@ -189,39 +107,36 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry diff --from 1 --to 2 1`] = `
-┌─────────┬────────┬────────┬────────────────────────────────┬────────┬────────┐
-│ change  │ entity │ name   │ member                         │ before │ after  │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.left                     │ 400000 │ 500000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.right                    │ 600000 │ 500000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ title                          │        │ Report │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.firstTokenMs           │        │ 1000   │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.betweenTokensMs        │        │ 55     │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.stallMs                │        │ 2000   │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.preemptionsPerThousand │        │ 100    │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.completionMs           │        │ 120000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ targets.percent                │        │ 95     │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ split                          │        │ shared │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ added   │ class  │ report │ delivery                       │        │ stream │
-└─────────┴────────┴────────┴────────────────────────────────┴────────┴────────┘
+┌─────────┬────────┬────────┬─────────────┬────────┬────────┐
+│ change  │ entity │ name   │ member      │ before │ after  │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.left  │ 400000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.right │ 600000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ added   │ class  │ report │             │        │        │
+└─────────┴────────┴────────┴─────────────┴────────┴────────┘
 exit code 0
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry diff --from 7 1`] = `
-lavenderferry: Configuration version 7 does not exist
+lavenderferry: Refused as not_found
 exit code 1
 `
 
+exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry diff 1`] = `
+┌─────────┬────────┬────────┬─────────────┬────────┬────────┐
+│ change  │ entity │ name   │ member      │ before │ after  │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.left  │ 400000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.right │ 600000 │ 500000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ added   │ class  │ report │             │        │        │
+└─────────┴────────┴────────┴─────────────┴────────┴────────┘
+exit code 0
+`
+
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry diff old.jsonc --from 1 1`] = `
 lavenderferry: Expected either a file or --from and --to
 exit code 2
@@ -231,92 +146,27 @@
 {
   "changes": [
     {
-      "change": "changed",
-      "entity": "split",
-      "name": "shared",
-      "member": "parts.left",
-      "before": "500000",
-      "after": "400000"
-    },
-    {
-      "change": "changed",
-      "entity": "split",
+      "entity": "splits",
       "name": "shared",
-      "member": "parts.right",
-      "before": "500000",
-      "after": "600000"
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "title",
-      "before": "Report",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.firstTokenMs",
-      "before": "1000",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.betweenTokensMs",
-      "before": "55",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.stallMs",
-      "before": "2000",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.preemptionsPerThousand",
-      "before": "100",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.completionMs",
-      "before": "120000",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "targets.percent",
-      "before": "95",
-      "after": ""
-    },
-    {
-      "change": "removed",
-      "entity": "class",
-      "name": "report",
-      "member": "split",
-      "before": "shared",
-      "after": ""
+      "kind": "changed",
+      "members": [
+        {
+          "path": "parts.left",
+          "before": 500000,
+          "after": 400000
+        },
+        {
+          "path": "parts.right",
+          "before": 500000,
+          "after": 600000
+        }
+      ]
     },
     {
-      "change": "removed",
-      "entity": "class",
+      "entity": "classes",
       "name": "report",
-      "member": "delivery",
-      "before": "stream",
-      "after": ""
+      "kind": "removed",
+      "members": []
     }
   ]
 }
@@ -324,31 +174,15 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry diff old.jsonc 1`] = `
-┌─────────┬────────┬────────┬────────────────────────────────┬────────┬────────┐
-│ change  │ entity │ name   │ member                         │ before │ after  │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.left                     │ 500000 │ 400000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ changed │ split  │ shared │ parts.right                    │ 500000 │ 600000 │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ title                          │ Report │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.firstTokenMs           │ 1000   │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.betweenTokensMs        │ 55     │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.stallMs                │ 2000   │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.preemptionsPerThousand │ 100    │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.completionMs           │ 120000 │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ targets.percent                │ 95     │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ split                          │ shared │        │
-├─────────┼────────┼────────┼────────────────────────────────┼────────┼────────┤
-│ removed │ class  │ report │ delivery                       │ stream │        │
-└─────────┴────────┴────────┴────────────────────────────────┴────────┴────────┘
+┌─────────┬────────┬────────┬─────────────┬────────┬────────┐
+│ change  │ entity │ name   │ member      │ before │ after  │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.left  │ 500000 │ 400000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ changed │ split  │ shared │ parts.right │ 500000 │ 600000 │
+├─────────┼────────┼────────┼─────────────┼────────┼────────┤
+│ removed │ class  │ report │             │        │        │
+└─────────┴────────┴────────┴─────────────┴────────┴────────┘
 exit code 0
 `
 
@@ -464,13 +298,13 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry history 1`] = `
-┌─────────┬────────┬──────────────────────────┐
-│ version │ author │ in force from            │
-├─────────┼────────┼──────────────────────────┤
-│ 1       │ anna   │ 2026-11-30T00:53:20.000Z │
-├─────────┼────────┼──────────────────────────┤
-│ 2       │ jaan   │ 2026-11-30T00:53:20.000Z │
-└─────────┴────────┴──────────────────────────┘
+┌─────────┬────────┬──────────────────────────┬──────────────────────────────────────────────────────────┐
+│ version │ author │ in force from            │ changes                                                  │
+├─────────┼────────┼──────────────────────────┼──────────────────────────────────────────────────────────┤
+│ 1       │ anna   │ 2026-11-30T00:53:20.000Z │ partner left, partner right, split shared, class summary │
+├─────────┼────────┼──────────────────────────┼──────────────────────────────────────────────────────────┤
+│ 2       │ jaan   │ 2026-11-30T00:53:20.000Z │ split shared, class report                               │
+└─────────┴────────┴──────────────────────────┴──────────────────────────────────────────────────────────┘
 exit code 0
 `
 
@@ -485,7 +319,7 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry status 1`] = `
-Configuration version 2
+Configuration version 1 in force, 2 accepted
 ┌─────────┬───────┬─────────────┬───────┐
 │ vm      │ role  │ data centre │ state │
 ├─────────┼───────┼─────────────┼───────┤
