--- a/packages/cli/src/programs_test.ts
+++ b/packages/cli/src/programs_test.ts
@@ -38,13 +38,13 @@
     .replaceAll(`${process.platform}-${process.arch}`, "PLATFORM");
 }
 
-function settingsOf(socket: string, port: number): object {
+function settingsOf(socket: string, port: number, peers = 0): object {
   return {
     vm: "vm-0",
     dataCentre: "krakow",
     region: "centre",
     platform: "http://127.0.0.1:1",
-    peers: { ip: "127.0.0.1", port: 0 },
+    peers: { ip: "127.0.0.1", port: peers },
     [socket]: { ip: "127.0.0.1", port },
     ...(socket === "callers"
       ? { callerSecret: secret, streamSecret: secret }
@@ -82,6 +82,9 @@
     await writeFile(file, JSON.stringify(settingsOf(socket, port)));
     const output = await run(program, ["--settings", file]);
     t.matchSnapshot(output.replaceAll(String(port), "PORT"));
+    await writeFile(file, JSON.stringify(settingsOf(socket, 0, port)));
+    const second = await run(program, ["--settings", file]);
+    t.matchSnapshot(second.replaceAll(String(port), "PORT"), "for peers");
   });
 }
 
--- /dev/null
+++ b/packages/runtime/src/decisions_test.ts
@@ -0,0 +1,34 @@
+import t from "tap";
+import { Decisions } from "./decisions.ts";
+import { Random } from "./random.ts";
+
+t.test("the ring keeps the latest decisions of each subject", (t) => {
+  const decisions = new Decisions(3);
+  for (let at = 0; at < 6; at++) {
+    const subject = at % 2 === 0 ? "even" : "odd";
+    const reason = "least_load";
+    decisions.add({ kind: "choose", subject, reason, figures: {}, at });
+  }
+  t.strictSame(decisions.about("even").map(({ at }) => at), [4]);
+  t.strictSame(decisions.about("odd").map(({ at }) => at), [3, 5]);
+  t.strictSame(decisions.about("none"), []);
+  t.end();
+});
+
+t.test("one seed gives the same numbers within their bounds", (t) => {
+  const one = new Random(7);
+  const two = new Random(7);
+  const draw = (random: Random) => ({
+    fraction: random.fraction(),
+    index: random.below(5),
+    wait: random.jitter(100, 0.5),
+  });
+  const draws = Array.from({ length: 1_000 }, () => draw(one));
+  t.strictSame(draws, Array.from({ length: 1_000 }, () => draw(two)));
+  const outside = draws.filter(({ fraction, index, wait }) =>
+    fraction < 0 || fraction >= 1 || ![0, 1, 2, 3, 4].includes(index) ||
+    wait < 50 || wait > 150
+  );
+  t.strictSame(outside, []);
+  t.end();
+});
--- a/packages/settings/src/util/describe_start_error.ts
+++ b/packages/settings/src/util/describe_start_error.ts
@@ -6,22 +6,13 @@
   EADDRNOTAVAIL: "the IP number does not belong to this VM",
 };
 
-interface ListenError extends Error {
-  readonly code: string;
-  readonly address: string;
-  readonly port: number;
-}
+/** Matches what Node says of a socket; gRPC carries it in its own sentence. */
+const listenPattern = /listen (E[A-Z]+): [a-z ]+ ([\d.:a-f]+)/;
 
 /** Words an error that ended the start of a daemon. */
 export function describeStartError(error: unknown): string {
-  if (isListenError(error)) {
-    const reason = listenFailures[error.code] ?? error.code;
-    return `Cannot listen on ${error.address}:${error.port}: ${reason}`;
-  }
-  return describeError(error);
-}
-
-function isListenError(error: unknown): error is ListenError {
-  return error instanceof Error && "code" in error && "address" in error &&
-    "port" in error;
+  const text = describeError(error);
+  const [, code = "", address = ""] = listenPattern.exec(text) ?? [];
+  const reason = listenFailures[code];
+  return reason === undefined ? text : `Cannot listen on ${address}: ${reason}`;
 }
--- a/tap-snapshots/packages/cli/build/programs_test.js.test.cjs
+++ b/tap-snapshots/packages/cli/build/programs_test.js.test.cjs
@@ -5,6 +5,12 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/cli/build/programs_test.js > TAP > lavenderferry-entry names a port that is in use > for peers 1`] = `
+E No address added out of total 1 resolved
+lavenderferry-entry: Cannot listen on 127.0.0.1:PORT: the port is in use
+exit code 1
+`
+
 exports[`packages/cli/build/programs_test.js > TAP > lavenderferry-entry names a port that is in use > must match snapshot 1`] = `
 lavenderferry-entry: Cannot listen on 127.0.0.1:PORT: the port is in use
 exit code 1
@@ -60,6 +66,12 @@
 exit code 2
 `
 
+exports[`packages/cli/build/programs_test.js > TAP > lavenderferry-steward names a port that is in use > for peers 1`] = `
+E No address added out of total 1 resolved
+lavenderferry-steward: Cannot listen on 127.0.0.1:PORT: the port is in use
+exit code 1
+`
+
 exports[`packages/cli/build/programs_test.js > TAP > lavenderferry-steward names a port that is in use > must match snapshot 1`] = `
 lavenderferry-steward: Cannot listen on 127.0.0.1:PORT: the port is in use
 exit code 1
