--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -11,11 +11,13 @@
   toProblem,
 } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
+import type { Polka } from "polka";
 import polka from "polka";
 import type { Registry } from "prom-client";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
+import { sendMetrics } from "./send_metrics.ts";
 import type { Operation } from "./operator_event.ts";
 
 /** What the operators' server works with. */
@@ -23,8 +25,6 @@
   readonly settings: StewardSettings;
   readonly dispatch: Dispatch<StewardEvent>;
   readonly replies: Replies;
-  /** Series that `/metrics` shows. */
-  readonly registry: Registry;
 }
 
 interface Answer {
@@ -43,14 +43,12 @@
 export class OperatorServer {
   readonly #options: OperatorServerOptions;
   readonly #server: Server;
+  readonly #application: Polka;
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
     const application = polka()
       .get("/healthz", (_request, response) => send(response, { body: {} }))
-      .get("/metrics", (_request, response) => {
-        void sendMetrics(response, options.registry);
-      })
       .get(
         "/operator/v1/configuration",
         this.#handle(() => ({
@@ -77,6 +75,7 @@
     this.#server = createServer((request, response) => {
       void application.handler(request as never, response as never);
     });
+    this.#application = application;
   }
 
   /** Listens on the socket and returns the port taken. */
@@ -88,6 +87,13 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Serves the series of a registry at `/metrics`. */
+  serveMetrics(registry: Registry): void {
+    this.#application.get("/metrics", (_request, response) => {
+      void sendMetrics(response, registry);
+    });
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#server.closeAllConnections();
@@ -169,15 +175,6 @@
   }
 }
 
-async function sendMetrics(
-  response: ServerResponse,
-  registry: Registry,
-): Promise<void> {
-  const text = await registry.metrics();
-  response.writeHead(200, { "content-type": registry.contentType });
-  response.end(text);
-}
-
 function send(response: ServerResponse, { body, version }: Answer): void {
   const text = JSON.stringify(body);
   response.writeHead(200, {
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -25,13 +25,13 @@
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createStewardState(settings, epoch);
   const platform = new PlatformClient({ url: settings.platform });
-  const replies = new Replies();
-  const clients = new PeerClients();
   const metrics = createStewardMetrics({
     configuration_version: () => state.timeline.latest.version,
     vms: () => state.vms.length,
     resident_bytes: () => process.memoryUsage.rss(),
   });
+  const replies = new Replies();
+  const clients = new PeerClients();
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
@@ -50,15 +50,10 @@
       }),
     },
   });
-  const { registry } = metrics;
-  const operators = new OperatorServer({
-    settings,
-    dispatch,
-    replies,
-    registry,
-  });
+  const operators = new OperatorServer({ settings, dispatch, replies });
   const peers = new PeerServer(createPeerMethods({ state, replies, dispatch }));
   const { ip } = settings.operators;
+  operators.serveMetrics(metrics.registry);
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
   announce("listening", {
