feat(proof): real processes under faults, checked by their history

- a reader that follows one answer across entries and records each token
- links: a proxy before every upstream and the platform
Found by it and mended: an entry that had just started and knew only a version that takes force later answered unknown_class; it is not ready instead (named test).
A pool whose engines are all draining answered unknown_model; it answers no_upstream.

--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -6,6 +6,7 @@
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import { isReady } from "../util/is_ready.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
 import type { Call, CallRecord } from "./call.ts";
 import type { CallEvent, CallRequested, ServiceAnswer } from "./call_event.ts";
@@ -72,7 +73,7 @@
   if (state.stopping) {
     return refuseDraining(state, event, at);
   }
-  if (!state.configurationKnown || !state.vmsKnown) {
+  if (!isReady(state, at.wall)) {
     return fail({ readerId, requestId, error: "not_ready", notRun: true });
   }
   const { classes } = state.timeline.at(at.wall).statement;
--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -14,6 +14,7 @@
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import { isReady } from "../util/is_ready.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
 import { maxSilenceMs } from "./generation.ts";
 import { cancelAtEngine, recoverGeneration } from "./generation_recovery.ts";
@@ -82,10 +83,10 @@
 
 function refusalOf(
   state: EntryState,
-  event: GenerationRequested,
+  event: Timed<GenerationRequested>,
   workClass: WorkClass | undefined,
 ): ErrorKind | null {
-  if (!state.configurationKnown || !state.vmsKnown) {
+  if (!isReady(state, event.at.wall)) {
     return "not_ready";
   }
   if (workClass === undefined) {
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -12,6 +12,7 @@
 import type { ReaderRunner } from "../generations/reader_runner.ts";
 import type { EntryMetrics } from "../process/metrics.ts";
 import type { EntryState } from "../state.ts";
+import { isReady } from "../util/is_ready.ts";
 import { parseCompletionRequest, promptOf } from "./completion_request.ts";
 import { readBody } from "./read_body.ts";
 import { sendProblem } from "./send_problem.ts";
@@ -122,11 +123,11 @@
   }
 
   #ready(response: ServerResponse): void {
-    const { stopping, configurationKnown, vmsKnown } = this.#options.state;
-    if (stopping) {
+    const { state } = this.#options;
+    if (state.stopping) {
       throw new KnownError("The entry is draining", { kind: "draining" });
     }
-    if (!configurationKnown || !vmsKnown) {
+    if (!isReady(state, Date.now())) {
       throw new KnownError("The entry is not ready", { kind: "not_ready" });
     }
     sendJson(response, {});
--- /dev/null
+++ b/packages/entry/src/util/is_ready.ts
@@ -0,0 +1,12 @@
+import type { EntryState } from "../state.ts";
+
+/**
+ * Whether the upstreams and a configuration in force are known. A process that
+ * has just started may know only a version that takes force later.
+ */
+export function isReady(state: EntryState, wall: number): boolean {
+  const { timeline, configurationKnown, vmsKnown } = state;
+  const inForce = timeline.latest.version === 0 ||
+    timeline.at(wall).version > 0;
+  return configurationKnown && vmsKnown && inForce;
+}
--- a/packages/policy/src/least_load.ts
+++ b/packages/policy/src/least_load.ts
@@ -34,11 +34,14 @@
       .sort(([, a], [, b]) => load(a) - load(b));
     const [engine, report] = candidates[0] ?? [];
     if (engine === undefined) {
+      const reports = [...this.#reports.values()];
+      const unknown = reports.length > 0 &&
+        reports.every((each) => !each?.models.includes(demand.model));
       return {
         kind: "refuse",
-        error: this.#reports.size === 0 ? "no_upstream" : "unknown_model",
+        error: unknown ? "unknown_model" : "no_upstream",
         retryAfterMs,
-        reason: this.#reports.size === 0 ? "no_engine" : "no_model",
+        reason: unknown ? "no_model" : "no_engine",
         figures: { engines: this.#reports.size },
       };
     }
--- /dev/null
+++ b/packages/proof/src/faults/main.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+import { exitCodes } from "@lavenderferry/runtime";
+import { cac } from "cac";
+import { runFaults } from "./run_faults.ts";
+
+const millisecondsPerMinute = 60_000;
+
+const cli = cac("faults");
+cli.option("--seed <number>", "Seed of the schedule", { default: 1 });
+cli.option("--minutes <number>", "Minutes of faults", { default: 1 });
+cli.help();
+const { options } = cli.parse();
+
+if (!options["help"]) {
+  const report = await runFaults({
+    seed: Number(options["seed"]),
+    durationMs: Number(options["minutes"]) * millisecondsPerMinute,
+  });
+  process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
+  process.exit(
+    report.violations.length === 0 ? exitCodes.ok : exitCodes.failed,
+  );
+}
--- a/packages/proof/src/harness/caller.ts
+++ b/packages/proof/src/harness/caller.ts
@@ -71,6 +71,16 @@
     });
   }
 
+  /** Cancels a generation and returns the status. */
+  async cancel(url: string, requestId: string): Promise<number> {
+    const response = await request(`${url}/v1/generations/${requestId}`, {
+      method: "DELETE",
+      headers: { authorization: `Bearer ${this.#key}` },
+    });
+    await response.body.dump();
+    return response.statusCode;
+  }
+
   /** Calls a plain service. */
   async call(
     url: string,
--- a/packages/proof/src/harness/system.ts
+++ b/packages/proof/src/harness/system.ts
@@ -5,7 +5,7 @@
 import { entryProgram } from "@lavenderferry/entry";
 import type { Statement } from "@lavenderferry/configuration";
 import type { Vm } from "@lavenderferry/platform";
-import { standinPrograms } from "@lavenderferry/standins";
+import { ProxyServer, standinPrograms } from "@lavenderferry/standins";
 import { stewardProgram } from "@lavenderferry/steward";
 import { request } from "undici";
 import { Operator } from "./operator.ts";
@@ -30,6 +30,8 @@
   /** Members added to the settings of every entry. */
   readonly entrySettings?: object;
   readonly dataCentres?: readonly string[];
+  /** Puts a proxy before every upstream and before the platform. */
+  readonly links?: boolean;
 }
 
 const defaultDataCentres = ["krakow", "lodz", "warszawa"];
@@ -37,9 +39,13 @@
 /** A whole system of real processes on loopback. */
 export class System {
   readonly programs = new Map<string, Program>();
+  /** Proxies before upstreams and the platform, by name. */
+  readonly links = new Map<string, ProxyServer>();
   readonly #options: SystemOptions;
   #directory = "";
   #platform = "";
+  /** Address at which the system's processes reach the platform. */
+  #platformLink = "";
 
   constructor(options: SystemOptions = {}) {
     this.#options = options;
@@ -56,6 +62,7 @@
     this.#directory = await mkdtemp(join(tmpdir(), "lavenderferry-"));
     const platform = await this.#run("platform", standinPrograms.platform, []);
     this.#platform = platform.listening.address;
+    this.#platformLink = await this.#link("platform", this.#platform);
     const services = this.#options.services ?? ["booking", "booking"];
     await Promise.all([
       ...times(engines, (index) => this.startEngine(`engine-${index}`)),
@@ -71,7 +78,7 @@
   async startEngine(id: string): Promise<Program> {
     const args = this.#options.engineArgs ?? [];
     const engine = await this.#run(id, standinPrograms.engine, args);
-    const { address } = engine.listening;
+    const address = await this.#link(id, engine.listening.address);
     await this.register({ id, role: "engine", address, pool: "models" });
     return engine;
   }
@@ -79,7 +86,7 @@
   /** Starts a plain service. */
   async startService(id: string, pool: string): Promise<Program> {
     const service = await this.#run(id, standinPrograms.service, []);
-    const { address } = service.listening;
+    const address = await this.#link(id, service.listening.address);
     await this.register({ id, role: "service", address, pool });
     return service;
   }
@@ -188,9 +195,21 @@
   async stop(): Promise<void> {
     const programs = [...this.programs.values()];
     await Promise.all(programs.map((program) => program.kill()));
+    this.links.forEach((link) => link.close());
     await rm(this.#directory, { recursive: true, force: true });
   }
 
+  /** Returns the address of a new link before an upstream. */
+  async #link(id: string, address: string): Promise<string> {
+    if (this.#options.links !== true) {
+      return address;
+    }
+    this.links.get(id)?.close();
+    const link = new ProxyServer(address);
+    this.links.set(id, link);
+    return await link.start();
+  }
+
   async #run(
     name: string,
     program: URL,
@@ -207,7 +226,7 @@
       dataCentre: this.#dataCentreOf(id),
       region: "centre",
       peers: { ip: "127.0.0.1", port: 0 },
-      platform: this.platform,
+      platform: `http://${this.#platformLink}`,
       ...members,
     });
   }
