--- /dev/null
+++ b/packages/entry/src/generations/generation_take_over_test.ts
@@ -0,0 +1,149 @@
+import t from "tap";
+import { createFixture, effectsOf, send } from "../fixtures/entry_fixture.ts";
+import type { EntryState } from "../state.ts";
+import type { Token } from "./generation_event.ts";
+
+const graceMs = 3_000;
+
+function at(monotonic: number) {
+  return { monotonic, wall: monotonic };
+}
+
+function tokens(from: number, until: number): Token[] {
+  const found: Token[] = [];
+  for (let index = from; index < until; index++) {
+    found.push({ index, text: String(index) });
+  }
+  return found;
+}
+
+/** Starts a generation and takes its first tokens. */
+function begin(state: EntryState, count: number) {
+  const started = send(state, {
+    kind: "generation_requested",
+    readerId: "reader",
+    requestId: "request",
+    workspace: "clinic",
+    workClass: "report",
+    model: "base",
+    prompt: "Survey",
+    maxTokens: 100,
+    stream: true,
+    traceParent: undefined,
+  }, at(1_000));
+  const [start] = effectsOf(started, "start_generation");
+  const attemptId = start?.attemptId ?? "";
+  const generationId = start?.request.generationId ?? "";
+  if (count > 0) {
+    const event = { attemptId, generationId, tokens: tokens(0, count) };
+    send(state, { kind: "tokens_received", ...event }, at(1_010));
+  }
+  const token = state.generations.get(generationId)?.stream;
+  if (token === undefined) {
+    throw new Error("The generation did not start");
+  }
+  return { attemptId, generationId, token };
+}
+
+function chargedTokens(state: EntryState): number {
+  state.usage.close();
+  const records = state.usage.oldest?.records ?? [];
+  return records.filter(({ unit }) => unit === "output")
+    .reduce((sum, { amount }) => sum + amount, 0);
+}
+
+t.test("a reader that leaves before the first token cancels", (t) => {
+  const state = createFixture("a", at(1_000));
+  begin(state, 0);
+  const left = { kind: "reader_left", readerId: "reader" } as const;
+  const effects = send(state, left, at(1_020));
+  t.equal(effectsOf(effects, "cancel_generation").length, 1);
+  t.equal(state.generations.size, 0);
+  t.end();
+});
+
+t.test("a reader that leaves later may come back for a while", (t) => {
+  const state = createFixture("a", at(1_000));
+  const { generationId, token } = begin(state, 3);
+  const left = { kind: "reader_left", readerId: "reader" } as const;
+  const [grace] = effectsOf(send(state, left, at(1_020)), "set_timer");
+  t.match(grace, { timer: { kind: "cancel_orphan" }, at: 1_020 + graceMs });
+  const position = { token, index: 1 };
+  const back = { kind: "stream_resumed", readerId: "back", position } as const;
+  const resumed = send(state, back, at(1_500));
+  t.match(effectsOf(resumed, "resume_generation"), [{ from: 2 }]);
+  const timer = { kind: "cancel_orphan", generationId } as const;
+  const fired = { kind: "timer_fired", timer } as const;
+  t.strictSame(send(state, fired, at(1_020 + graceMs)), []);
+  t.end();
+});
+
+t.test("a takeover charges each token once and cancels nothing", (t) => {
+  const former = createFixture("a", at(1_000));
+  const next = createFixture("b", at(1_000));
+  const { generationId, token } = begin(former, 4);
+  const position = { token, index: 1 };
+  const back = { kind: "stream_resumed", readerId: "back", position } as const;
+  const [order] = effectsOf(send(next, back, at(1_100)), "take_over");
+  t.equal(order?.address, former.carrier);
+  const yielded = send(
+    former,
+    { kind: "generation_taken_over", generationId, by: "b" },
+    at(1_110),
+  );
+  t.strictSame(
+    yielded.map(({ kind }) => kind),
+    ["count", "drop_attempt", "drop_reader"],
+  );
+  const answered = send(
+    next,
+    { kind: "take_over_answered", generationId, charged: 4 },
+    at(1_120),
+  );
+  const [resume] = effectsOf(answered, "resume_generation");
+  t.equal(resume?.from, 2);
+  const attemptId = resume?.attemptId ?? "";
+  const event = { attemptId, generationId, tokens: tokens(2, 6) };
+  send(next, { kind: "tokens_received", ...event }, at(1_130));
+  t.equal(chargedTokens(former), 4);
+  t.equal(chargedTokens(next), 2);
+  t.end();
+});
+
+t.test("an unlisted engine is looked for until a deadline", (t) => {
+  const former = createFixture("a", at(1_000));
+  const next = createFixture("b", at(1_000), []);
+  const { generationId, token } = begin(former, 2);
+  const position = { token, index: 1 };
+  const back = { kind: "stream_resumed", readerId: "back", position } as const;
+  send(next, back, at(1_100));
+  const answer = { kind: "take_over_answered", generationId, charged: 2 };
+  const waiting = send(next, answer as never, at(1_120));
+  t.match(effectsOf(waiting, "set_timer"), [{
+    timer: { kind: "retry_generation" },
+  }]);
+  const timer = { kind: "retry_generation", generationId } as const;
+  const late = send(next, { kind: "timer_fired", timer }, at(11_100));
+  t.match(effectsOf(late, "fail_reader"), [{
+    occurrence: { kind: "no_upstream", notRun: false },
+  }]);
+  t.equal(next.generations.size, 0);
+  t.end();
+});
+
+t.test("a carrier that does not answer is told again", (t) => {
+  const former = createFixture("a", at(1_000));
+  const next = createFixture("b", at(1_000));
+  const { generationId, token } = begin(former, 2);
+  const position = { token, index: 1 };
+  const back = { kind: "stream_resumed", readerId: "back", position } as const;
+  send(next, back, at(1_100));
+  const answer = { kind: "take_over_answered", generationId, charged: null };
+  const effects = send(next, answer as never, at(2_100));
+  t.equal(effectsOf(effects, "resume_generation").length, 1);
+  const timer = { kind: "retry_take_over", generationId } as const;
+  t.match(effectsOf(effects, "set_timer"), [{ timer }]);
+  const again = send(next, { kind: "timer_fired", timer }, at(3_100));
+  t.match(effectsOf(again, "take_over"), [{ address: former.carrier }]);
+  t.end();
+});
--- a/packages/proof/src/faults/main.ts
+++ b/packages/proof/src/faults/main.ts
@@ -8,6 +8,9 @@
 const cli = cac("faults");
 cli.option("--seed <number>", "Seed of the schedule", { default: 1 });
 cli.option("--minutes <number>", "Minutes of faults", { default: 1 });
+cli.option("--without <kinds>", "Kinds of faults left out, by commas", {
+  default: "",
+});
 cli.help();
 const { options } = cli.parse();
 
@@ -15,6 +18,7 @@
   const report = await runFaults({
     seed: Number(options["seed"]),
     durationMs: Number(options["minutes"]) * millisecondsPerMinute,
+    without: String(options["without"]).split(","),
   });
   process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
   process.exit(
