--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,6 +10,7 @@
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { EngineRunner } from "./generations/engine_runner.ts";
 import { ReaderRunner } from "./generations/reader_runner.ts";
+import { createTakeOverHandlers } from "./generations/take_over_runner.ts";
 import { CallerServer } from "./http/caller_server.ts";
 import { createEntryMetrics } from "./process/metrics.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
@@ -25,8 +26,9 @@
 export async function startEntry(settings: EntrySettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createEntryState(settings, epoch, Date.now());
+  const peerClients = new PeerClients();
   const platform = new PlatformClient({ url: settings.platform });
-  const exchanges = new ExchangeRunner(new PeerClients());
+  const exchanges = new ExchangeRunner(peerClients);
   const readers = new ReaderRunner(settings.streamSecret);
   const metrics = createEntryMetrics({
     generations: () => state.generations.size,
@@ -44,12 +46,17 @@
       ...new ServiceRunner(platform).handlers,
       ...createFleetHandlers(platform),
       ...exchanges.handlers,
-      ...createUsageHandlers(new PeerClients()),
+      ...createUsageHandlers(peerClients),
       ...readers.handlers,
+      ...createTakeOverHandlers(peerClients, settings.vm),
       ...createProcessHandlers({
         clock: systemClock,
         metrics,
-        exit: () => process.exit(0),
+        exit: (now) => {
+          void (now ? Promise.resolve() : callers.finish()).then(() =>
+            process.exit(0)
+          );
+        },
       }),
     },
   });
@@ -67,5 +74,5 @@
   announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
-  dispatch({ kind: "started" });
+  dispatch({ kind: "started", peers: peersAddress });
 }
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -8,12 +8,16 @@
 import type { Call } from "./calls/call.ts";
 import type { Cancelled, Generation } from "./generations/generation.ts";
 import type { EntrySettings } from "./settings.ts";
+import type { UsageHandover } from "./usage/usage_handover.ts";
+import { createUsageHandover } from "./usage/usage_handover.ts";
 
 /** Everything that the entry's reducer knows. */
 export interface EntryState {
   readonly settings: EntrySettings;
   /** Random name of this run of the process. */
   readonly epoch: string;
+  /** Peer address of this process, known once it listens. */
+  carrier: string;
   readonly random: Random;
   readonly timeline: Timeline;
   /** Whether the configuration has been read at least once. */
@@ -29,6 +33,7 @@
   readonly waiting: Map<string, Generation>;
   readonly calls: Map<string, Call>;
   readonly usage: UsageMeter;
+  readonly usageHandover: UsageHandover;
   readonly decisions: Decisions;
   /** Cancelled generations whose cost is not known yet. */
   readonly cancelled: Map<string, Cancelled>;
@@ -47,6 +52,7 @@
   return {
     settings,
     epoch,
+    carrier: "",
     random: new Random(settings.seed),
     timeline: new Timeline(),
     configurationKnown: false,
@@ -66,6 +72,7 @@
     waiting: new Map(),
     calls: new Map(),
     usage: new UsageMeter(epoch),
+    usageHandover: createUsageHandover(),
     decisions: new Decisions(decisionCapacity),
     cancelled: new Map(),
     nextId: 1,
--- a/packages/steward/src/fleet/duty_part.ts
+++ b/packages/steward/src/fleet/duty_part.ts
@@ -51,7 +51,7 @@
   ];
 }
 
-/** Gives up all duties and ends the process once the table knows. */
+/** Gives up all duties. */
 export function stopDuties(
   state: StewardState,
   at: Moment,
@@ -61,18 +61,16 @@
   return stepDuties(state, at);
 }
 
-/** Ends a process that stops and has given up its duties. */
-export function exitWhenReleased(
-  state: StewardState,
+/** Returns whether a stopping process has given up its duties. */
+export function dutiesGivenUp(
+  { stopAt, duties }: StewardState,
   at: Moment,
-): readonly StewardEffect[] {
-  const { stopAt } = state;
+): boolean {
   if (stopAt === null) {
-    return [];
+    return false;
   }
   const told = at.monotonic >= stopAt - releaseMs + farewellMs;
-  const done = at.monotonic >= stopAt || (told && state.duties.released);
-  return done ? [{ kind: "exit" }] : [];
+  return at.monotonic >= stopAt || (told && duties.released);
 }
 
 /** Tells the fleet, the log and the decisions who holds a duty now. */
--- a/packages/steward/src/settlement/settlement_effect.ts
+++ b/packages/steward/src/settlement/settlement_effect.ts
@@ -1,21 +1,20 @@
-import type { Failure } from "@lavenderferry/errors";
 import type { Batch } from "@lavenderferry/ledger";
 
 /** Effects of the settlement of usage. */
 export type SettlementEffect =
   | {
     readonly kind: "settle_batches";
-    readonly replyId: string;
     readonly shard: number;
     readonly batches: readonly Batch[];
+    /** Wall time in milliseconds. */
+    readonly now: number;
+    /** Fence of the shard's lease. */
+    readonly fence: number;
   }
   | {
-    readonly kind: "answer_settlement";
-    readonly replyId: string;
-    readonly settled: number;
-  }
-  | {
-    readonly kind: "refuse_settlement";
-    readonly replyId: string;
-    readonly failure: Failure;
+    readonly kind: "forward_batches";
+    /** Address of the steward that holds the shard's duty. */
+    readonly address: string;
+    readonly epoch: string;
+    readonly batches: readonly Batch[];
   };
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -3,6 +3,8 @@
 import type { Vm } from "@lavenderferry/platform";
 import { Decisions, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
+import type { SettlementState } from "./settlement/settlement_state.ts";
+import { createSettlementState } from "./settlement/settlement_state.ts";
 
 /** What an engine was ordered, as it confirmed. */
 export interface Ordered {
@@ -19,6 +21,9 @@
   readonly timeline: Timeline;
   configurationKnown: boolean;
   vms: readonly Vm[];
+  readonly settlement: SettlementState;
+  /** A planned stop was asked for. */
+  stopping: boolean;
   /** This process's part in the fleet. */
   readonly fleet: FleetNode;
   /** The duties of this process and their leases. */
@@ -53,6 +58,8 @@
     timeline: new Timeline(),
     configurationKnown: false,
     vms: [],
+    settlement: createSettlementState(),
+    stopping: false,
     fleet: new FleetNode({
       id: settings.vm,
       epoch,
