feat(protocol): mutual TLS between processes, plain only on loopback

Peers spoke plainly on any address. With the setting tls, both ends show certificates of the authority, the files are read again while the process runs, a process speaks only for the VM that its certificate names, and a caller that does not is refused as a stranger and counted. Without it, a process that would listen or connect beyond loopback fails with the reason.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,11 @@
 import { randomBytes } from "node:crypto";
 import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
-import { PeerClients, PeerServer } from "@lavenderferry/protocol";
+import {
+  createPeerCredentials,
+  PeerClients,
+  PeerServer,
+} from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
 import { ServiceRunner } from "./calls/service_runner.ts";
 import type { EntryEffect } from "./effects.ts";
@@ -26,7 +30,11 @@
 export async function startEntry(settings: EntrySettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createEntryState(settings, epoch, Date.now());
-  const peerClients = new PeerClients();
+  const credentials = createPeerCredentials({
+    ip: settings.peers.ip,
+    tls: settings.tls,
+  });
+  const peerClients = new PeerClients(credentials);
   const platform = new PlatformClient({ url: settings.platform });
   const exchanges = new ExchangeRunner(peerClients);
   const readers = new ReaderRunner(settings.streamSecret);
@@ -35,6 +43,7 @@
     backlog: () => state.waiting.size,
     calls: () => state.calls.size,
     configuration_version: () => state.timeline.latest.version,
+    strangers: () => peers.strangers,
     resident_bytes: () => process.memoryUsage.rss(),
   });
   const loop = new Loop<EntryState, EntryEvent, EntryEffect>({
@@ -64,6 +73,7 @@
   const callers = new CallerServer({ state, dispatch, readers, metrics });
   const peers = new PeerServer(
     createPeerMethods({ state, exchanges, dispatch }),
+    credentials.server,
   );
   const { ip } = settings.callers;
   const callerPort = await callers.listen(ip, settings.callers.port);
--- a/packages/entry/src/fleet/exchange_part.ts
+++ b/packages/entry/src/fleet/exchange_part.ts
@@ -31,9 +31,9 @@
     state.fleet.replied(peer, reply, at);
     return [...applyNews(state, at), ...sendDue(state, at)];
   },
-  exchange_failed: (state, { peer, at }) => {
+  exchange_failed: (state, { peer, error, at }) => {
     state.fleet.failed(peer, at);
-    return [count("retries", "exchange"), ...applyNews(state, at)];
+    return [count("retries", error), ...applyNews(state, at)];
   },
 };
 
--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -60,6 +60,9 @@
 export class Duties {
   readonly #self: Candidate;
   readonly #duties = new Map<string, Duty>();
+  /** Best steward by duty, as long as the same stewards live. */
+  readonly #best = new Map<string, string>();
+  #stewards = "";
   #lookAt = 0;
   #leaving = false;
 
@@ -105,9 +108,10 @@
       member.role === "steward" && member.state === "live" &&
       !(this.#leaving && member.id === this.#self.id)
     );
+    this.#forgetBest(stewards);
     return dutyNames(view.pools).flatMap((name) => {
       const duty = this.#duty(name);
-      this.#rank(duty, bestFor(name, stewards), at);
+      this.#rank(duty, this.#bestFor(name, stewards), at);
       const told = view.directory.get(name);
       if (told?.holder === "") {
         duty.lease.givenUp(told.fence);
@@ -148,6 +152,24 @@
     return duty;
   }
 
+  #bestFor(name: string, stewards: readonly Member[]): string {
+    const known = this.#best.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const best = bestFor(name, stewards);
+    this.#best.set(name, best);
+    return best;
+  }
+
+  #forgetBest(stewards: readonly Member[]): void {
+    const names = stewards.map(({ id }) => id).join();
+    if (names !== this.#stewards) {
+      this.#stewards = names;
+      this.#best.clear();
+    }
+  }
+
   #rank(duty: Duty, best: string, at: Moment): void {
     if (best !== duty.best) {
       duty.best = best;
--- a/packages/fleet/src/exchange_event.ts
+++ b/packages/fleet/src/exchange_event.ts
@@ -1,3 +1,4 @@
+import type { ErrorKind } from "@lavenderferry/errors";
 import type { ExchangeMessage__Output } from "@lavenderferry/protocol";
 
 /** Events of the exchange with peers. */
@@ -18,4 +19,8 @@
     readonly peer: string;
     readonly reply: ExchangeMessage__Output;
   }
-  | { readonly kind: "exchange_failed"; readonly peer: string };
+  | {
+    readonly kind: "exchange_failed";
+    readonly peer: string;
+    readonly error: ErrorKind;
+  };
--- a/packages/fleet/src/exchange_runner.ts
+++ b/packages/fleet/src/exchange_runner.ts
@@ -1,3 +1,4 @@
+import { toFailure } from "@lavenderferry/errors";
 import type {
   ExchangeMessage,
   ExchangeMessage__Output,
@@ -22,7 +23,10 @@
     send_exchange: ({ peer, address, message }, dispatch) => {
       this.#clients.at(address).exchange(message).then(
         (reply) => dispatch({ kind: "exchange_replied", peer, reply }),
-        () => dispatch({ kind: "exchange_failed", peer }),
+        (error: unknown) => {
+          const { kind } = toFailure(error);
+          dispatch({ kind: "exchange_failed", peer, error: kind });
+        },
       );
     },
     answer_exchange: ({ replyId, message }) => {
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -86,4 +86,5 @@
 export * from "./limits.ts";
 export * from "./peer_client.ts";
 export * from "./peer_clients.ts";
+export * from "./peer_credentials.ts";
 export * from "./peer_server.ts";
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -1,10 +1,12 @@
+import type { Failure } from "@lavenderferry/errors";
 import { KnownError } from "@lavenderferry/errors";
 import type {
   ChannelCredentials,
   ClientUnaryCall,
   requestCallback,
+  ServiceError,
 } from "@grpc/grpc-js";
-import { credentials } from "@grpc/grpc-js";
+import { credentials, status } from "@grpc/grpc-js";
 import type { DrainReply__Output } from "./generated/lavenderferry/v1/DrainReply.ts";
 import type { DrainRequest } from "./generated/lavenderferry/v1/DrainRequest.ts";
 import type {
@@ -28,11 +30,15 @@
 /** Client of one peer; every call has a deadline. */
 export class PeerClient {
   readonly #client: GeneratedClient;
+  readonly #refused: boolean;
 
+  /** With `refused`, every call fails with the kind `stranger`, unsent. */
   constructor(
     address: string,
     channel: ChannelCredentials = credentials.createInsecure(),
+    refused = false,
   ) {
+    this.#refused = refused;
     this.#client = new peerService(address, channel, {
       "grpc.max_receive_message_length": maxMessageBytes,
       "grpc.max_send_message_length": maxMessageBytes,
@@ -44,42 +50,42 @@
 
   /** Swaps what changed since the last exchange. */
   exchange(message: ExchangeMessage): Promise<ExchangeMessage__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.exchange(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Asks the peer to settle batches of one epoch. */
   settle(message: SettleRequest): Promise<SettleReply__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.settle(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Asks the peer to keep what this process would lose by its death. */
   hold(message: HoldRequest): Promise<HoldReply__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.hold(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Tells the peer that this process carries one of its generations. */
   takeOver(message: TakeOverRequest): Promise<TakeOverReply__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.takeOver(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Asks the peer for its decisions about a subject. */
   explain(message: ExplainRequest): Promise<ExplainReply__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.explain(message, { deadline: deadline() }, callback)
     );
   }
 
   /** Asks the peer to begin a planned stop. */
   drain(message: DrainRequest): Promise<DrainReply__Output> {
-    return unary((callback) =>
+    return this.#unary((callback) =>
       this.#client.drain(message, { deadline: deadline() }, callback)
     );
   }
@@ -88,6 +94,18 @@
   close(): void {
     this.#client.close();
   }
+
+  #unary<Reply>(
+    call: (callback: requestCallback<Reply>) => ClientUnaryCall,
+  ): Promise<Reply> {
+    return this.#refused ? Promise.reject(strangerAt()) : unary(call);
+  }
+}
+
+function strangerAt(): Failure {
+  return new KnownError("A plain connection must stay on loopback", {
+    kind: "stranger",
+  });
 }
 
 function deadline(): Date {
@@ -100,16 +118,20 @@
   return new Promise((resolve, reject) => {
     call((error, reply) => {
       if (error !== null || reply === undefined) {
-        const message = error?.details ?? "The peer sent no reply";
-        reject(
-          new KnownError(message, {
-            kind: "upstream_lost",
-            notRun: "unknown",
-          }),
-        );
+        reject(toPeerFailure(error));
         return;
       }
       resolve(reply);
     });
   });
 }
+
+/** A peer that refuses a stranger, or whose certificate is not trusted. */
+function toPeerFailure(error: ServiceError | null): Failure {
+  const message = error?.details ?? "The peer sent no reply";
+  const stranger = error?.code === status.PERMISSION_DENIED ||
+    /certificate|altnames/i.test(message);
+  return stranger
+    ? new KnownError(message, { kind: "stranger" })
+    : new KnownError(message, { kind: "upstream_lost", notRun: "unknown" });
+}
--- a/packages/protocol/src/peer_clients.ts
+++ b/packages/protocol/src/peer_clients.ts
@@ -1,14 +1,21 @@
 import { PeerClient } from "./peer_client.ts";
+import type { PeerCredentials } from "./peer_credentials.ts";
+import { isLoopback, plainCredentials } from "./peer_credentials.ts";
 
 const maxClients = 64;
 
 /** Connections to peers, by address; the one not used for longest is closed. */
 export class PeerClients {
   readonly #clients = new Map<string, PeerClient>();
+  readonly #credentials: PeerCredentials;
+
+  constructor(credentials: PeerCredentials = plainCredentials) {
+    this.#credentials = credentials;
+  }
 
   /** Returns the client of an address, and connects when there is none. */
   at(address: string): PeerClient {
-    const client = this.#clients.get(address) ?? new PeerClient(address);
+    const client = this.#clients.get(address) ?? this.#connect(address);
     this.#clients.delete(address);
     this.#clients.set(address, client);
     this.#trim();
@@ -23,6 +30,13 @@
     this.#clients.clear();
   }
 
+  /** A plain connection never leaves loopback. */
+  #connect(address: string): PeerClient {
+    const { channel, secure } = this.#credentials;
+    const refused = !secure && !isLoopback(address);
+    return new PeerClient(address, channel, refused);
+  }
+
   #trim(): void {
     for (const [address, client] of this.#clients) {
       if (this.#clients.size <= maxClients) {
--- /dev/null
+++ b/packages/protocol/src/peer_credentials.ts
@@ -0,0 +1,99 @@
+import { readFileSync } from "node:fs";
+import { isIP } from "node:net";
+import type { ChannelCredentials } from "@grpc/grpc-js";
+import { credentials, experimental, ServerCredentials } from "@grpc/grpc-js";
+import { KnownError } from "@lavenderferry/errors";
+
+/** Paths of a process's key, certificate and authority, in PEM. */
+export interface TlsFiles {
+  readonly key: string;
+  readonly certificate: string;
+  readonly authority: string;
+}
+
+/** What a process shows to its peers, and asks of them. */
+export interface PeerCredentials {
+  readonly server: ServerCredentials;
+  readonly channel: ChannelCredentials;
+  /** Whether peers are told by their certificates. */
+  readonly secure: boolean;
+}
+
+/** Settings that decide how peers are told. */
+export interface PeerSecurity {
+  /** IP number on which this process listens for peers. */
+  readonly ip: string;
+  readonly tls?: TlsFiles | undefined;
+  /** Milliseconds between two readings of the files. */
+  readonly rereadMs?: number;
+}
+
+const defaultRereadMs = 10_000;
+
+/**
+ * Creates the credentials of a process: mutual TLS with files that are read
+ * again while it runs, or plain connections where both ends are on loopback.
+ */
+export function createPeerCredentials(security: PeerSecurity): PeerCredentials {
+  const { ip, tls, rereadMs = defaultRereadMs } = security;
+  if (tls === undefined) {
+    checkLoopback(ip);
+    return plainCredentials;
+  }
+  for (const path of [tls.key, tls.certificate, tls.authority]) {
+    checkReadable(path);
+  }
+  const provider = new experimental.FileWatcherCertificateProvider({
+    privateKeyFile: tls.key,
+    certificateFile: tls.certificate,
+    caCertificateFile: tls.authority,
+    refreshIntervalMs: rereadMs,
+  });
+  return {
+    server: experimental.createCertificateProviderServerCredentials(
+      provider,
+      provider,
+      true,
+    ),
+    channel: experimental.createCertificateProviderChannelCredentials(
+      provider,
+      provider,
+    ),
+    secure: true,
+  };
+}
+
+/** Credentials of plain connections, for loopback only. */
+export const plainCredentials: PeerCredentials = {
+  server: ServerCredentials.createInsecure(),
+  channel: credentials.createInsecure(),
+  secure: false,
+};
+
+/** Returns whether an address, with or without a port, is on loopback. */
+export function isLoopback(address: string): boolean {
+  const ip = isIP(address) === 0
+    ? address.replace(/:\d+$/, "").replace(/^\[|\]$/g, "")
+    : address;
+  return ip === "::1" || (isIP(ip) === 4 && ip.startsWith("127."));
+}
+
+function checkLoopback(ip: string): void {
+  if (!isLoopback(ip)) {
+    throw new KnownError(
+      `The setting "tls" is missing: "peers.ip" is "${ip}", not loopback`,
+      { kind: "bad_request" },
+    );
+  }
+}
+
+function checkReadable(path: string): void {
+  try {
+    readFileSync(path);
+  } catch (cause) {
+    throw new KnownError(`Cannot read the TLS file "${path}"`, {
+      kind: "bad_request",
+      cause,
+    });
+  }
+}
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -1,5 +1,5 @@
-import { toFailure } from "@lavenderferry/errors";
-import type { handleUnaryCall } from "@grpc/grpc-js";
+import { KnownError, toFailure } from "@lavenderferry/errors";
+import type { handleUnaryCall, ServerUnaryCall } from "@grpc/grpc-js";
 import { Server, ServerCredentials, status } from "@grpc/grpc-js";
 import type { DrainReply } from "./generated/lavenderferry/v1/DrainReply.ts";
 import type { DrainRequest__Output } from "./generated/lavenderferry/v1/DrainRequest.ts";
@@ -19,6 +19,9 @@
 import { maxMessageBytes } from "./limits.ts";
 import { peerService } from "./peer_service.ts";
 
+/** The caller's side of a call. */
+type Caller = Pick<ServerUnaryCall<unknown, unknown>, "getAuthContext">;
+
 /** What a process answers to its peers. */
 export interface PeerMethods {
   exchange(message: ExchangeMessage__Output): Promise<ExchangeMessage>;
@@ -33,6 +36,7 @@
 export class PeerServer {
   readonly #server: Server;
   readonly #credentials: ServerCredentials;
+  #strangers = 0;
 
   constructor(
     methods: PeerMethods,
@@ -44,7 +48,10 @@
       "grpc.max_send_message_length": maxMessageBytes,
     });
     const handlers: PeerHandlers = {
-      Exchange: unary((message) => methods.exchange(message)),
+      Exchange: unary((message, call) => {
+        this.#checkSender(call, message.sender);
+        return methods.exchange(message);
+      }),
       Settle: unary((message) => methods.settle(message)),
       Hold: unary((message) => methods.hold(message)),
       TakeOver: unary((message) => methods.takeOver(message)),
@@ -54,6 +61,11 @@
     this.#server.addService(peerService.service, handlers);
   }
 
+  /** Calls refused because the caller is not who it says. */
+  get strangers(): number {
+    return this.#strangers;
+  }
+
   /** Listens on the socket and returns the port taken. */
   listen(ip: string, port: number): Promise<number> {
     const address = ip.includes(":") ? `[${ip}]:${port}` : `${ip}:${port}`;
@@ -68,6 +80,18 @@
     });
   }
 
+  /** With TLS, a process speaks for the VM that its certificate names. */
+  #checkSender(call: Caller, sender: string): void {
+    const context = call.getAuthContext();
+    const name = context?.sslPeerCertificate?.subject.CN;
+    if (this.#credentials._isSecure() && name !== sender) {
+      this.#strangers += 1;
+      throw new KnownError(`The certificate does not name "${sender}"`, {
+        kind: "stranger",
+      });
+    }
+  }
+
   /** Stops at once. */
   close(): void {
     this.#server.forceShutdown();
@@ -75,15 +99,25 @@
 }
 
 function unary<Request, Reply>(
-  method: (request: Request) => Promise<Reply>,
+  method: (request: Request, call: Caller) => Promise<Reply>,
 ): handleUnaryCall<Request, Reply> {
   return function handle(call, callback) {
-    method(call.request).then(
+    invoke(method, call).then(
       (reply) => callback(null, reply),
       (error: unknown) => {
-        const { message } = toFailure(error);
-        callback({ code: status.UNAVAILABLE, details: message });
+        const { kind, message } = toFailure(error);
+        const code = kind === "stranger"
+          ? status.PERMISSION_DENIED
+          : status.UNAVAILABLE;
+        callback({ code, details: message });
       },
     );
   };
 }
+
+async function invoke<Request, Reply>(
+  method: (request: Request, call: Caller) => Promise<Reply>,
+  call: ServerUnaryCall<Request, Reply>,
+): Promise<Reply> {
+  return await method(call.request, call);
+}
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,7 +1,11 @@
 import { randomBytes } from "node:crypto";
 import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
-import { PeerClients, PeerServer } from "@lavenderferry/protocol";
+import {
+  createPeerCredentials,
+  PeerClients,
+  PeerServer,
+} from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
@@ -29,11 +33,16 @@
   const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
   const replies = new Replies();
-  const clients = new PeerClients();
+  const credentials = createPeerCredentials({
+    ip: settings.peers.ip,
+    tls: settings.tls,
+  });
+  const clients = new PeerClients(credentials);
   const exchanges = new ExchangeRunner(clients);
   const metrics = createStewardMetrics({
     configuration_version: () => state.timeline.latest.version,
     vms: () => state.vms.length,
+    strangers: () => peers.strangers,
     resident_bytes: () => process.memoryUsage.rss(),
   });
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
@@ -62,6 +71,7 @@
   });
   const peers = new PeerServer(
     createPeerMethods({ state, exchanges, dispatch }),
+    credentials.server,
   );
   const { ip } = settings.operators;
   const operatorPort = await operators.listen(ip, settings.operators.port);
