--- a/packages/steward/src/process/meter_reducer.ts
+++ b/packages/steward/src/process/meter_reducer.ts
@@ -25,6 +25,11 @@
     reason: operation.kind,
   }),
   change_accepted: () => ({ counter: "changes", reason: "accepted" }),
+  batches_settled: () => ({ counter: "settlements", reason: "settled" }),
+  batches_failed: ({ failure }) => ({
+    counter: "settlements",
+    reason: failure.kind,
+  }),
   vms_failed: () => ({ counter: "retries", reason: "vm_list" }),
   configuration_failed: () => ({ counter: "retries", reason: "configuration" }),
 };
@@ -34,11 +39,6 @@
     counter: "refusals",
     reason: failure.kind,
   }),
-  answer_settlement: () => ({ counter: "settlements", reason: "settled" }),
-  refuse_settlement: ({ failure }) => ({
-    counter: "settlements",
-    reason: failure.kind,
-  }),
 };
 
 /** Counts what goes into a reducer and what it decides. */
--- a/packages/steward/src/process/metrics.ts
+++ b/packages/steward/src/process/metrics.ts
@@ -18,7 +18,7 @@
   operations: "Operations asked for by operators, by kind",
   refusals: "Operations refused or failed, by error kind",
   changes: "Changes of the configuration, by outcome",
-  settlements: "Requests to settle usage, by outcome",
+  settlements: "Settlements of usage, by outcome",
   retries: "Operations tried again, by reason",
 };
 
