--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -2,42 +2,77 @@
 import { printJson, printLine, printTable } from "../util/print.ts";
 import type { Command } from "./command.ts";
 
+const processSchema = z.object({
+  id: z.string(),
+  role: z.string(),
+  dataCentre: z.string(),
+  state: z.string(),
+});
+
 const statusSchema = z.object({
   version: z.number(),
   inForce: z.object({ version: z.number() }).optional(),
-  vms: z.array(z.object({
-    id: z.string(),
-    role: z.string(),
-    dataCentre: z.string(),
-    state: z.string(),
-  })),
+  /** VMs of the platform's list. */
+  vms: z.array(processSchema),
+  /** Processes that the stewards hear of from each other. */
+  members: z.array(processSchema).optional(),
+  duties: z.array(z.object({
+    duty: z.string(),
+    /** Empty when the duty was given up. */
+    holder: z.string(),
+    fence: z.number(),
+  })).optional(),
 });
 
-/** Prints the VMs and the version of the configuration. */
+type Status = z.output<typeof statusSchema>;
+
+/** Prints the version in force, VMs, members and duties. */
 export const status: Command = {
   usage: "status",
-  description: "Print the VMs and the configuration's version",
+  description: "Print the version in force, VMs, members and duties",
   run: async ({ client, json }) => {
     const { body } = await client.send("status");
     if (json) {
       printJson(body);
       return;
     }
-    const { version, inForce, vms } = statusSchema.parse(body);
-    printLine(
-      inForce === undefined
-        ? `Configuration version ${version}`
-        : `Configuration version ${inForce.version} in force, ` +
-          `${version} accepted`,
-    );
-    printTable(
-      ["vm", "role", "data centre", "state"],
-      vms.map(({ id, role, dataCentre, state }) => [
-        id,
-        role,
-        dataCentre,
-        state,
-      ]),
-    );
+    const read = statusSchema.parse(body);
+    printLine(describeVersion(read));
+    printProcesses("vm", read.vms);
+    if (read.members !== undefined) {
+      printProcesses("member", read.members);
+    }
+    if (read.duties !== undefined) {
+      printDuties(read.duties);
+    }
   },
 };
+
+function describeVersion({ version, inForce }: Status): string {
+  return inForce === undefined
+    ? `Configuration version ${version}`
+    : `Configuration version ${inForce.version} in force, ${version} accepted`;
+}
+
+function printProcesses(title: string, processes: Status["vms"]): void {
+  printTable(
+    [title, "role", "data centre", "state"],
+    processes.map(({ id, role, dataCentre, state }) => [
+      id,
+      role,
+      dataCentre,
+      state,
+    ]),
+  );
+}
+
+function printDuties(duties: NonNullable<Status["duties"]>): void {
+  printTable(
+    ["duty", "holder", "fence"],
+    duties.map(({ duty, holder, fence }) => [
+      duty,
+      holder || "nobody",
+      String(fence),
+    ]),
+  );
+}
--- a/packages/cli/src/main_test.ts
+++ b/packages/cli/src/main_test.ts
@@ -77,6 +77,11 @@
       dataCentre: "krakow",
       state: "live",
     }],
+    members: [],
+    duties: [
+      { duty: "orders/models", holder: "steward-0", fence: 3 },
+      { duty: "orders/spare", holder: "", fence: 2 },
+    ],
   },
   "/explain/r-1": {
     decisions: [{
--- a/tap-snapshots/packages/cli/build/main_test.js.test.cjs
+++ b/tap-snapshots/packages/cli/build/main_test.js.test.cjs
@@ -325,6 +325,16 @@
 ├─────────┼───────┼─────────────┼───────┤
 │ entry-0 │ entry │ krakow      │ live  │
 └─────────┴───────┴─────────────┴───────┘
+┌────────┬──────┬─────────────┬───────┐
+│ member │ role │ data centre │ state │
+└────────┴──────┴─────────────┴───────┘
+┌───────────────┬───────────┬───────┐
+│ duty          │ holder    │ fence │
+├───────────────┼───────────┼───────┤
+│ orders/models │ steward-0 │ 3     │
+├───────────────┼───────────┼───────┤
+│ orders/spare  │ nobody    │ 2     │
+└───────────────┴───────────┴───────┘
 exit code 0
 `
 
@@ -344,7 +354,7 @@
   apply <file>       State classes, targets and splits from a file
   diff [file]        Print what apply would change, or what versions changed
   history            Print the accepted versions
-  status             Print the VMs and the configuration's version
+  status             Print the version in force, VMs, members and duties
   costs              Print the settled cost by partner and class
   explain <request>  Print the decisions about one request
   drain <vm>         Ask a VM to take no new work and finish what runs
