--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -3,3 +3,4 @@
 export * from "./configuration_store.ts";
 export * from "./diff_statements.ts";
 export * from "./timeline.ts";
+export * from "./version_history.ts";
--- a/packages/entry/src/generations/generation_start.ts
+++ b/packages/entry/src/generations/generation_start.ts
@@ -4,8 +4,10 @@
 import type { EntryState } from "../state.ts";
 import type { Generation } from "./generation.ts";
 import { nextId } from "../state.ts";
+import { rememberCharged } from "../usage/taken_over.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
+import { maxSilenceMs } from "./generation.ts";
 
 /** Places a generation that has not started: sends, queues or refuses it. */
 export function placeGeneration(
@@ -78,6 +80,8 @@
   generation: Generation,
 ): void {
   const { generationId, requestId } = generation.stream;
+  const { nextIndex, chargedIndex } = generation;
+  rememberCharged(state, generationId, Math.max(nextIndex, chargedIndex));
   state.generations.delete(generationId);
   if (state.waiting.delete(requestId)) {
     state.dispatcher.withdraw(requestId);
@@ -95,6 +99,8 @@
   state.generations.delete(generation.stream.generationId);
   generation.stream = { ...generation.stream, generationId: nextId(state) };
   generation.phase = "waiting";
+  generation.progressDeadline = null;
+  generation.chargedIndex = 0;
   generation.nextIndex = 0;
   generation.buffer = [];
   const { generationId } = generation.stream;
@@ -118,6 +124,9 @@
   const { generationId } = generation.stream;
   generation.stream = { ...generation.stream, upstream: engine };
   generation.phase = "sent";
+  generation.address = vm.address;
+  generation.attached = false;
+  generation.progressDeadline = at.monotonic + maxSilenceMs;
   generation.attemptId = nextId(state);
   generation.tries += 1;
   const { demand, prompt, traceParent, attemptId } = generation;
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -1,4 +1,5 @@
 import { Timeline } from "@lavenderferry/configuration";
+import { FleetNode } from "@lavenderferry/fleet";
 import { UsageMeter } from "@lavenderferry/ledger";
 import type { Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
@@ -7,18 +8,24 @@
 import type { Call } from "./calls/call.ts";
 import type { Cancelled, Generation } from "./generations/generation.ts";
 import type { EntrySettings } from "./settings.ts";
+import type { UsageHandover } from "./usage/usage_handover.ts";
+import { createUsageHandover } from "./usage/usage_handover.ts";
 
 /** Everything that the entry's reducer knows. */
 export interface EntryState {
   readonly settings: EntrySettings;
   /** Random name of this run of the process. */
   readonly epoch: string;
+  /** Peer address of this process, known once it listens. */
+  carrier: string;
   readonly random: Random;
   readonly timeline: Timeline;
   /** Whether the configuration has been read at least once. */
   configurationKnown: boolean;
   vms: ReadonlyMap<string, Vm>;
   vmsKnown: boolean;
+  /** This process's part in the fleet. */
+  readonly fleet: FleetNode;
   readonly dispatcher: Dispatcher;
   readonly generations: Map<string, Generation>;
   readonly readers: Map<string, string>;
@@ -26,6 +33,7 @@
   readonly waiting: Map<string, Generation>;
   readonly calls: Map<string, Call>;
   readonly usage: UsageMeter;
+  readonly usageHandover: UsageHandover;
   readonly decisions: Decisions;
   /** Cancelled generations whose cost is not known yet. */
   readonly cancelled: Map<string, Cancelled>;
@@ -39,21 +47,32 @@
 export function createEntryState(
   settings: EntrySettings,
   epoch: string,
+  startedAt = 0,
 ): EntryState {
   return {
     settings,
     epoch,
+    carrier: "",
     random: new Random(settings.seed),
     timeline: new Timeline(),
     configurationKnown: false,
     vms: new Map(),
     vmsKnown: false,
+    fleet: new FleetNode({
+      id: settings.vm,
+      epoch,
+      role: "entry",
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      seed: settings.seed,
+    }, startedAt),
     dispatcher: dispatchers[settings.policy](settings.seed),
     generations: new Map(),
     readers: new Map(),
     waiting: new Map(),
     calls: new Map(),
     usage: new UsageMeter(epoch),
+    usageHandover: createUsageHandover(),
     decisions: new Decisions(decisionCapacity),
     cancelled: new Map(),
     nextId: 1,
--- a/packages/steward/src/process/meter_reducer.ts
+++ b/packages/steward/src/process/meter_reducer.ts
@@ -30,6 +30,8 @@
     counter: "settlements",
     reason: failure.kind,
   }),
+  lease_failed: () => ({ counter: "retries", reason: "lease" }),
+  exchange_failed: () => ({ counter: "retries", reason: "exchange" }),
   vms_failed: () => ({ counter: "retries", reason: "vm_list" }),
   configuration_failed: () => ({ counter: "retries", reason: "configuration" }),
 };
@@ -39,6 +41,7 @@
     counter: "refusals",
     reason: failure.kind,
   }),
+  forward_batches: () => ({ counter: "settlements", reason: "forwarded" }),
 };
 
 /** Counts what goes into a reducer and what it decides. */
--- a/packages/steward/src/process/process_event.ts
+++ b/packages/steward/src/process/process_event.ts
@@ -1,5 +1,10 @@
 /** Names of the steward's timers. */
-export type TimerName = "list_vms" | "poll_configuration";
+export type TimerName =
+  | "list_vms"
+  | "poll_configuration"
+  | "exchange"
+  | "settle"
+  | "stop_deadline";
 
 /** Events of the process itself. */
 export type ProcessEvent =
--- a/packages/steward/src/reduce.ts
+++ b/packages/steward/src/reduce.ts
@@ -1,7 +1,9 @@
 import { reducerOf } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
+import { dutyPart } from "./fleet/duty_part.ts";
 import { fleetPart } from "./fleet/fleet_part.ts";
+import { placementPart } from "./fleet/placement_part.ts";
 import { operatorPart } from "./operators/operator_part.ts";
 import { processPart } from "./process/process_part.ts";
 import { settlementPart } from "./settlement/settlement_part.ts";
@@ -16,5 +18,7 @@
   ...operatorPart,
   ...settlementPart,
   ...fleetPart,
+  ...dutyPart,
+  ...placementPart,
   ...processPart,
 });
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -1,7 +1,18 @@
 import { Timeline } from "@lavenderferry/configuration";
+import { Duties, FleetNode } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
-import { Decisions } from "@lavenderferry/runtime";
+import { Decisions, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
+import type { SettlementState } from "./settlement/settlement_state.ts";
+import { createSettlementState } from "./settlement/settlement_state.ts";
+
+/** What an engine was ordered, as it confirmed. */
+export interface Ordered {
+  readonly fence: number;
+  readonly models: string;
+  /** Monotonic milliseconds at which it is stated again. */
+  readonly until: number;
+}
 
 /** Everything that the steward's reducer knows. */
 export interface StewardState {
@@ -10,6 +21,26 @@
   readonly timeline: Timeline;
   configurationKnown: boolean;
   vms: readonly Vm[];
+  readonly settlement: SettlementState;
+  /** A planned stop was asked for. */
+  stopping: boolean;
+  /** This process's part in the fleet. */
+  readonly fleet: FleetNode;
+  /** The duties of this process and their leases. */
+  readonly duties: Duties;
+  /** Fences of the duties that the fleet was told to be held here. */
+  readonly holding: Map<string, number>;
+  /** Names of the pools of engines, in order. */
+  pools: readonly string[];
+  /** What each engine was last ordered, as it confirmed. */
+  readonly ordered: Map<string, Ordered>;
+  /** Monotonic milliseconds at which the wanted models are read next. */
+  placementAt: number;
+  /** Monotonic milliseconds at which the VM list was first read. */
+  joinedAt: number | null;
+  /** Monotonic milliseconds at which a planned stop ends. */
+  stopAt: number | null;
+  readonly random: Random;
   readonly decisions: Decisions;
 }
 
@@ -19,6 +50,7 @@
 export function createStewardState(
   settings: StewardSettings,
   epoch: string,
+  startedAt = 0,
 ): StewardState {
   return {
     settings,
@@ -26,6 +58,24 @@
     timeline: new Timeline(),
     configurationKnown: false,
     vms: [],
+    settlement: createSettlementState(),
+    stopping: false,
+    fleet: new FleetNode({
+      id: settings.vm,
+      epoch,
+      role: "steward",
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      seed: settings.seed,
+    }, startedAt),
+    duties: new Duties({ id: settings.vm, epoch }),
+    holding: new Map(),
+    pools: [],
+    ordered: new Map(),
+    placementAt: 0,
+    joinedAt: null,
+    stopAt: null,
+    random: new Random(settings.seed),
     decisions: new Decisions(decisionCapacity),
   };
 }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,11 +1,14 @@
 import { randomBytes } from "node:crypto";
+import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
 import type { StewardEffect } from "./effects.ts";
 import type { StewardEvent } from "./events.ts";
+import { createDutyHandlers } from "./fleet/duty_runner.ts";
 import { createFleetHandlers } from "./fleet/fleet_runner.ts";
 import { createPeerMethods } from "./fleet/peer_methods.ts";
+import { createPlacementHandlers } from "./fleet/placement_runner.ts";
 import { createOperatorHandlers } from "./operators/operator_runner.ts";
 import { OperatorServer } from "./operators/operator_server.ts";
 import { meterReducer } from "./process/meter_reducer.ts";
@@ -23,8 +26,9 @@
 /** Starts a steward; resolves once it listens. */
 export async function startSteward(settings: StewardSettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
-  const state = createStewardState(settings, epoch);
+  const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
+  const exchanges = new ExchangeRunner(clients);
   const metrics = createStewardMetrics({
     configuration_version: () => state.timeline.latest.version,
     vms: () => state.vms.length,
@@ -38,12 +42,11 @@
     reduce: meterReducer(reduceSteward, metrics),
     handlers: {
       ...createOperatorHandlers({ platform, peers: clients, replies }),
-      ...createSettlementHandlers({
-        platform,
-        timeline: state.timeline,
-        replies,
-      }),
+      ...createSettlementHandlers(platform, clients),
       ...createFleetHandlers(platform),
+      ...exchanges.handlers,
+      ...createDutyHandlers(platform),
+      ...createPlacementHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
         exit: () => process.exit(0),
@@ -51,16 +54,17 @@
     },
   });
   const operators = new OperatorServer({ settings, dispatch, replies });
-  const peers = new PeerServer(createPeerMethods({ state, replies, dispatch }));
+  const peers = new PeerServer(
+    createPeerMethods({ state, exchanges, dispatch }),
+  );
   const { ip } = settings.operators;
   operators.serveMetrics(metrics.registry);
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
-  announce("listening", {
-    address: `${ip}:${operatorPort}`,
-    peers: `${settings.peers.ip}:${peerPort}`,
-    epoch,
-  });
+  const address = `${ip}:${operatorPort}`;
+  const peersAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "listening", address, peers: peersAddress });
+  announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
   dispatch({ kind: "started" });
