--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -28,7 +28,6 @@
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
-  const exchanges = new ExchangeRunner(clients);
   const metrics = createStewardMetrics({
     configuration_version: () => state.timeline.latest.version,
     vms: () => state.vms.length,
@@ -36,6 +35,7 @@
   });
   const replies = new Replies();
   const clients = new PeerClients();
+  const exchanges = new ExchangeRunner(clients);
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
