--- a/packages/ledger/src/settlement.ts
+++ b/packages/ledger/src/settlement.ts
@@ -7,6 +7,7 @@
 import { divide } from "./divide.ts";
 import type { Progress } from "./progress.ts";
 import { addSettled, isSettled, maxBeyond, noProgress } from "./progress.ts";
+import { RowCache } from "./row_cache.ts";
 import type { Shard } from "./shard.ts";
 import {
   dayKey,
@@ -50,12 +51,20 @@
 
 type SummedUsage = { -readonly [Key in keyof Usage]: Usage[Key] };
 
+interface Instant {
+  readonly version: Configuration;
+  /** Sums of the day's row. */
+  readonly sums: Map<string, bigint>;
+}
+
 interface Plan {
   readonly shard: Shard;
   /** Millionths of a unit to add, by row key and name. */
   readonly sums: Map<string, Map<string, bigint>>;
   /** Usage to divide, summed by instant, class and unit. */
   readonly usage: Map<string, SummedUsage>;
+  /** What is the same for all usage of one instant. */
+  readonly instants: Map<number, Instant>;
   readonly expired: Batch[];
   unassigned: number;
   changed: boolean;
@@ -63,11 +72,11 @@
 
 /** Settles batches of usage, each batch exactly once. */
 export class Settlement {
-  readonly #table: Table;
+  readonly #rows: RowCache;
   readonly #history: SplitHistory;
 
   constructor(table: Table, history: SplitHistory) {
-    this.#table = table;
+    this.#rows = new RowCache(table);
     this.#history = history;
   }
 
@@ -103,7 +112,7 @@
   ): Promise<SettlementResult | null> {
     const days = daysOf(batches);
     const keys = [shardKey(shard), ...days.map((day) => dayKey(day, shard))];
-    const rows = await this.#table.read(keys, "cost");
+    const rows = await this.#rows.read(keys);
     const plan = planOf(rows[0] ?? null, shard, terms);
     for (const batch of batches) {
       settleBatch(plan, batch, terms.now);
@@ -114,8 +123,7 @@
       }
       prune(plan.shard, batches, terms.now);
       const writes = writesOf(plan, keys, rows);
-      const result = await this.#table.commit(writes, "cost");
-      if (result.kind === "conflict") {
+      if (await this.#rows.commit(writes) === "conflict") {
         return null;
       }
     }
@@ -124,18 +132,25 @@
 
   #addUsage(plan: Plan, usage: Usage, shard: number): void {
     const { workClass, unit, amount, at } = usage;
-    const debts = debtsOf(this.#history.at(at), usage);
+    const instant = plan.instants.get(at) ?? this.#instantOf(plan, at, shard);
+    plan.instants.set(at, instant);
+    const { version, sums } = instant;
+    const debts = debtsOf(version, usage);
     if (debts === null) {
       plan.unassigned += amount;
     }
-    const key = dayKey(dayOf(at), shard);
-    const sums = plan.sums.get(key) ?? new Map<string, bigint>();
-    plan.sums.set(key, sums);
     for (const { partner, microUnits } of debts ?? unassigned(amount)) {
       const name = `${partner}|${workClass}|${unit}`;
       sums.set(name, (sums.get(name) ?? 0n) + microUnits);
     }
   }
+
+  #instantOf(plan: Plan, at: number, shard: number): Instant {
+    const key = dayKey(dayOf(at), shard);
+    const sums = plan.sums.get(key) ?? new Map<string, bigint>();
+    plan.sums.set(key, sums);
+    return { version: this.#history.at(at), sums };
+  }
 }
 
 function settleBatch(plan: Plan, batch: Batch, now: number): void {
@@ -200,9 +215,15 @@
     );
   }
   shard.fence = fence;
-  const sums = new Map<string, Map<string, bigint>>();
-  const usage = new Map<string, SummedUsage>();
-  return { shard, sums, usage, expired: [], unassigned: 0, changed: false };
+  return {
+    shard,
+    sums: new Map(),
+    usage: new Map(),
+    instants: new Map(),
+    expired: [],
+    unassigned: 0,
+    changed: false,
+  };
 }
 
 /** An epoch without progress may have been settled and removed since. */
--- a/packages/steward/src/settlement/settlement_part.ts
+++ b/packages/steward/src/settlement/settlement_part.ts
@@ -43,7 +43,7 @@
   state: StewardState,
   at: Moment,
 ): readonly StewardEffect[] {
-  const { pending, running, held } = state.settlement;
+  const { pending, running, held, fences } = state.settlement;
   addPending(state, held.overdue(state.stopping ? Infinity : at.monotonic));
   held.trim(at.monotonic);
   const effects: StewardEffect[] = [];
@@ -51,7 +51,7 @@
     if (waiting.size > 0 && !running.has(shard)) {
       running.add(shard);
       const batches = [...waiting.values()].slice(0, maxBatchesPerCommit);
-      const fence = 0;
+      const fence = fences.get(shard) ?? 0;
       const now = at.wall;
       effects.push({ kind: "settle_batches", shard, batches, now, fence });
     }
--- a/packages/steward/src/settlement/settlement_state.ts
+++ b/packages/steward/src/settlement/settlement_state.ts
@@ -9,6 +9,8 @@
   readonly running: Set<number>;
   /** Sequence up to which the batches of an epoch are settled. */
   readonly settledThrough: Map<string, number>;
+  /** Fences of the shards whose lease this steward holds. */
+  readonly fences: Map<number, number>;
   /** Batches kept on behalf of other processes. */
   readonly held: HeldUsage;
 }
@@ -19,6 +21,7 @@
     pending: new Map(),
     running: new Set(),
     settledThrough: new Map(),
+    fences: new Map(),
     held: new HeldUsage(),
   };
 }
