--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import { PeerClients, PeerServer } from "@lavenderferry/protocol";
 import { announce, Loop, systemClock } from "@lavenderferry/runtime";
@@ -9,6 +10,7 @@
 import { createPeerMethods } from "./fleet/peer_methods.ts";
 import { EngineRunner } from "./generations/engine_runner.ts";
 import { ReaderRunner } from "./generations/reader_runner.ts";
+import { createTakeOverHandlers } from "./generations/take_over_runner.ts";
 import { CallerServer } from "./http/caller_server.ts";
 import { createEntryMetrics } from "./process/metrics.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
@@ -23,8 +25,10 @@
 /** Starts an entry; resolves once it listens. */
 export async function startEntry(settings: EntrySettings): Promise<void> {
   const epoch = randomBytes(epochBytes).toString("hex");
-  const state = createEntryState(settings, epoch);
+  const state = createEntryState(settings, epoch, Date.now());
+  const peerClients = new PeerClients();
   const platform = new PlatformClient({ url: settings.platform });
+  const exchanges = new ExchangeRunner(peerClients);
   const readers = new ReaderRunner(settings.streamSecret);
   const metrics = createEntryMetrics({
     generations: () => state.generations.size,
@@ -41,27 +45,34 @@
       ...new EngineRunner().handlers,
       ...new ServiceRunner(platform).handlers,
       ...createFleetHandlers(platform),
-      ...createUsageHandlers(new PeerClients()),
+      ...exchanges.handlers,
+      ...createUsageHandlers(peerClients),
       ...readers.handlers,
+      ...createTakeOverHandlers(peerClients, settings.vm),
       ...createProcessHandlers({
         clock: systemClock,
         metrics,
-        exit: () => process.exit(0),
+        exit: (now) => {
+          void (now ? Promise.resolve() : callers.finish()).then(() =>
+            process.exit(0)
+          );
+        },
       }),
     },
   });
   const { dispatch } = loop;
   const callers = new CallerServer({ state, dispatch, readers, metrics });
-  const peers = new PeerServer(createPeerMethods(state, dispatch));
+  const peers = new PeerServer(
+    createPeerMethods({ state, exchanges, dispatch }),
+  );
   const { ip } = settings.callers;
   const callerPort = await callers.listen(ip, settings.callers.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
-  announce("listening", {
-    address: `${ip}:${callerPort}`,
-    peers: `${settings.peers.ip}:${peerPort}`,
-    epoch,
-  });
+  const address = `${ip}:${callerPort}`;
+  const peersAddress = `${settings.peers.ip}:${peerPort}`;
+  dispatch({ kind: "listening", address, peers: peersAddress });
+  announce("listening", { address, peers: peersAddress, epoch });
   process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
   process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
-  dispatch({ kind: "started" });
+  dispatch({ kind: "started", peers: peersAddress });
 }
--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -1,21 +1,24 @@
 import { KnownError } from "@lavenderferry/errors";
+import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { EntryState } from "../state.ts";
+import { chargedWhole } from "../usage/taken_over.ts";
+
+/** What the answers to peers work with. */
+export interface PeerMethodsOptions {
+  readonly state: EntryState;
+  readonly exchanges: ExchangeRunner;
+  readonly dispatch: Dispatch<EntryEvent>;
+}
 
 /** Creates the entry's answers to its peers. */
 export function createPeerMethods(
-  state: EntryState,
-  dispatch: Dispatch<EntryEvent>,
+  { state, exchanges, dispatch }: PeerMethodsOptions,
 ): PeerMethods {
   return {
-    exchange: () =>
-      Promise.resolve({
-        sender: state.settings.vm,
-        epoch: state.epoch,
-        configurationVersion: state.timeline.latest.version,
-      }),
+    exchange: (message) => exchanges.receive(message, dispatch),
     settle: () =>
       Promise.reject(
         new KnownError("An entry settles no usage", { kind: "bad_request" }),
@@ -24,8 +27,16 @@
       Promise.reject(
         new KnownError("An entry holds nothing yet", { kind: "bad_request" }),
       ),
-    takeOver: ({ generation }) =>
-      Promise.resolve({ known: state.generations.has(generation) }),
+    takeOver: ({ generation: generationId, by }) => {
+      const generation = state.generations.get(generationId);
+      if (generation === undefined) {
+        return Promise.resolve(endedHere(state, generationId));
+      }
+      const { nextIndex, chargedIndex } = generation;
+      dispatch({ kind: "generation_taken_over", generationId, by });
+      const charged = Math.max(nextIndex, chargedIndex);
+      return Promise.resolve({ known: true, charged });
+    },
     drain: () => {
       dispatch({ kind: "stop_requested" });
       const running = state.generations.size + state.calls.size;
@@ -41,3 +52,12 @@
       }),
   };
 }
+
+/** A generation that began in this run and is gone has ended here. */
+function endedHere(
+  { epoch }: EntryState,
+  generationId: string,
+): { known: boolean; charged: number } {
+  const known = generationId.startsWith(`${epoch}-`);
+  return { known, charged: known ? chargedWhole : 0 };
+}
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -2,19 +2,27 @@
 export type TimerName =
   | { readonly kind: "list_vms" }
   | { readonly kind: "poll_configuration" }
+  | { readonly kind: "exchange" }
   | { readonly kind: "poll_load" }
+  | { readonly kind: "poll_cache" }
   | { readonly kind: "flush_usage" }
   | { readonly kind: "pump_backlog" }
   | { readonly kind: "retry_generation"; readonly generationId: string }
   | { readonly kind: "cancel_orphan"; readonly generationId: string }
+  | { readonly kind: "retry_take_over"; readonly generationId: string }
+  | { readonly kind: "watch_progress" }
+  | { readonly kind: "stop_limit" }
   | { readonly kind: "retry_record"; readonly callId: string }
   | { readonly kind: "stop_deadline" };
 
 /** Milliseconds between two runs of the periodic timers. */
 export const timerPeriods = {
   list_vms: 1_000,
-  poll_configuration: 1_000,
+  poll_configuration: 30_000,
+  exchange: 100,
   poll_load: 250,
+  poll_cache: 500,
   flush_usage: 1_000,
   pump_backlog: 50,
+  watch_progress: 250,
 } as const;
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -1,4 +1,5 @@
 import { Timeline } from "@lavenderferry/configuration";
+import { FleetNode } from "@lavenderferry/fleet";
 import { UsageMeter } from "@lavenderferry/ledger";
 import type { Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
@@ -15,12 +16,16 @@
   readonly settings: EntrySettings;
   /** Random name of this run of the process. */
   readonly epoch: string;
+  /** Peer address of this process, known once it listens. */
+  carrier: string;
   readonly random: Random;
   readonly timeline: Timeline;
   /** Whether the configuration has been read at least once. */
   configurationKnown: boolean;
   vms: ReadonlyMap<string, Vm>;
   vmsKnown: boolean;
+  /** This process's part in the fleet. */
+  readonly fleet: FleetNode;
   readonly dispatcher: Dispatcher;
   readonly generations: Map<string, Generation>;
   readonly readers: Map<string, string>;
@@ -42,15 +47,25 @@
 export function createEntryState(
   settings: EntrySettings,
   epoch: string,
+  startedAt = 0,
 ): EntryState {
   return {
     settings,
     epoch,
+    carrier: "",
     random: new Random(settings.seed),
     timeline: new Timeline(),
     configurationKnown: false,
     vms: new Map(),
     vmsKnown: false,
+    fleet: new FleetNode({
+      id: settings.vm,
+      epoch,
+      role: "entry",
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      seed: settings.seed,
+    }, startedAt),
     dispatcher: dispatchers[settings.policy](settings.seed),
     generations: new Map(),
     readers: new Map(),
--- a/packages/entry/src/usage/taken_over.ts
+++ b/packages/entry/src/usage/taken_over.ts
@@ -5,6 +5,9 @@
 import { count } from "../util/effects.ts";
 import { rankStewards } from "./rank_stewards.ts";
 
+/** Charged index of a generation that ended at the entry that began it. */
+export const chargedWhole = 0xffff_ffff;
+
 /** Milliseconds for which usage waits for word of the former entry. */
 const takeOverMs = 30_000;
 const maxHoldersAsked = 4;
@@ -59,6 +62,9 @@
   stream: StreamToken,
   arrival: Arrival,
 ): void {
+  if (arrival.amount <= 0) {
+    return;
+  }
   const takenOver = state.usageHandover.takenOver.get(stream.generationId);
   if (takenOver === undefined) {
     state.usage.add(stream, "output", arrival);
--- a/packages/entry/src/usage/usage_runner.ts
+++ b/packages/entry/src/usage/usage_runner.ts
@@ -1,5 +1,5 @@
-import type { Batch } from "@lavenderferry/ledger";
-import type { PeerClients, UsageBatch } from "@lavenderferry/protocol";
+import { toUsageMessage } from "@lavenderferry/ledger";
+import type { PeerClients } from "@lavenderferry/protocol";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { UsageEffect } from "./usage_effect.ts";
@@ -10,7 +10,7 @@
 ): EffectHandlers<EntryEvent, UsageEffect> {
   return {
     settle_usage: ({ steward, address, batches }, dispatch) => {
-      peers.at(address).settle({ batches: batches.map(toMessage) }).then(
+      peers.at(address).settle({ batches: batches.map(toUsageMessage) }).then(
         ({ settled = 0 }) =>
           dispatch({
             kind: "usage_settled",
@@ -25,7 +25,7 @@
       const request = {
         epoch,
         settled,
-        batches: batches.map(toMessage),
+        batches: batches.map(toUsageMessage),
         generations: effect.generations.map((each) => ({ ...each })),
       };
       peers.at(address).hold(request).then(
@@ -44,10 +44,6 @@
   };
 }
 
-function toMessage({ epoch, sequence, records }: Batch): UsageBatch {
-  return { epoch, sequence, records: records.map((record) => ({ ...record })) };
-}
-
 /** Returns the highest index that a steward knows; `null`: none knows. */
 async function askCharged(
   peers: PeerClients,
--- a/packages/ledger/src/shard.ts
+++ b/packages/ledger/src/shard.ts
@@ -2,7 +2,7 @@
 import { progressSchema } from "./progress.ts";
 
 /** Number of rows over which the progress of settlement is spread. */
-export const shardCount = 64;
+export const shardCount = 16;
 
 /** Schema of the row that keeps the progress of one shard. */
 export const shardSchema = z.object({
@@ -49,3 +49,8 @@
 function padShard(shard: number): string {
   return String(shard).padStart(2, "0");
 }
+
+/** Name of the duty under which a shard is settled. */
+export function settlementDuty(shard: number): string {
+  return `settlement/${shard}`;
+}
--- a/packages/proof/src/harness/system.ts
+++ b/packages/proof/src/harness/system.ts
@@ -78,7 +78,8 @@
 
   /** Starts a plain service. */
   async startService(id: string, pool: string): Promise<Program> {
-    const service = await this.#run(id, standinPrograms.service, []);
+    const args = ["--platform", this.platform, "--pool", pool];
+    const service = await this.#run(id, standinPrograms.service, args);
     const { address } = service.listening;
     await this.register({ id, role: "service", address, pool });
     return service;
@@ -132,6 +133,15 @@
     return await response.body.json();
   }
 
+  /** Writes a new row into the platform's table. */
+  async write(key: string, value: object): Promise<void> {
+    const writes = [{ key, ifVersion: null, value }];
+    await request(`${this.platform}/v1/table/commit`, {
+      method: "POST",
+      body: JSON.stringify({ writes }),
+    });
+  }
+
   /** Returns a running program by its name. */
   program(name: string): Program {
     const program = this.programs.get(name);
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,3 +1,4 @@
+import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import { systemClock } from "@lavenderferry/runtime";
@@ -8,20 +9,16 @@
 /** What the answers to peers work with. */
 export interface PeerMethodsOptions {
   readonly state: StewardState;
+  readonly exchanges: ExchangeRunner;
   readonly dispatch: Dispatch<StewardEvent>;
 }
 
 /** Creates the steward's answers to its peers. */
 export function createPeerMethods(
-  { state, dispatch }: PeerMethodsOptions,
+  { state, exchanges, dispatch }: PeerMethodsOptions,
 ): PeerMethods {
   return {
-    exchange: () =>
-      Promise.resolve({
-        sender: state.settings.vm,
-        epoch: state.epoch,
-        configurationVersion: state.timeline.latest.version,
-      }),
+    exchange: (message) => exchanges.receive(message, dispatch),
     ...createUsageMethods({ state, clock: systemClock, dispatch }),
     drain: () => {
       dispatch({ kind: "stop_requested" });
--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -3,6 +3,7 @@
 import { usageIntervalMs } from "@lavenderferry/ledger";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
+import { sendDue } from "../fleet/exchange_part.ts";
 import type { StewardState } from "../state.ts";
 import type { Operation, OperatorEvent } from "./operator_event.ts";
 
@@ -17,10 +18,12 @@
     const handler = operations[operation.kind] as OperationHandler<Operation>;
     return handler(state, operation, event);
   },
-  change_accepted: (state, { replyId, configuration }) => {
+  change_accepted: (state, { replyId, configuration, at }) => {
     state.timeline.learn(configuration);
+    state.fleet.learnConfiguration(configuration);
     const { version, effectiveAt } = configuration;
     return [
+      ...sendDue(state, at),
       {
         kind: "log",
         sentence: "Accepted a change",
@@ -117,11 +120,21 @@
       dataCentre,
       state: phase,
     }));
+    const members = state.fleet.membership.all()
+      .map(({ id, role, dataCentre, epoch, state: phase }) => ({
+        id,
+        role,
+        dataCentre,
+        epoch,
+        state: phase,
+      }));
     const body = {
       version: latest.version,
       inForce: describe(inForce),
       accepted: describe(latest),
       vms,
+      members,
+      duties: state.fleet.duties.all(),
     };
     return [{ kind: "answer_operator", replyId, body }];
   },
--- a/packages/steward/src/process/process_event.ts
+++ b/packages/steward/src/process/process_event.ts
@@ -2,6 +2,7 @@
 export type TimerName =
   | "list_vms"
   | "poll_configuration"
+  | "exchange"
   | "settle"
   | "stop_deadline";
 
--- a/packages/steward/src/settlement/settlement_part_test.ts
+++ b/packages/steward/src/settlement/settlement_part_test.ts
@@ -1,6 +1,12 @@
+import { settlementShards } from "@lavenderferry/fleet";
 import { KnownError } from "@lavenderferry/errors";
 import type { Batch, Progress } from "@lavenderferry/ledger";
-import { noProgress, originTimeoutMs, shardOf } from "@lavenderferry/ledger";
+import {
+  noProgress,
+  originTimeoutMs,
+  shardCount,
+  shardOf,
+} from "@lavenderferry/ledger";
 import t from "tap";
 import type { StewardEffect } from "../effects.ts";
 import { stewardSettingsSchema } from "../settings.ts";
@@ -79,13 +85,17 @@
 
 t.test("a commit carries the fence of the shard's lease", (t) => {
   const state = createState();
-  state.settlement.fences.set(shard, 7);
   request(state, [1]);
   const [effect] = settlePending(state, at(0));
   t.match(effect, { kind: "settle_batches", shard, fence: 7 });
   t.end();
 });
 
+t.test("every shard has a duty", (t) => {
+  t.equal(settlementShards, shardCount);
+  t.end();
+});
+
 function createState(): StewardState {
   const settings = stewardSettingsSchema.parse({
     vm: "steward-0",
@@ -96,7 +106,9 @@
     operators: { ip: "127.0.0.1", port: 0 },
     operatorKeys: { ida: "operator-key-of-a-test-00000000000" },
   });
-  return createStewardState(settings, "bbbbbbbbbbbb");
+  const state = createStewardState(settings, "bbbbbbbbbbbb");
+  Object.assign(state.duties, { dutyFence: () => 7 });
+  return state;
 }
 
 function at(second: number): { wall: number; monotonic: number } {
