--- a/packages/entry/src/usage/taken_over.ts
+++ b/packages/entry/src/usage/taken_over.ts
@@ -76,6 +76,9 @@
   stream: StreamToken,
   arrival: Arrival,
 ): void {
+  if (arrival.amount <= 0) {
+    return;
+  }
   const takenOver = state.usageHandover.takenOver.get(stream.generationId);
   if (takenOver === undefined) {
     state.usage.add(stream, "output", arrival);
