perf(policy): refuse before the deadline and hold the memory that others freed

Cause: refusals came at the deadline; entries claimed the same freed memory within the reports' lag; the bound loosened up to eight times.

--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -2,6 +2,7 @@
 import { Random } from "@lavenderferry/runtime";
 import type { AdaptiveOptions } from "./adaptive_options.ts";
 import { allParts } from "./adaptive_options.ts";
+import type { Waiting } from "./backlog.ts";
 import { Backlog } from "./backlog.ts";
 import { priorityOf, startDeadline } from "./class_targets.ts";
 import type {
@@ -36,7 +37,7 @@
 /** Share of the first waiting cost below which a demand may pass it. */
 const passingCost = 0.25;
 /** Waits are overestimated in bursts; this much slack is still believed. */
-const waitDoubt = 0.5;
+const waitDoubt = 0.8;
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 30_000;
 const lookAhead = 16;
@@ -434,8 +435,15 @@
     return refuse("overloaded", reason, { retryAfterMs });
   }
 
+  #lateAt(now: number): readonly Waiting[] {
+    return this.#backlog.late(
+      now,
+      (cost) => waitDoubt * this.#drain.wait(cost),
+    );
+  }
+
   #refuseLate(at: Moment): readonly Release[] {
-    return this.#backlog.late(at.monotonic).map(({ demand, deadline }) => {
+    return this.#lateAt(at.monotonic).map(({ demand, deadline }) => {
       this.#backlog.take(demand.requestId);
       const placement = this.#overloaded(
         "target_unreachable",
--- a/packages/policy/src/backlog.ts
+++ b/packages/policy/src/backlog.ts
@@ -88,10 +88,21 @@
     return this.#items.slice(0, count).map(({ waiting }) => waiting);
   }
 
-  /** Returns the demands that can no longer start in time. */
-  late(now: number): readonly Waiting[] {
-    return this.#items.filter(({ waiting }) => waiting.deadline < now)
-      .map(({ waiting }) => waiting);
+  /**
+   * Returns the demands that can not start in time, given the time that it
+   * takes to start what goes before them.
+   */
+  late(now: number, waitOf: (cost: number) => number): readonly Waiting[] {
+    const late: Waiting[] = [];
+    let ahead = 0;
+    for (const { waiting } of this.#items) {
+      if (now + waitOf(ahead) > waiting.deadline) {
+        late.push(waiting);
+      } else {
+        ahead += waiting.cost;
+      }
+    }
+    return late;
   }
 
   /** Removes one demand by its request id. */
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -7,6 +7,8 @@
 const sampleMs = 50;
 const keepSamplesMs = 15_000;
 const forecastMaxAgeMs = 40;
+/** Share of others' former memory that still counts at the next report. */
+const heldDecay = 0.85;
 const ratioDecay = 0.9;
 const fewFlights = 2;
 const maxScale = 20;
@@ -39,6 +41,8 @@
   readonly #samples: Sample[] = [];
   #othersTokens = 0;
   #othersCount = 0;
+  /** Memory that others freed is taken to be filled by them again. */
+  #othersHeld = 0;
   #ownTokens = 0;
   #ownReported = 0;
   #ownMean = 0;
@@ -74,6 +78,10 @@
     const waiting = report.waiting * report.usedTokens /
       Math.max(1, report.running);
     this.#othersTokens = Math.max(0, report.usedTokens + waiting - own.tokens);
+    this.#othersHeld = Math.max(
+      this.#othersTokens,
+      this.#othersHeld * heldDecay,
+    );
     this.#ownReported = own.tokens;
     this.#learnRatio(own.tokens);
     this.#othersCount = Math.max(0, count - own.count);
@@ -184,7 +192,7 @@
       }
     }
     const change = this.#othersRatio * (this.ownTokens - this.#ownReported);
-    return Math.max(0, this.#othersTokens + change, shared);
+    return Math.max(0, this.#othersHeld + change, shared);
   }
 
   #ownAt(wall: number): { readonly tokens: number; readonly count: number } {
--- a/packages/policy/src/engine_view_test.ts
+++ b/packages/policy/src/engine_view_test.ts
@@ -71,6 +71,19 @@
   t.end();
 });
 
+t.test("memory that others freed is not taken at once", (t) => {
+  const view = new EngineView();
+  view.take(reportOf({ at: 100, running: 4, usedTokens: 400 }), at(100));
+  view.take(reportOf({ at: 350, running: 1, usedTokens: 100 }), at(350));
+  const held = view.forecast(at(350)).mean[0] ?? 0;
+  t.ok(held > 100 && held < 400);
+  for (let index = 0; index < 20; index++) {
+    view.take(reportOf({ at: 600, running: 1, usedTokens: 100 }), at(600));
+  }
+  t.equal(view.forecast(at(600)).mean[0], 100);
+  t.end();
+});
+
 t.test("a peer's fresh share counts beyond the report", (t) => {
   const view = new EngineView();
   view.take(reportOf({ usedTokens: 100, running: 1 }), at(0));
--- a/packages/policy/src/risk_bound.ts
+++ b/packages/policy/src/risk_bound.ts
@@ -1,11 +1,11 @@
 import type { Targets } from "@lavenderferry/configuration";
 
 const maxRisk = 0.3;
-const minRisk = 0.002;
-const minFactor = 0.25;
-const maxFactor = 8;
+const minRisk = 0.001;
+const minFactor = 0.1;
+const maxFactor = 1.5;
 const loosen = 1.005;
-const tighten = 0.98;
+const tighten = 0.95;
 const decay = 0.995;
 const minFinished = 5;
 
