--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -10,6 +10,8 @@
 /** Share of others' former memory that still counts at the next report. */
 const heldDecay = 0.85;
 const ratioDecay = 0.9;
+/** Age of a report beyond which its error grows no more. */
+const maxDriftMs = 1_000;
 const fewFlights = 2;
 const maxScale = 20;
 const peerShareMaxAgeMs = 3_000;
@@ -43,6 +45,8 @@
   #othersCount = 0;
   /** Memory that others freed is taken to be filled by them again. */
   #othersHeld = 0;
+  #driftSquared = 0;
+  #driftTime = 0;
   #ownTokens = 0;
   #ownReported = 0;
   #ownMean = 0;
@@ -72,6 +76,8 @@
 
   /** Takes a load report and works out what others hold. */
   take(report: LoadReport, at: Moment): void {
+    const former = this.report;
+    const formerOthers = this.#othersTokens;
     this.report = report;
     const own = this.#ownAt(report.at);
     const count = report.running + report.waiting;
@@ -82,6 +88,10 @@
       this.#othersTokens,
       this.#othersHeld * heldDecay,
     );
+    if (former !== null && report.at > former.at) {
+      const change = this.#othersTokens - formerOthers;
+      this.#learnDrift(change, report.at - former.at);
+    }
     this.#ownReported = own.tokens;
     this.#learnRatio(own.tokens);
     this.#othersCount = Math.max(0, count - own.count);
@@ -89,6 +99,20 @@
     this.#sample(at);
   }
 
+  /** Others' memory is taken for a random walk between reports. */
+  #learnDrift(change: number, milliseconds: number): void {
+    this.#driftSquared = this.#driftSquared * ratioDecay + change ** 2;
+    this.#driftTime = this.#driftTime * ratioDecay + milliseconds;
+  }
+
+  #othersVariance(at: Moment): number {
+    if (this.report === null || this.#driftTime <= 0) {
+      return 0;
+    }
+    const age = Math.max(0, at.wall - this.report.at);
+    return Math.min(age, maxDriftMs) * this.#driftSquared / this.#driftTime;
+  }
+
   #learnRatio(own: number): void {
     this.#ownMean = this.#ownMean * ratioDecay + own;
     this.#othersMean = this.#othersMean * ratioDecay + this.#othersTokens;
@@ -182,6 +206,7 @@
     } else {
       this.#forecast.scale(1 + others / own);
     }
+    this.#forecast.addVariance(this.#othersVariance(at));
   }
 
   #othersNow(at: Moment): number {
--- a/packages/policy/src/engine_view_test.ts
+++ b/packages/policy/src/engine_view_test.ts
@@ -84,6 +84,20 @@
   t.end();
 });
 
+t.test("others that change much are known less surely", (t) => {
+  const steady = new EngineView();
+  const restless = new EngineView();
+  [100, 350, 600, 850].forEach((time, index) => {
+    const usedTokens = 400 + (index % 2 === 0 ? 0 : 200);
+    const report = { at: time, running: 4, usedTokens: 400 };
+    steady.take(reportOf(report), at(time));
+    restless.take(reportOf({ ...report, usedTokens }), at(time));
+  });
+  t.equal(steady.forecast(at(900)).variance[0], 0);
+  t.ok((restless.forecast(at(900)).variance[0] ?? 0) > 0);
+  t.end();
+});
+
 t.test("a peer's fresh share counts beyond the report", (t) => {
   const view = new EngineView();
   view.take(reportOf({ usedTokens: 100, running: 1 }), at(0));
--- a/packages/policy/src/overflow_risk.ts
+++ b/packages/policy/src/overflow_risk.ts
@@ -65,6 +65,13 @@
     }
   }
 
+  /** Adds uncertainty about the memory held. */
+  addVariance(squaredTokens: number): void {
+    for (let index = 0; index < horizonSteps.length; index++) {
+      this.variance[index] = (this.variance[index] ?? 0) + squaredTokens;
+    }
+  }
+
   /**
    * Returns the greatest probability of overflow while the added generation
    * probably still runs.
