--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -4,7 +4,7 @@
 import { allParts } from "./adaptive_options.ts";
 import type { Waiting } from "./backlog.ts";
 import { Backlog } from "./backlog.ts";
-import { priorityOf, startDeadline } from "./class_targets.ts";
+import { priorityOf } from "./class_targets.ts";
 import type {
   CacheChange,
   Demand,
@@ -25,10 +25,9 @@
 import { EnginePool } from "./engine_pool.ts";
 import type { EngineView, Flight } from "./engine_view.ts";
 import { candidatesOf } from "./engine_choice.ts";
-import type { Tail } from "./length_distribution.ts";
-import { meanRemaining, priorTail } from "./length_distribution.ts";
+import type { Estimate } from "./estimator.ts";
+import { deadlineOf, Estimator, prefillMsPerToken } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
-import type { Footprint } from "./overflow_risk.ts";
 import { tokensPerBlock } from "./prefix_digests.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
@@ -42,9 +41,6 @@
 const maxRetryAfterMs = 30_000;
 const lookAhead = 16;
 const maxBacklog = 4_096;
-/** Start of a generation beside its queueing. */
-const startMs = 100;
-const prefillMsPerToken = 0.02;
 const sharePenaltyMs = 2_000;
 const stallMsPerRisk = 2_000;
 const maxRecentRequests = 4_096;
@@ -54,12 +50,6 @@
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 type Refusal = Extract<Placement, { kind: "refuse" }>;
 
-/** What is estimated of a demand. */
-interface Estimate {
-  readonly outputTokens: number;
-  readonly footprint: Footprint;
-}
-
 interface Candidate {
   readonly engine: Engine;
   readonly risk: number;
@@ -76,6 +66,7 @@
   readonly #random: Random;
   readonly #engines: EnginePool;
   readonly #lengths = new OutputLengths();
+  readonly #estimator: Estimator;
   readonly #backlog = new Backlog();
   readonly #shares = new WorkspaceShares();
   readonly #drain = new DrainRate();
@@ -89,6 +80,9 @@
   constructor(seed: number, options: Partial<AdaptiveOptions> = {}) {
     this.#options = { ...allParts, ...options };
     this.#random = new Random(seed);
+    this.#estimator = new Estimator(
+      this.#options.lengths ? this.#lengths : null,
+    );
     this.#engines = new EnginePool(this.#options.lagCorrection);
   }
 
@@ -161,12 +155,12 @@
     if (refusal !== null) {
       return refusal;
     }
-    const estimate = this.#estimate(demand);
+    const estimate = this.#estimator.estimate(demand);
     const mustQueue = this.#options.slack &&
       this.#urgentWait(demand, estimate, at.monotonic);
     const placed = mustQueue ? null : this.#choose(demand, estimate, at);
     if (placed !== null) {
-      this.#noteStart(demand, this.#costOf(demand, estimate), at);
+      this.#noteStart(demand, estimate.cost, at);
       return placed;
     }
     return this.#enqueue(demand, estimate, at);
@@ -186,7 +180,7 @@
       const { demand, cost } = waiting;
       const impossible = this.#impossible(demand);
       const placement = impossible ??
-        this.#choose(demand, this.#estimate(demand), at);
+        this.#choose(demand, this.#estimator.estimate(demand), at);
       if (placement === null) {
         continue;
       }
@@ -245,22 +239,6 @@
     );
   }
 
-  #tailOf(demand: Demand): Tail {
-    return this.#options.lengths ? this.#lengths.tailOf(demand) : priorTail;
-  }
-
-  #estimate(demand: Demand): Estimate {
-    const { promptTokens: tokens, maxTokens } = demand;
-    const tail = this.#tailOf(demand);
-    const footprint = { tokens, done: 0, maxTokens, tail };
-    const outputTokens = meanRemaining(tail, 0, maxTokens);
-    return { outputTokens, footprint };
-  }
-
-  #costOf(demand: Demand, { outputTokens }: Estimate): number {
-    return (demand.promptTokens + outputTokens / 2) * (outputTokens + 1);
-  }
-
   #impossible(demand: Demand): Refusal | null {
     const retryAfterMs = minRetryAfterMs;
     const { engines, memoryTokens } = this.#engines.serving(demand.model);
@@ -294,18 +272,11 @@
     const [first] = this.#backlog.head(1);
     return first !== undefined &&
       first.deadline <= this.#deadlineOf(demand, estimate, now) &&
-      this.#costOf(demand, estimate) > passingCost * first.cost;
+      estimate.cost > passingCost * first.cost;
   }
 
-  #deadlineOf(
-    demand: Demand,
-    { outputTokens }: Estimate,
-    now: number,
-  ): number {
-    return startDeadline(demand, {
-      firstTokenMs: startMs + demand.promptTokens * prefillMsPerToken,
-      decodeMs: outputTokens * this.#engines.stepMs(now),
-    });
+  #deadlineOf(demand: Demand, estimate: Estimate, now: number): number {
+    return deadlineOf(demand, estimate, this.#engines.stepMs(now));
   }
 
   #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
@@ -397,7 +368,7 @@
     if (unreachable || this.#backlog.size >= maxBacklog) {
       return this.#refusalOf(demand, { figures, share, at });
     }
-    const cost = this.#costOf(demand, estimate);
+    const { cost } = estimate;
     const waiting = { demand, deadline: latest, cost };
     this.#backlog.enqueue(waiting, { id: demand.requestId, order });
     return { kind: "wait", reason: "memory_at_risk", figures };
@@ -483,7 +454,7 @@
 
   #flightOf(demand: Demand, at: Moment): Flight {
     const now = at.monotonic;
-    const tail = this.#tailOf(demand);
+    const tail = this.#estimator.tailOf(demand);
     return { demand, tail, sentAt: now, tokensOut: 0, progressedAt: now };
   }
 
