--- a/packages/configuration/src/configuration_store.ts
+++ b/packages/configuration/src/configuration_store.ts
@@ -29,6 +29,9 @@
 });
 const maxTries = 5;
 
+/** Milliseconds of writing that do not delay the time of force. */
+const toleratedDelayMs = 250;
+
 interface Head {
   readonly version: number;
   readonly effectiveAt: number;
@@ -169,7 +172,9 @@
   attempt: { readonly nonce: string; readonly delay: number },
 ): Configuration {
   const { ifVersion, author, statement } = change;
-  const steps = Math.floor(attempt.delay / effectiveStepMs);
+  const steps = attempt.delay <= toleratedDelayMs
+    ? 0
+    : Math.ceil(attempt.delay / effectiveStepMs);
   const earliest = change.effectiveAt + steps * effectiveStepMs;
   return {
     version: ifVersion + 1,
