--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -7,7 +7,11 @@
 const sampleMs = 50;
 const keepSamplesMs = 15_000;
 const forecastMaxAgeMs = 40;
+/** Share of others' former memory that still counts at the next report. */
+const heldDecay = 0.85;
 const ratioDecay = 0.9;
+/** Age of a report beyond which its error grows no more. */
+const maxDriftMs = 1_000;
 const fewFlights = 2;
 const maxScale = 20;
 const peerShareMaxAgeMs = 3_000;
@@ -39,6 +43,10 @@
   readonly #samples: Sample[] = [];
   #othersTokens = 0;
   #othersCount = 0;
+  /** Memory that others freed is taken to be filled by them again. */
+  #othersHeld = 0;
+  #driftSquared = 0;
+  #driftTime = 0;
   #ownTokens = 0;
   #ownReported = 0;
   #ownMean = 0;
@@ -68,12 +76,22 @@
 
   /** Takes a load report and works out what others hold. */
   take(report: LoadReport, at: Moment): void {
+    const former = this.report;
+    const formerOthers = this.#othersTokens;
     this.report = report;
     const own = this.#ownAt(report.at);
     const count = report.running + report.waiting;
     const waiting = report.waiting * report.usedTokens /
       Math.max(1, report.running);
     this.#othersTokens = Math.max(0, report.usedTokens + waiting - own.tokens);
+    this.#othersHeld = Math.max(
+      this.#othersTokens,
+      this.#othersHeld * heldDecay,
+    );
+    if (former !== null && report.at > former.at) {
+      const change = this.#othersTokens - formerOthers;
+      this.#learnDrift(change, report.at - former.at);
+    }
     this.#ownReported = own.tokens;
     this.#learnRatio(own.tokens);
     this.#othersCount = Math.max(0, count - own.count);
@@ -81,6 +99,20 @@
     this.#sample(at);
   }
 
+  /** Others' memory is taken for a random walk between reports. */
+  #learnDrift(change: number, milliseconds: number): void {
+    this.#driftSquared = this.#driftSquared * ratioDecay + change ** 2;
+    this.#driftTime = this.#driftTime * ratioDecay + milliseconds;
+  }
+
+  #othersVariance(at: Moment): number {
+    if (this.report === null || this.#driftTime <= 0) {
+      return 0;
+    }
+    const age = Math.max(0, at.wall - this.report.at);
+    return Math.min(age, maxDriftMs) * this.#driftSquared / this.#driftTime;
+  }
+
   #learnRatio(own: number): void {
     this.#ownMean = this.#ownMean * ratioDecay + own;
     this.#othersMean = this.#othersMean * ratioDecay + this.#othersTokens;
@@ -174,6 +206,7 @@
     } else {
       this.#forecast.scale(1 + others / own);
     }
+    this.#forecast.addVariance(this.#othersVariance(at));
   }
 
   #othersNow(at: Moment): number {
@@ -184,7 +217,7 @@
       }
     }
     const change = this.#othersRatio * (this.ownTokens - this.#ownReported);
-    return Math.max(0, this.#othersTokens + change, shared);
+    return Math.max(0, this.#othersHeld + change, shared);
   }
 
   #ownAt(wall: number): { readonly tokens: number; readonly count: number } {
