--- a/packages/proof/src/integration/ledger_test.ts
+++ b/packages/proof/src/integration/ledger_test.ts
@@ -7,7 +7,15 @@
 import { System } from "../harness/system.ts";
 
 const { report } = sampleStatement.classes;
-const classNames = ["outage", "lost", "moved", "steward", "entry", "split"];
+const classNames = [
+  "outage",
+  "lost",
+  "reader",
+  "moved",
+  "steward",
+  "entry",
+  "split",
+];
 const statement: Statement = {
   ...sampleStatement,
   classes: Object.fromEntries(classNames.map((name) => [
@@ -76,6 +84,21 @@
   t.pass("settled");
 });
 
+t.test("cost is exact over a reader that moves", async (t) => {
+  const ask = { class: "reader", prompt: `Survey [out:${tokensPerStream}]` };
+  const first = await caller.generate(
+    system.url("entry-0"),
+    ask,
+    AbortSignal.timeout(700),
+  );
+  t.equal(first.whole, false);
+  const last = first.eventIds.at(-1) ?? "";
+  const second = await caller.resume(system.url("entry-1"), last);
+  t.equal(second.whole, true);
+  t.equal(first.texts.length + second.texts.length, tokensPerStream);
+  await settledCosts("reader", tokensPerStream);
+});
+
 t.test("cost is exact over a stream that outlives its entry", async (t) => {
   const ask = { class: "moved", prompt: `Survey [out:${longTokens}]` };
   const running = startStreams(ask, "entry-0");
