--- a/tap-snapshots/packages/cli/build/main_test.js.test.cjs
+++ b/tap-snapshots/packages/cli/build/main_test.js.test.cjs
@@ -17,7 +17,7 @@
 
 exports[`packages/cli/build/main_test.js > TAP > commands against a steward > lavenderferry apply invalid.jsonc 1`] = `
 lavenderferry: invalid.jsonc:6: weights: unknown key "weights"
-invalid.jsonc:4: splits.alone.parts.left: partner "left" does not exist
+invalid.jsonc:4: splits.alone.parts.left: partner "left" does not exist, but split "alone" uses it
 exit code 2
 `
 
@@ -622,13 +622,13 @@
 `
 
 exports[`packages/cli/build/main_test.js > TAP > the checker > lavenderferry-check configuration dangling.jsonc 1`] = `
-lavenderferry-check: dangling.jsonc:4: splits.alone.parts.left: partner "left" does not exist
+lavenderferry-check: dangling.jsonc:4: splits.alone.parts.left: partner "left" does not exist, but split "alone" uses it
 exit code 2
 `
 
 exports[`packages/cli/build/main_test.js > TAP > the checker > lavenderferry-check configuration invalid.jsonc 1`] = `
 lavenderferry-check: invalid.jsonc:6: weights: unknown key "weights"
-invalid.jsonc:4: splits.alone.parts.left: partner "left" does not exist
+invalid.jsonc:4: splits.alone.parts.left: partner "left" does not exist, but split "alone" uses it
 exit code 2
 `
 
