--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -4,7 +4,6 @@
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { EntryState } from "../state.ts";
-import { chargedWhole } from "../usage/taken_over.ts";
 
 /** What the answers to peers work with. */
 export interface PeerMethodsOptions {
@@ -30,7 +29,9 @@
     takeOver: ({ generation: generationId, by }) => {
       const generation = state.generations.get(generationId);
       if (generation === undefined) {
-        return Promise.resolve(endedHere(state, generationId));
+        const charged = state.usageHandover.charged.get(generationId);
+        const known = charged !== undefined;
+        return Promise.resolve({ known, charged: charged ?? 0 });
       }
       const { nextIndex, chargedIndex } = generation;
       dispatch({ kind: "generation_taken_over", generationId, by });
@@ -52,12 +53,3 @@
       }),
   };
 }
-
-/** A generation that began in this run and is gone has ended here. */
-function endedHere(
-  { epoch }: EntryState,
-  generationId: string,
-): { known: boolean; charged: number } {
-  const known = generationId.startsWith(`${epoch}-`);
-  return { known, charged: known ? chargedWhole : 0 };
-}
--- a/packages/entry/src/generations/generation_start.ts
+++ b/packages/entry/src/generations/generation_start.ts
@@ -4,6 +4,7 @@
 import type { EntryState } from "../state.ts";
 import type { Generation } from "./generation.ts";
 import { nextId } from "../state.ts";
+import { rememberCharged } from "../usage/taken_over.ts";
 import { decide } from "../util/decide.ts";
 import { count, fail } from "../util/effects.ts";
 import { maxSilenceMs } from "./generation.ts";
@@ -79,6 +80,8 @@
   generation: Generation,
 ): void {
   const { generationId, requestId } = generation.stream;
+  const { nextIndex, chargedIndex } = generation;
+  rememberCharged(state, generationId, Math.max(nextIndex, chargedIndex));
   state.generations.delete(generationId);
   if (state.waiting.delete(requestId)) {
     state.dispatcher.withdraw(requestId);
--- a/packages/entry/src/generations/generation_take_over.ts
+++ b/packages/entry/src/generations/generation_take_over.ts
@@ -1,4 +1,4 @@
-import type { EventHandlers, Timed } from "@lavenderferry/runtime";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import type { EntryState } from "../state.ts";
 import type { Generation } from "./generation.ts";
@@ -35,12 +35,8 @@
   }
   const previous = state.generations.get(generationId);
   const generation = createResumed(state, event, stated.targets);
-  if (previous === undefined) {
-    const start = position.index + 1;
-    beginTakeOver(state, { stream: position.token, start }, at);
-  }
   const effects = previous === undefined
-    ? []
+    ? takeOverCharge(state, generation, at)
     : replacePrevious(state, previous, generation);
   state.generations.set(generationId, generation);
   state.readers.set(readerId, generationId);
@@ -132,6 +128,22 @@
   ];
 };
 
+/** Charges from where this entry stopped, or waits for the former carrier. */
+function takeOverCharge(
+  state: EntryState,
+  generation: Generation,
+  at: Moment,
+): readonly EntryEffect[] {
+  const { stream, nextIndex: start } = generation;
+  const charged = state.usageHandover.charged.get(stream.generationId);
+  if (charged === undefined) {
+    beginTakeOver(state, { stream, start }, at);
+  } else {
+    generation.chargedIndex = charged;
+  }
+  return [];
+}
+
 function replacePrevious(
   state: EntryState,
   previous: Generation,
--- a/packages/entry/src/usage/taken_over.ts
+++ b/packages/entry/src/usage/taken_over.ts
@@ -5,12 +5,10 @@
 import { count } from "../util/effects.ts";
 import { rankStewards } from "./rank_stewards.ts";
 
-/** Charged index of a generation that ended at the entry that began it. */
-export const chargedWhole = 0xffff_ffff;
-
 /** Milliseconds for which usage waits for word of the former entry. */
 const takeOverMs = 30_000;
 const maxHoldersAsked = 4;
+const maxRemembered = 8_192;
 
 /** Tokens that arrived at one wall time. */
 interface Arrival {
@@ -56,6 +54,22 @@
   });
 }
 
+/** Remembers up to which index this entry charges a generation that it ends. */
+export function rememberCharged(
+  state: EntryState,
+  generationId: string,
+  index: number,
+): void {
+  const { charged } = state.usageHandover;
+  charged.set(generationId, index);
+  for (const oldest of charged.keys()) {
+    if (charged.size <= maxRemembered) {
+      return;
+    }
+    charged.delete(oldest);
+  }
+}
+
 /** Charges output tokens, at once or when the former entry is heard of. */
 export function chargeOutput(
   state: EntryState,
--- a/packages/entry/src/usage/usage_handover.ts
+++ b/packages/entry/src/usage/usage_handover.ts
@@ -27,6 +27,11 @@
   holders: readonly Holder[];
   /** Generations that other entries carried before, by id. */
   readonly takenOver: Map<string, TakenOver>;
+  /**
+   * Index up to which this entry charged a generation that it carries no more,
+   * by id; the oldest are forgotten first.
+   */
+  readonly charged: Map<string, number>;
   /** Open generations as the holders were last told of them. */
   open: readonly OpenGeneration[];
 }
@@ -38,6 +43,7 @@
     settlerRank: 0,
     holders: [],
     takenOver: new Map(),
+    charged: new Map(),
     open: [],
   };
 }
--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -1,3 +1,4 @@
+import { shardCount } from "@lavenderferry/ledger";
 import type { CommitResult, Row } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 import type { DutyDirectory } from "./duty_directory.ts";
@@ -6,9 +7,6 @@
 import type { Member } from "./member.ts";
 import { hashText } from "./rendezvous.ts";
 
-/** Shards of the settlement, each a duty. */
-export const settlementShards = 16;
-
 /** Parts of the recovery of what dead processes left, each a duty. */
 export const recoveryParts = 16;
 
@@ -46,7 +44,7 @@
 /** Returns the names of all duties. */
 export function dutyNames(pools: readonly string[]): readonly string[] {
   return [
-    ...numbered("settlement", settlementShards),
+    ...numbered("settlement", shardCount),
     ...numbered("recovery", recoveryParts),
     ...pools.map((pool) => `placement/${pool}`),
   ];
@@ -60,6 +58,9 @@
 export class Duties {
   readonly #self: Candidate;
   readonly #duties = new Map<string, Duty>();
+  /** Best steward by duty, as long as the same stewards live. */
+  readonly #best = new Map<string, string>();
+  #stewards = "";
   #lookAt = 0;
   #leaving = false;
 
@@ -105,9 +106,10 @@
       member.role === "steward" && member.state === "live" &&
       !(this.#leaving && member.id === this.#self.id)
     );
+    this.#forgetBest(stewards);
     return dutyNames(view.pools).flatMap((name) => {
       const duty = this.#duty(name);
-      this.#rank(duty, bestFor(name, stewards), at);
+      this.#rank(duty, this.#bestFor(name, stewards), at);
       const told = view.directory.get(name);
       if (told?.holder === "") {
         duty.lease.givenUp(told.fence);
@@ -148,6 +150,24 @@
     return duty;
   }
 
+  #bestFor(name: string, stewards: readonly Member[]): string {
+    const known = this.#best.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const best = bestFor(name, stewards);
+    this.#best.set(name, best);
+    return best;
+  }
+
+  #forgetBest(stewards: readonly Member[]): void {
+    const names = stewards.map(({ id }) => id).join();
+    if (names !== this.#stewards) {
+      this.#stewards = names;
+      this.#best.clear();
+    }
+  }
+
   #rank(duty: Duty, best: string, at: Moment): void {
     if (best !== duty.best) {
       duty.best = best;
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -2,8 +2,9 @@
 import { Random } from "@lavenderferry/runtime";
 import type { AdaptiveOptions } from "./adaptive_options.ts";
 import { allParts } from "./adaptive_options.ts";
+import type { Waiting } from "./backlog.ts";
 import { Backlog } from "./backlog.ts";
-import { priorityOf, startDeadline } from "./class_targets.ts";
+import { priorityOf } from "./class_targets.ts";
 import type {
   CacheChange,
   Demand,
@@ -24,10 +25,9 @@
 import { EnginePool } from "./engine_pool.ts";
 import type { EngineView, Flight } from "./engine_view.ts";
 import { candidatesOf } from "./engine_choice.ts";
-import type { Tail } from "./length_distribution.ts";
-import { meanRemaining, priorTail } from "./length_distribution.ts";
+import type { Estimate } from "./estimator.ts";
+import { deadlineOf, Estimator, prefillMsPerToken } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
-import type { Footprint } from "./overflow_risk.ts";
 import { tokensPerBlock } from "./prefix_digests.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
@@ -36,14 +36,11 @@
 /** Share of the first waiting cost below which a demand may pass it. */
 const passingCost = 0.25;
 /** Waits are overestimated in bursts; this much slack is still believed. */
-const waitDoubt = 0.5;
+const waitDoubt = 0.8;
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 30_000;
 const lookAhead = 16;
 const maxBacklog = 4_096;
-/** Start of a generation beside its queueing. */
-const startMs = 100;
-const prefillMsPerToken = 0.02;
 const sharePenaltyMs = 2_000;
 const stallMsPerRisk = 2_000;
 const maxRecentRequests = 4_096;
@@ -53,12 +50,6 @@
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 type Refusal = Extract<Placement, { kind: "refuse" }>;
 
-/** What is estimated of a demand. */
-interface Estimate {
-  readonly outputTokens: number;
-  readonly footprint: Footprint;
-}
-
 interface Candidate {
   readonly engine: Engine;
   readonly risk: number;
@@ -75,6 +66,7 @@
   readonly #random: Random;
   readonly #engines: EnginePool;
   readonly #lengths = new OutputLengths();
+  readonly #estimator: Estimator;
   readonly #backlog = new Backlog();
   readonly #shares = new WorkspaceShares();
   readonly #drain = new DrainRate();
@@ -88,6 +80,9 @@
   constructor(seed: number, options: Partial<AdaptiveOptions> = {}) {
     this.#options = { ...allParts, ...options };
     this.#random = new Random(seed);
+    this.#estimator = new Estimator(
+      this.#options.lengths ? this.#lengths : null,
+    );
     this.#engines = new EnginePool(this.#options.lagCorrection);
   }
 
@@ -160,12 +155,12 @@
     if (refusal !== null) {
       return refusal;
     }
-    const estimate = this.#estimate(demand);
+    const estimate = this.#estimator.estimate(demand);
     const mustQueue = this.#options.slack &&
       this.#urgentWait(demand, estimate, at.monotonic);
     const placed = mustQueue ? null : this.#choose(demand, estimate, at);
     if (placed !== null) {
-      this.#noteStart(demand, this.#costOf(demand, estimate), at);
+      this.#noteStart(demand, estimate.cost, at);
       return placed;
     }
     return this.#enqueue(demand, estimate, at);
@@ -185,7 +180,7 @@
       const { demand, cost } = waiting;
       const impossible = this.#impossible(demand);
       const placement = impossible ??
-        this.#choose(demand, this.#estimate(demand), at);
+        this.#choose(demand, this.#estimator.estimate(demand), at);
       if (placement === null) {
         continue;
       }
@@ -244,22 +239,6 @@
     );
   }
 
-  #tailOf(demand: Demand): Tail {
-    return this.#options.lengths ? this.#lengths.tailOf(demand) : priorTail;
-  }
-
-  #estimate(demand: Demand): Estimate {
-    const { promptTokens: tokens, maxTokens } = demand;
-    const tail = this.#tailOf(demand);
-    const footprint = { tokens, done: 0, maxTokens, tail };
-    const outputTokens = meanRemaining(tail, 0, maxTokens);
-    return { outputTokens, footprint };
-  }
-
-  #costOf(demand: Demand, { outputTokens }: Estimate): number {
-    return (demand.promptTokens + outputTokens / 2) * (outputTokens + 1);
-  }
-
   #impossible(demand: Demand): Refusal | null {
     const retryAfterMs = minRetryAfterMs;
     const { engines, memoryTokens } = this.#engines.serving(demand.model);
@@ -293,18 +272,11 @@
     const [first] = this.#backlog.head(1);
     return first !== undefined &&
       first.deadline <= this.#deadlineOf(demand, estimate, now) &&
-      this.#costOf(demand, estimate) > passingCost * first.cost;
+      estimate.cost > passingCost * first.cost;
   }
 
-  #deadlineOf(
-    demand: Demand,
-    { outputTokens }: Estimate,
-    now: number,
-  ): number {
-    return startDeadline(demand, {
-      firstTokenMs: startMs + demand.promptTokens * prefillMsPerToken,
-      decodeMs: outputTokens * this.#engines.stepMs(now),
-    });
+  #deadlineOf(demand: Demand, estimate: Estimate, now: number): number {
+    return deadlineOf(demand, estimate, this.#engines.stepMs(now));
   }
 
   #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
@@ -396,7 +368,7 @@
     if (unreachable || this.#backlog.size >= maxBacklog) {
       return this.#refusalOf(demand, { figures, share, at });
     }
-    const cost = this.#costOf(demand, estimate);
+    const { cost } = estimate;
     const waiting = { demand, deadline: latest, cost };
     this.#backlog.enqueue(waiting, { id: demand.requestId, order });
     return { kind: "wait", reason: "memory_at_risk", figures };
@@ -434,8 +406,15 @@
     return refuse("overloaded", reason, { retryAfterMs });
   }
 
+  #lateAt(now: number): readonly Waiting[] {
+    return this.#backlog.late(
+      now,
+      (cost) => waitDoubt * this.#drain.wait(cost),
+    );
+  }
+
   #refuseLate(at: Moment): readonly Release[] {
-    return this.#backlog.late(at.monotonic).map(({ demand, deadline }) => {
+    return this.#lateAt(at.monotonic).map(({ demand, deadline }) => {
       this.#backlog.take(demand.requestId);
       const placement = this.#overloaded(
         "target_unreachable",
@@ -475,7 +454,7 @@
 
   #flightOf(demand: Demand, at: Moment): Flight {
     const now = at.monotonic;
-    const tail = this.#tailOf(demand);
+    const tail = this.#estimator.tailOf(demand);
     return { demand, tail, sentAt: now, tokensOut: 0, progressedAt: now };
   }
 
--- a/packages/steward/src/settlement/settlement_part_test.ts
+++ b/packages/steward/src/settlement/settlement_part_test.ts
@@ -1,9 +1,10 @@
-import { settlementShards } from "@lavenderferry/fleet";
+import { dutyNames } from "@lavenderferry/fleet";
 import { KnownError } from "@lavenderferry/errors";
 import type { Batch, Progress } from "@lavenderferry/ledger";
 import {
   noProgress,
   originTimeoutMs,
+  settlementDuty,
   shardCount,
   shardOf,
 } from "@lavenderferry/ledger";
@@ -92,7 +93,10 @@
 });
 
 t.test("every shard has a duty", (t) => {
-  t.equal(settlementShards, shardCount);
+  const names = dutyNames([]);
+  for (let shard = 0; shard < shardCount; shard++) {
+    t.ok(names.includes(settlementDuty(shard)), `shard ${shard}`);
+  }
   t.end();
 });
 
