--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -13,7 +13,9 @@
 } from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { decide } from "../util/decide.ts";
+import { chargeOutput } from "../usage/taken_over.ts";
 import { count, fail } from "../util/effects.ts";
+import { isReady } from "../util/is_ready.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
 import { maxSilenceMs } from "./generation.ts";
 import { cancelAtEngine, recoverGeneration } from "./generation_recovery.ts";
@@ -82,10 +84,10 @@
 
 function refusalOf(
   state: EntryState,
-  event: GenerationRequested,
+  event: Timed<GenerationRequested>,
   workClass: WorkClass | undefined,
 ): ErrorKind | null {
-  if (!state.configurationKnown || !state.vmsKnown) {
+  if (!isReady(state, event.at.wall)) {
     return "not_ready";
   }
   if (workClass === undefined) {
@@ -287,7 +289,7 @@
   state.dispatcher.progressed(event.generationId, generation.nextIndex, at);
   const { chargedIndex, nextIndex, stream } = generation;
   const amount = Math.min(fresh.length, nextIndex - chargedIndex);
-  state.usage.add(stream, "output", { amount, wall: at.wall });
+  chargeOutput(state, stream, { amount, wall: at.wall });
   effects.push(count("tokens", stream.workClass, fresh.length));
   effects.push(...deliver(generation, fresh));
   return effects;
--- a/packages/entry/src/generations/take_over_runner.ts
+++ b/packages/entry/src/generations/take_over_runner.ts
@@ -13,7 +13,7 @@
       const answered = (charged: number | null) =>
         dispatch({ kind: "take_over_answered", generationId, charged });
       peers.at(address).takeOver({ generation: generationId, by }).then(
-        ({ charged }) => answered(Number(charged)),
+        ({ known, charged }) => answered(known ? charged : null),
         () => answered(null),
       );
     },
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,6 +1,7 @@
 import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
+import { systemClock } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import { createUsageMethods } from "../settlement/usage_methods.ts";
 import type { StewardState } from "../state.ts";
@@ -18,8 +19,7 @@
 ): PeerMethods {
   return {
     exchange: (message) => exchanges.receive(message, dispatch),
-    ...createUsageMethods(state, dispatch),
-    takeOver: () => Promise.resolve({ known: false }),
+    ...createUsageMethods({ state, clock: systemClock, dispatch }),
     drain: () => {
       dispatch({ kind: "stop_requested" });
       return Promise.resolve({ running: 0 });
--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -4,11 +4,13 @@
 import type { AddressInfo } from "node:net";
 import { KnownError, toFailure } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
+import type { Polka } from "polka";
 import polka from "polka";
 import type { Registry } from "prom-client";
 import type { StewardEvent } from "../events.ts";
 import type { Replies } from "../process/replies.ts";
 import type { StewardSettings } from "../settings.ts";
+import { sendMetrics } from "./send_metrics.ts";
 import type { Operation } from "./operator_event.ts";
 import { readPeriod, readVersion } from "./query.ts";
 import { readChange } from "./read_change.ts";
@@ -20,8 +22,6 @@
   readonly settings: StewardSettings;
   readonly dispatch: Dispatch<StewardEvent>;
   readonly replies: Replies;
-  /** Series that `/metrics` shows. */
-  readonly registry: Registry;
 }
 
 type Request = IncomingMessage & {
@@ -33,6 +33,7 @@
 export class OperatorServer {
   readonly #options: OperatorServerOptions;
   readonly #server: Server;
+  readonly #application: Polka;
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
@@ -41,9 +42,6 @@
         "/healthz",
         (_request, response) => sendAnswer(response, { body: {} }),
       )
-      .get("/metrics", (_request, response) => {
-        void sendMetrics(response, options.registry);
-      })
       .get(
         "/operator/v1/configuration",
         this.#handle(() => ({
@@ -91,6 +89,7 @@
     this.#server = createServer((request, response) => {
       void application.handler(request as never, response as never);
     });
+    this.#application = application;
   }
 
   /** Listens on the socket and returns the port taken. */
@@ -102,6 +101,13 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Serves the series of a registry at `/metrics`. */
+  serveMetrics(registry: Registry): void {
+    this.#application.get("/metrics", (_request, response) => {
+      void sendMetrics(response, registry);
+    });
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#server.closeAllConnections();
@@ -148,12 +154,3 @@
     return found[0];
   }
 }
-
-async function sendMetrics(
-  response: ServerResponse,
-  registry: Registry,
-): Promise<void> {
-  const text = await registry.metrics();
-  response.writeHead(200, { "content-type": registry.contentType });
-  response.end(text);
-}
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -32,6 +32,12 @@
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createStewardState(settings, epoch, Date.now());
   const platform = new PlatformClient({ url: settings.platform });
+  const metrics = createStewardMetrics({
+    configuration_version: () => state.timeline.latest.version,
+    vms: () => state.vms.length,
+    strangers: () => peers.strangers,
+    resident_bytes: () => process.memoryUsage.rss(),
+  });
   const replies = new Replies();
   const credentials = createPeerCredentials({
     ip: settings.peers.ip,
@@ -39,12 +45,6 @@
   });
   const clients = new PeerClients(credentials);
   const exchanges = new ExchangeRunner(clients);
-  const metrics = createStewardMetrics({
-    configuration_version: () => state.timeline.latest.version,
-    vms: () => state.vms.length,
-    strangers: () => peers.strangers,
-    resident_bytes: () => process.memoryUsage.rss(),
-  });
   const { dispatch } = new Loop<StewardState, StewardEvent, StewardEffect>({
     clock: systemClock,
     state,
@@ -62,18 +62,13 @@
       }),
     },
   });
-  const { registry } = metrics;
-  const operators = new OperatorServer({
-    settings,
-    dispatch,
-    replies,
-    registry,
-  });
+  const operators = new OperatorServer({ settings, dispatch, replies });
   const peers = new PeerServer(
     createPeerMethods({ state, exchanges, dispatch }),
     credentials.server,
   );
   const { ip } = settings.operators;
+  operators.serveMetrics(metrics.registry);
   const operatorPort = await operators.listen(ip, settings.operators.port);
   const peerPort = await peers.listen(settings.peers.ip, settings.peers.port);
   const address = `${ip}:${operatorPort}`;
