--- a/packages/bench/src/fleet/records_main.ts
+++ b/packages/bench/src/fleet/records_main.ts
@@ -16,7 +16,7 @@
 const engineCounts = [8, 200, 5_700];
 const memberCounts = [32, 96, 1_120];
 const workspaceCounts = [10, 1_000, 43_000];
-const rounds = 10;
+const rounds = 100;
 const listSchema = z.object({ vms: z.array(vmSchema) });
 
 function print(figures: object): void {
