refactor: one hash and one rendezvous ranking; true not-run statements

The explanation's message is built in one place. A read whose tries were sent and lost was answered as not run, and so was a generation that was refused after an earlier one had run: both now say what is known, with a named test for the read (it failed before: true, expected unknown).

--- a/packages/entry/src/calls/call.ts
+++ b/packages/entry/src/calls/call.ts
@@ -20,6 +20,8 @@
   rowVersion: number | null;
   /** Row value that the running commit writes. */
   pending: CallRecord | null;
+  /** A try was sent and its answer is not known; only reads go on then. */
+  mayHaveRun: boolean;
   /** Upstreams tried so far. */
   tried: string[];
   /** Monotonic milliseconds until which the claim is tried. */
--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -86,6 +86,7 @@
     phase: "claiming",
     rowVersion: null,
     pending: null,
+    mayHaveRun: false,
     tried: [],
     claimDeadline: at.monotonic + claimMs,
     recordTries: 0,
@@ -309,8 +310,9 @@
   const vm = live[state.random.below(Math.max(1, live.length))];
   if (vm === undefined || call.tried.length >= maxUpstreams) {
     const error = vms.length === 0 ? "unknown_service" : "no_upstream";
+    const notRun = call.mayHaveRun ? "unknown" : true;
     return [
-      ...fail({ readerId, requestId, error, notRun: true, retryAfterMs }),
+      ...fail({ readerId, requestId, error, notRun, retryAfterMs }),
       ...settleRecord(state, call, { state: "released", at }),
     ];
   }
@@ -375,6 +377,7 @@
   }
   const { at, reason } = event;
   const read = call.request.key === null;
+  call.mayHaveRun ||= event.notRun !== true;
   if (event.notRun === true || read) {
     return [count("retries", reason), ...dispatchCall(state, call, at)];
   }
--- /dev/null
+++ b/packages/entry/src/calls/not_run_test.ts
@@ -0,0 +1,46 @@
+import t from "tap";
+import { createFixture, effectsOf, send } from "../fixtures/entry_fixture.ts";
+
+const at = { monotonic: 1_000, wall: 1_000 };
+
+const cases = [
+  { name: "never sent", notRun: true, expected: true },
+  { name: "sent and lost", notRun: "unknown", expected: "unknown" },
+] as const;
+
+for (const { name, notRun, expected } of cases) {
+  t.test(`a read whose tries were ${name}`, (t) => {
+    const state = createFixture("a", at);
+    let effects = send(state, {
+      kind: "call_requested",
+      readerId: "reader",
+      requestId: "request",
+      workspace: "clinic",
+      workClass: "report",
+      service: "booking",
+      method: "GET",
+      path: "/slots/1",
+      contentType: undefined,
+      body: "",
+      key: null,
+      digest: "digest",
+      traceParent: undefined,
+    }, at);
+    for (
+      let [sent] = effectsOf(effects, "call_service");
+      sent !== undefined;
+      [sent] = effectsOf(effects, "call_service")
+    ) {
+      const { callId, upstream } = sent;
+      const reason = "connection";
+      effects = send(
+        state,
+        { kind: "call_failed", callId, upstream, notRun, reason },
+        at,
+      );
+    }
+    const [failed] = effectsOf(effects, "fail_reader");
+    t.match(failed?.occurrence, { kind: "no_upstream", notRun: expected });
+    t.end();
+  });
+}
--- a/packages/entry/src/fleet/peer_methods.ts
+++ b/packages/entry/src/fleet/peer_methods.ts
@@ -1,6 +1,7 @@
 import { KnownError } from "@lavenderferry/errors";
 import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
+import { toExplainReply } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { EntryState } from "../state.ts";
@@ -43,13 +44,9 @@
       const running = state.generations.size + state.calls.size;
       return Promise.resolve({ running });
     },
-    explain: ({ subject }) =>
-      Promise.resolve({
-        decisions: state.decisions.about(subject).map((decision) => ({
-          ...decision,
-          figures: JSON.stringify(decision.figures),
-          process: state.settings.vm,
-        })),
-      }),
+    explain: ({ subject }) => {
+      const decisions = state.decisions.about(subject);
+      return Promise.resolve(toExplainReply(state.settings.vm, decisions));
+    },
   };
 }
--- a/packages/entry/src/generations/generation_recovery.ts
+++ b/packages/entry/src/generations/generation_recovery.ts
@@ -178,7 +178,7 @@
     return [
       ...failGeneration(generation, {
         error: "upstream_refused",
-        notRun: true,
+        notRun: generation.restarts === 0,
         retryAfterMs,
       }),
       ...pumpBacklog(state, at),
--- a/packages/entry/src/usage/rank_stewards.ts
+++ b/packages/entry/src/usage/rank_stewards.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import type { Vm } from "@lavenderferry/platform";
+import { rankByRendezvous } from "@lavenderferry/runtime";
 
 /** A steward that can be reached by peers. */
 export interface Steward {
@@ -19,12 +19,8 @@
   const stewards = [...vms.values()].flatMap(
     ({ id, role, state, dataCentre, peers }) =>
       role === "steward" && state === "live" && peers !== undefined
-        ? [{ id, dataCentre, peers, weight: weightOf(key, id) }]
+        ? [{ id, dataCentre, peers }]
         : [],
   );
-  return stewards.sort((a, b) => (a.weight < b.weight ? 1 : -1));
-}
-
-function weightOf(key: string, id: string): string {
-  return createHash("sha256").update(`${key}|${id}`).digest("hex");
+  return rankByRendezvous(key, stewards);
 }
--- a/packages/fleet/src/address_book.ts
+++ b/packages/fleet/src/address_book.ts
@@ -1,5 +1,5 @@
+import { rankByRendezvous } from "@lavenderferry/runtime";
 import type { Member } from "./member.ts";
-import { rankByRendezvous } from "./rendezvous.ts";
 
 /** The addresses that callers should use, until a wall deadline. */
 export interface Addresses {
@@ -54,7 +54,7 @@
   entries: readonly Member[],
   { turn, load = () => undefined }: AddressQuery,
 ): readonly Member[] {
-  const fixed = rankByRendezvous("addresses", entries, entries.length);
+  const fixed = rankByRendezvous("addresses", entries);
   const start = fixed.length === 0 ? 0 : turn % fixed.length;
   const turned = [...fixed.slice(start), ...fixed.slice(0, start)];
   const known = turned.flatMap(({ id }) => load(id) ?? []);
--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -1,11 +1,11 @@
 import { shardCount } from "@lavenderferry/ledger";
 import type { CommitResult, Row } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
+import { hashText } from "@lavenderferry/runtime";
 import type { DutyDirectory } from "./duty_directory.ts";
 import type { Candidate, LeaseAction } from "./lease.ts";
 import { Lease } from "./lease.ts";
 import type { Member } from "./member.ts";
-import { hashText } from "./rendezvous.ts";
 
 /** Parts of the recovery of what dead processes left, each a duty. */
 export const recoveryParts = 16;
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -12,4 +12,3 @@
 export * from "./member.ts";
 export * from "./membership.ts";
 export * from "./peer_selection.ts";
-export * from "./rendezvous.ts";
--- a/packages/fleet/src/peer_selection.ts
+++ b/packages/fleet/src/peer_selection.ts
@@ -1,5 +1,5 @@
+import { hashText, rankByRendezvous } from "@lavenderferry/runtime";
 import type { Member } from "./member.ts";
-import { hashText, rankByRendezvous } from "./rendezvous.ts";
 
 /** Peers in the process's own data centre. */
 export const nearPeers = 2;
@@ -35,7 +35,7 @@
       chosen.set(next.id, next);
     }
   }
-  for (const member of rankByRendezvous(self.id, near, near.length)) {
+  for (const member of rankByRendezvous(self.id, near)) {
     if (chosen.size >= nearPeers) {
       break;
     }
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -1,8 +1,8 @@
+import { hashText } from "@lavenderferry/runtime";
 import type { EngineDescription } from "./dispatcher.ts";
 import { Circuit } from "./circuit.ts";
 import { EngineView } from "./engine_view.ts";
 import { KnownPrefixes } from "./known_prefixes.ts";
-import { hashText } from "./rendezvous.ts";
 
 /** All that the adaptive policy keeps of one engine. */
 export class Engine {
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -1,11 +1,4 @@
-/** Hashes a text to 32 bits (FNV-1a). */
-export function hashText(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  }
-  return hash >>> 0;
-}
+import { hashText } from "@lavenderferry/runtime";
 
 /** Returns the item whose hash together with the key's is greatest. */
 export function rendezvous<Item extends { readonly hash: number }>(
--- a/packages/policy/src/rendezvous_test.ts
+++ b/packages/policy/src/rendezvous_test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
-import { hashText, rendezvous } from "./rendezvous.ts";
+import { hashText } from "@lavenderferry/runtime";
+import { rendezvous } from "./rendezvous.ts";
 
 const engines = Array.from({ length: 8 }, (_, index) => ({
   id: `engine-${index}`,
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -88,3 +88,4 @@
 export * from "./peer_clients.ts";
 export * from "./peer_credentials.ts";
 export * from "./peer_server.ts";
+export * from "./to_explain_reply.ts";
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -1,7 +1,9 @@
 /** The parts of a process that every program shares. */
 export * from "./clock.ts";
 export * from "./decisions.ts";
+export * from "./hash_text.ts";
 export * from "./logger.ts";
 export * from "./loop.ts";
 export * from "./process.ts";
 export * from "./random.ts";
+export * from "./rank_by_rendezvous.ts";
--- a/packages/steward/src/fleet/peer_methods.ts
+++ b/packages/steward/src/fleet/peer_methods.ts
@@ -1,5 +1,6 @@
 import type { ExchangeRunner } from "@lavenderferry/fleet";
 import type { PeerMethods } from "@lavenderferry/protocol";
+import { toExplainReply } from "@lavenderferry/protocol";
 import type { Dispatch } from "@lavenderferry/runtime";
 import { systemClock } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
@@ -24,13 +25,9 @@
       dispatch({ kind: "stop_requested" });
       return Promise.resolve({ running: 0 });
     },
-    explain: ({ subject }) =>
-      Promise.resolve({
-        decisions: state.decisions.about(subject).map((decision) => ({
-          ...decision,
-          figures: JSON.stringify(decision.figures),
-          process: state.settings.vm,
-        })),
-      }),
+    explain: ({ subject }) => {
+      const decisions = state.decisions.about(subject);
+      return Promise.resolve(toExplainReply(state.settings.vm, decisions));
+    },
   };
 }
