fix(entry,steward): each run of a process draws its own random numbers

Cause: the seed defaulted to 1 everywhere, so that all processes jittered their retries alike and drew the same candidates. Left out, it follows from the epoch now, and a replay with the epoch draws the same numbers.

--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -21,8 +21,8 @@
   maxBodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576),
   /** Policy of placement; the baselines serve measurements. */
   policy: z.enum(policyNames).default("adaptive"),
-  /** Seed of random choices. */
-  seed: z.int().default(1),
+  /** Seed of random choices; left out: each run of a process has its own. */
+  seed: z.int().optional(),
 });
 
 /** The settings of one entry. */
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -4,7 +4,7 @@
 import type { Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
 import { dispatchers } from "@lavenderferry/policy";
-import { Decisions, Random } from "@lavenderferry/runtime";
+import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import type { Call } from "./calls/call.ts";
 import type { Cancelled, Generation } from "./generations/generation.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -49,11 +49,12 @@
   epoch: string,
   startedAt = 0,
 ): EntryState {
+  const seed = settings.seed ?? hashText(epoch);
   return {
     settings,
     epoch,
     carrier: "",
-    random: new Random(settings.seed),
+    random: new Random(seed),
     timeline: new Timeline(),
     configurationKnown: false,
     vms: new Map(),
@@ -64,9 +65,9 @@
       role: "entry",
       dataCentre: settings.dataCentre,
       region: settings.region,
-      seed: settings.seed,
+      seed,
     }, startedAt),
-    dispatcher: dispatchers[settings.policy](settings.seed),
+    dispatcher: dispatchers[settings.policy](seed),
     generations: new Map(),
     readers: new Map(),
     waiting: new Map(),
--- a/packages/steward/src/settings.ts
+++ b/packages/steward/src/settings.ts
@@ -15,8 +15,8 @@
   operatorKeys: z.record(nameSchema, secretSchema),
   /** Milliseconds between the acceptance of a change and its force. */
   effectiveAfterMs: z.int().min(1_000).max(60_000).default(1_500),
-  /** Seed of random choices. */
-  seed: z.int().default(1),
+  /** Seed of random choices; left out: each run of a process has its own. */
+  seed: z.int().optional(),
 });
 
 /** The settings of one steward. */
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -1,7 +1,7 @@
 import { Timeline } from "@lavenderferry/configuration";
 import { Duties, FleetNode } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
-import { Decisions, Random } from "@lavenderferry/runtime";
+import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import type { StewardSettings } from "./settings.ts";
 import type { SettlementState } from "./settlement/settlement_state.ts";
 import { createSettlementState } from "./settlement/settlement_state.ts";
@@ -52,6 +52,7 @@
   epoch: string,
   startedAt = 0,
 ): StewardState {
+  const seed = settings.seed ?? hashText(epoch);
   return {
     settings,
     epoch,
@@ -66,7 +67,7 @@
       role: "steward",
       dataCentre: settings.dataCentre,
       region: settings.region,
-      seed: settings.seed,
+      seed,
     }, startedAt),
     duties: new Duties({ id: settings.vm, epoch }),
     holding: new Map(),
@@ -75,7 +76,7 @@
     placementAt: 0,
     joinedAt: null,
     stopAt: null,
-    random: new Random(settings.seed),
+    random: new Random(seed),
     decisions: new Decisions(decisionCapacity),
   };
 }
