--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -143,6 +143,7 @@
   return [
     {
       kind: "log",
+      part: "process",
       sentence: "Draining",
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
--- a/packages/entry/src/process/process_effect.ts
+++ b/packages/entry/src/process/process_effect.ts
@@ -37,6 +37,8 @@
   }
   | {
     readonly kind: "log";
+    /** Part of the program, the last word of the prefix. */
+    readonly part: "process";
     readonly sentence: string;
     readonly fields: Readonly<Record<string, string | number | boolean>>;
   }
--- a/packages/entry/src/process/process_runner.ts
+++ b/packages/entry/src/process/process_runner.ts
@@ -1,5 +1,5 @@
 import type { Clock, EffectHandlers } from "@lavenderferry/runtime";
-import { createLogger } from "@lavenderferry/runtime";
+import { createProgramLogger } from "@lavenderferry/runtime";
 import type { EntryEvent } from "../events.ts";
 import type { EntryMetrics } from "./metrics.ts";
 import type { ProcessEffect } from "./process_effect.ts";
@@ -18,7 +18,7 @@
 export function createProcessHandlers(
   { clock, metrics, exit }: ProcessRunnerOptions,
 ): ProcessHandlers {
-  const log = createLogger("entry");
+  const log = createProgramLogger("entry");
   return {
     set_timer: ({ timer, at }, dispatch) => {
       const wait = Math.max(0, at - clock.now().monotonic);
@@ -30,7 +30,7 @@
     observe: ({ histogram, workClass, milliseconds }) => {
       metrics.histograms[histogram].observe({ class: workClass }, milliseconds);
     },
-    log: ({ sentence, fields }) => log(sentence, fields),
+    log: ({ part, sentence, fields }) => log(part, sentence, fields),
     exit: ({ now }) => exit(now),
   };
 }
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -39,6 +39,18 @@
   };
 }
 
+/** Creates a logger that takes the part of a program from each line. */
+export function createProgramLogger(
+  program: string,
+): (part: string, sentence: string, fields: LogFields) => void {
+  const loggers = new Map<string, Logger>();
+  return function logFor(part, sentence, fields) {
+    const log = loggers.get(part) ?? createLogger(`${program}:${part}`);
+    loggers.set(part, log);
+    log(sentence, fields);
+  };
+}
+
 function describe(fields: LogFields): string {
   return Object.entries(fields)
     .filter(([, value]) => value !== undefined)
--- a/packages/runtime/src/logger_test.ts
+++ b/packages/runtime/src/logger_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { configureLogs, createLogger } from "./logger.ts";
+import { configureLogs, createLogger, createProgramLogger } from "./logger.ts";
 
 /** Returns what a function writes to standard error. */
 function capture(run: () => void): string {
@@ -31,6 +31,18 @@
   t.end();
 });
 
+t.test("a program's lines have the prefixes of their parts", (t) => {
+  const log = createProgramLogger("steward");
+  configureLogs("text", "lavenderferry:steward:duties");
+  const line = capture(() => {
+    log("duties", "A duty moved", {});
+    log("fleet", "A member changed", {});
+  });
+  t.match(line, /lavenderferry:steward:duties.* A duty moved/);
+  t.notMatch(line, /A member changed/);
+  t.end();
+});
+
 t.test("a JSON line carries the part, sentence and fields", (t) => {
   const log = createLogger("steward:duties");
   configureLogs("json", "lavenderferry:*");
--- a/packages/steward/src/fleet/duty_part.ts
+++ b/packages/steward/src/fleet/duty_part.ts
@@ -100,7 +100,14 @@
   }
   const holder = fence === null ? "" : state.settings.vm;
   state.fleet.setDuty({ duty, holder, fence: figures.fence }, at);
-  return [{ kind: "log", sentence: "A duty moved", fields: { duty, reason } }];
+  return [
+    {
+      kind: "log",
+      part: "duties",
+      sentence: "A duty moved",
+      fields: { duty, reason },
+    },
+  ];
 }
 
 function toEffect({ duty, action }: DutyAction): StewardEffect {
--- a/packages/steward/src/fleet/exchange_part.ts
+++ b/packages/steward/src/fleet/exchange_part.ts
@@ -66,6 +66,7 @@
     .filter((member) => member.state !== "live")
     .map(({ id, state: phase }) => ({
       kind: "log",
+      part: "fleet",
       sentence: "A member changed",
       fields: { id, state: phase },
     }));
--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -26,6 +26,7 @@
       ...sendDue(state, at),
       {
         kind: "log",
+        part: "operators",
         sentence: "Accepted a change",
         fields: { version, author: configuration.author, effectiveAt },
       },
--- a/packages/steward/src/process/process_effect.ts
+++ b/packages/steward/src/process/process_effect.ts
@@ -10,6 +10,8 @@
   }
   | {
     readonly kind: "log";
+    /** Part of the program, the last word of the prefix. */
+    readonly part: "operators" | "settlement" | "fleet" | "duties";
     readonly sentence: string;
     readonly fields: Readonly<Record<string, string | number>>;
   }
--- a/packages/steward/src/process/process_runner.ts
+++ b/packages/steward/src/process/process_runner.ts
@@ -1,5 +1,5 @@
 import type { Clock, EffectHandlers } from "@lavenderferry/runtime";
-import { createLogger } from "@lavenderferry/runtime";
+import { createProgramLogger } from "@lavenderferry/runtime";
 import type { StewardEvent } from "../events.ts";
 import type { ProcessEffect } from "./process_effect.ts";
 
@@ -14,13 +14,13 @@
 export function createProcessHandlers(
   { clock, exit }: ProcessRunnerOptions,
 ): EffectHandlers<StewardEvent, ProcessEffect> {
-  const log = createLogger("steward");
+  const log = createProgramLogger("steward");
   return {
     set_timer: ({ timer, at }, dispatch) => {
       const wait = Math.max(0, at - clock.now().monotonic);
       setTimeout(() => dispatch({ kind: "timer_fired", timer }), wait);
     },
-    log: ({ sentence, fields }) => log(sentence, fields),
+    log: ({ part, sentence, fields }) => log(part, sentence, fields),
     exit,
   };
 }
--- a/packages/steward/src/settlement/settlement_part.ts
+++ b/packages/steward/src/settlement/settlement_part.ts
@@ -42,6 +42,7 @@
     return [
       {
         kind: "log",
+        part: "settlement",
         sentence: "Settlement failed",
         fields: { shard, reason, message },
       },
@@ -155,6 +156,7 @@
     ? [
       {
         kind: "log",
+        part: "settlement",
         sentence: "Settled usage that was expired or of an unknown class",
         fields: { shard, ...figures },
       },
