--- a/packages/bench/src/relay/main.ts
+++ b/packages/bench/src/relay/main.ts
@@ -78,8 +78,10 @@
     await system.operator().apply(sampleStatement, 0);
     await system.ready();
     await pause(idleMs);
-    printIdle(system);
-    return await runScenarios(system, pipe);
+    printResident(system, "idle");
+    const results = await runScenarios(system, pipe);
+    printResident(system, "loaded");
+    return results;
   } finally {
     await system.stop();
     await Promise.all([source.kill(), pipe.kill()]);
@@ -148,10 +150,11 @@
   return { name, prompt, streams, total, tokens };
 }
 
-function printIdle(system: System): void {
+function printResident(system: System, state: "idle" | "loaded"): void {
   for (const [name, program] of system.programs) {
     const { residentBytes } = readProcessUsage(program.pid);
-    say(`${name} idle: ${(residentBytes / mebibyte).toFixed(1)} MiB resident`);
+    const resident = (residentBytes / mebibyte).toFixed(1);
+    say(`${name} ${state}: ${resident} MiB resident`);
   }
 }
 
--- a/packages/bench/src/relay/source_main.ts
+++ b/packages/bench/src/relay/source_main.ts
@@ -18,8 +18,10 @@
 const server = createServer((request, response) => {
   if (request.url === "/v1/load") {
     sendLoad(response);
-  } else {
+  } else if (request.method === "POST") {
     void stream(request, response);
+  } else {
+    response.writeHead(404).end();
   }
 });
 
