refactor(entry,standins): drop a dead read of call records, one lenient body reader

The reducer never asked for the read_record effect: a lost answer is settled by repeating the commit, whose conflict carries the row. The two stand-ins shared a body reader by copy.

--- a/packages/entry/src/calls/call_effect.ts
+++ b/packages/entry/src/calls/call_effect.ts
@@ -18,9 +18,4 @@
     readonly kind: "commit_record";
     readonly callId: string;
     readonly write: Write;
-  }
-  | {
-    readonly kind: "read_record";
-    readonly callId: string;
-    readonly key: string;
   };
--- a/packages/entry/src/calls/call_event.ts
+++ b/packages/entry/src/calls/call_event.ts
@@ -1,5 +1,5 @@
 import type { NotRun } from "@lavenderferry/errors";
-import type { CommitResult, Row } from "@lavenderferry/platform";
+import type { CommitResult } from "@lavenderferry/platform";
 
 /** A call of a plain service. */
 export interface CallRequested {
@@ -55,9 +55,4 @@
     readonly kind: "record_failed";
     readonly callId: string;
     readonly notRun: NotRun;
-  }
-  | {
-    readonly kind: "record_read";
-    readonly callId: string;
-    readonly row: Row | null;
   };
--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -42,10 +42,6 @@
   call_failed: failCall,
   record_committed: continueCommitted,
   record_failed: retryFailedRecord,
-  record_read: (state, event) => {
-    const call = state.calls.get(event.callId);
-    return call === undefined ? [] : judgeRow(state, call, event);
-  },
 };
 
 /** Tries the running record operation of a call again. */
--- a/packages/entry/src/calls/service_runner.ts
+++ b/packages/entry/src/calls/service_runner.ts
@@ -51,12 +51,6 @@
         },
       );
     },
-    read_record: ({ callId, key }, dispatch) => {
-      this.#platform.read([key], "bookings").then(
-        ([row]) => dispatch({ kind: "record_read", callId, row: row ?? null }),
-        () => dispatch({ kind: "record_failed", callId, notRun: true }),
-      );
-    },
   };
 
   /** Closes all connections. */
--- a/packages/standins/src/engine/engine_server.ts
+++ b/packages/standins/src/engine/engine_server.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
 import { z } from "zod";
-import { listen, readJson, sendJson } from "../util/http_server.ts";
+import { listen, readJsonOrNothing, sendJson } from "../util/http_server.ts";
 import type { EngineGeneration, EngineSizes } from "./engine_model.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders, orderSchema } from "./engine_orders.ts";
@@ -147,7 +147,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const parsed = completionSchema.safeParse(await readBody(request));
+    const parsed = completionSchema.safeParse(await readJsonOrNothing(request));
     if (!parsed.success) {
       refuse(response, 400, "bad_request");
       return;
@@ -215,7 +215,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const parsed = orderSchema.safeParse(await readBody(request));
+    const parsed = orderSchema.safeParse(await readJsonOrNothing(request));
     if (!parsed.success) {
       refuse(response, 400, "bad_request");
       return;
@@ -231,7 +231,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const parsed = reclaimSchema.safeParse(await readBody(request));
+    const parsed = reclaimSchema.safeParse(await readJsonOrNothing(request));
     if (!parsed.success) {
       refuse(response, 400, "bad_request");
       return;
@@ -375,14 +375,6 @@
   };
 }
 
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  try {
-    return await readJson(request);
-  } catch {
-    return undefined;
-  }
-}
-
 function refuse(
   response: ServerResponse,
   status: number,
--- a/packages/standins/src/service/service_server.ts
+++ b/packages/standins/src/service/service_server.ts
@@ -4,7 +4,7 @@
 import { z } from "zod";
 import type { ServiceRun } from "../platform/service_runs.ts";
 import { ServiceRuns, serviceRunSchema } from "../platform/service_runs.ts";
-import { listen, readJson, sendJson } from "../util/http_server.ts";
+import { listen, readJsonOrNothing, sendJson } from "../util/http_server.ts";
 
 /** What a stand-in service is made from. */
 export interface ServiceOptions {
@@ -78,7 +78,7 @@
       refuse(response, 503, "draining");
       return;
     }
-    const parsed = callSchema.safeParse(await readBody(request));
+    const parsed = callSchema.safeParse(await readJsonOrNothing(request));
     if (!parsed.success) {
       refuse(response, 400, "bad_request");
       return;
@@ -133,14 +133,6 @@
   }
 }
 
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  try {
-    return await readJson(request);
-  } catch {
-    return undefined;
-  }
-}
-
 function refuse(
   response: ServerResponse,
   status: number,
--- a/packages/standins/src/util/http_server.ts
+++ b/packages/standins/src/util/http_server.ts
@@ -29,6 +29,17 @@
   return JSON.parse(Buffer.concat(chunks).toString() || "{}");
 }
 
+/** Reads a JSON body; `undefined` when it ends early or is malformed. */
+export async function readJsonOrNothing(
+  request: IncomingMessage,
+): Promise<unknown> {
+  try {
+    return await readJson(request);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Sends a JSON body. */
 export function sendJson(
   response: ServerResponse,
