feat(relay): generations without a copy move when their engine leaves

Cause: a copy's engine may leave before the generation's own; the generation then had none and was cut. Copies at engines that left are given up at once, and the engines move what has no copy. Left: a copy that is not complete refuses the resumption; some moves are late.

--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -2,9 +2,8 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { SourceEvent } from "../relay_event.ts";
-import { resumeFromCopy } from "../requests/answer_part.ts";
-import { pumpBacklogs } from "../requests/place_request.ts";
-import type { RelayedRequest } from "../requests/relayed_request.ts";
+import { beginEvacuation } from "../moves/move_part.ts";
+import { pumpBacklogs, releaseCopy } from "../requests/place_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
 import type { Routing } from "../routing/routing.ts";
 import type { Pool, RelayState } from "../state.ts";
@@ -33,6 +32,9 @@
  */
 const keepMissingMs = 2_500;
 
+/** Why an upstream left that the store no longer lists. */
+const missing = "gone";
+
 /** Takes what the platform's store says. */
 export const sourcePart: EventHandlers<RelayState, SourceEvent, RelayEffect> = {
   routing_learned: (state, { routing, at }) => [
@@ -122,27 +124,35 @@
   if (state.keepMissingUntil === Infinity) {
     state.keepMissingUntil = at.monotonic + keepMissingMs;
   }
-  const listed = new Set(vms.map(({ id }) => id));
-  const missing = [...state.upstreams.values()].filter(({ id }) =>
-    !listed.has(id)
+  const listedIds = new Set(vms.map(({ id }) => id));
+  const absent = [...state.upstreams.values()].filter(({ id }) =>
+    !listedIds.has(id)
   );
-  const keep = at.monotonic < state.keepMissingUntil && missing.length > 0;
+  const keep = at.monotonic < state.keepMissingUntil && absent.length > 0;
   state.unconfirmed = keep ? vms : null;
   const effects: RelayEffect[] = [];
   if (keep) {
     const timer = { kind: "confirm_removals" } as const;
     effects.push({ kind: "set_timer", timer, at: state.keepMissingUntil });
   } else {
-    for (const vm of missing) {
-      effects.push(...leaveUpstream(state, vm.id, { reason: "gone", at }));
+    for (const vm of absent) {
+      effects.push(...leaveUpstream(state, vm.id, { reason: missing, at }));
     }
   }
   const former = state.upstreams;
-  const kept = keep ? missing : missing.filter(({ id }) => isUsed(state, id));
+  const kept = keep ? absent : absent.filter(({ id }) => isUsed(state, id));
   state.upstreams = new Map(
     [...vms, ...kept].map((vm) => [vm.id, vm]),
   );
   state.upstreamsKnown = true;
+  for (const [id, reason] of state.left) {
+    const listed = state.upstreams.get(id);
+    const back = reason === missing && listed?.state === "live" &&
+      listedIds.has(id);
+    if (listed === undefined || back) {
+      state.left.delete(id);
+    }
+  }
   for (const vm of vms) {
     if (!former.has(vm.id)) {
       effects.push(noteUpstream(state, vm, at));
@@ -161,6 +171,10 @@
   id: string,
   { reason, at }: { readonly reason: string; readonly at: Moment },
 ): readonly RelayEffect[] {
+  if (state.left.has(id)) {
+    return [];
+  }
+  state.left.set(id, reason);
   for (const { dispatcher } of state.pools.values()) {
     dispatcher.removeEngine(id);
   }
@@ -172,42 +186,16 @@
     ),
   ];
   for (const request of state.requests.values()) {
+    if (request.copyAt === id) {
+      releaseCopy(state, request, at);
+    }
     if (request.upstream === id && request.phase !== "waiting") {
-      const { exchangeId } = request;
-      const timer = { kind: "evacuate", exchangeId } as const;
-      effects.push({
-        kind: "set_timer",
-        timer,
-        at: evacuationOf(request, at),
-      });
+      effects.push(beginEvacuation(request, at));
     }
   }
   return effects;
 }
 
-/**
- * Milliseconds from a notice until a generation goes on at its copy. Short
- * ones end by themselves in that time, and a young copy becomes complete.
- */
-const evacuateMs = 500;
-
-function evacuationOf(_request: RelayedRequest, at: Moment): number {
-  return at.monotonic + evacuateMs;
-}
-
-/** Moves a generation off an upstream that leaves, where a copy exists. */
-export function evacuate(
-  state: RelayState,
-  exchangeId: string,
-  at: Moment,
-): readonly RelayEffect[] {
-  const request = state.requests.get(exchangeId);
-  if (request === undefined || request.phase === "waiting") {
-    return [];
-  }
-  return resumeFromCopy(state, request, { reason: "leaving", at }) ?? [];
-}
-
 function learnVms(state: RelayState, at: Moment): readonly RelayEffect[] {
   state.fleet.learnVms([...state.upstreams.values(), ...state.members], at);
   return [...applyNews(state, at), ...sendDue(state, at)];
@@ -216,8 +204,7 @@
 /** Offers an upstream to the dispatcher of its service. */
 function admit(state: RelayState, vm: Vm, at: Moment): void {
   const pool = state.pools.get(vm.pool ?? "");
-  const marked = state.fleet.marks.get(vm.id) !== undefined;
-  if (pool === undefined || vm.state !== "live" || marked) {
+  if (pool === undefined || vm.state !== "live" || state.left.has(vm.id)) {
     return;
   }
   const { id, dataCentre, slots } = vm;
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -2,7 +2,7 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { Dispatcher } from "undici";
 import { Pool } from "undici";
-import type { HeaderCodec } from "../ports.ts";
+import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -47,12 +47,18 @@
 export class UpstreamRunner {
   readonly #codec: HeaderCodec;
   readonly #exchanges: CallerExchanges;
+  readonly #copier: GenerationCopier;
   readonly #pools = new Map<string, Pools>();
   readonly #attempts = new Map<string, Attempt>();
 
-  constructor(codec: HeaderCodec, exchanges: CallerExchanges) {
+  constructor(
+    codec: HeaderCodec,
+    exchanges: CallerExchanges,
+    copier: GenerationCopier,
+  ) {
     this.#codec = codec;
     this.#exchanges = exchanges;
+    this.#copier = copier;
   }
 
   /** Handlers of the effects towards upstreams. */
@@ -66,6 +72,12 @@
         attempt.controller?.abort(new Error("The attempt was dropped"));
       }
     },
+    copy_generation: (effect, dispatch) => {
+      const { attemptId, exchangeId } = effect;
+      void this.#copier.copy(effect).then((outcome) =>
+        dispatch({ kind: "generation_copied", attemptId, exchangeId, outcome })
+      );
+    },
     keep_connections: ({ addresses }) => {
       const kept = new Set(addresses);
       for (const [address, { kept: idle, fresh }] of this.#pools) {
--- a/packages/relay/src/mod.ts
+++ b/packages/relay/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./ports.ts";
 export * from "./relay.ts";
 export * from "./relay_effect.ts";
+export * from "./relay_event.ts";
 export * from "./requests/relayed_request.ts";
 export * from "./routing/route_table.ts";
 export * from "./routing/routing.ts";
--- /dev/null
+++ b/packages/relay/src/moves/move_part.ts
@@ -0,0 +1,305 @@
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { RequestEvent } from "../relay_event.ts";
+import {
+  copyOf,
+  endAttempt,
+  pumpBacklogs,
+  refusalOf,
+  releaseCopy,
+  startAttempt,
+  tokensOf,
+} from "../requests/place_request.ts";
+import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
+import type { RelayState } from "../state.ts";
+import { count, decide } from "../util/effects.ts";
+
+type Copied = Extract<RequestEvent, { kind: "generation_copied" }>;
+
+/**
+ * Milliseconds from a notice until a generation goes on at its copy. Short
+ * ones end by themselves in that time, and a young copy becomes complete.
+ */
+const switchMs = 500;
+
+/** Milliseconds until a move that found no engine is tried again. */
+const againMs = 150;
+
+/**
+ * Milliseconds above which a copy is made again before the generation stops:
+ * what was generated meanwhile, and other copies, would make callers wait.
+ */
+const quickCopyMs = 120;
+
+/** Copies that are made while a generation runs on. */
+const maxCopies = 3;
+
+/** Moves generations between engines. */
+export const movePart: EventHandlers<RelayState, Copied, RelayEffect> = {
+  generation_copied: (state, event) => continueMove(state, event),
+};
+
+/** Begins to take a generation off an engine that leaves. */
+export function beginEvacuation(
+  { copyAt, exchangeId }: RelayedRequest,
+  at: Moment,
+): RelayEffect {
+  const wait = copyAt === null ? 0 : switchMs;
+  const timer = { kind: "evacuate", exchangeId } as const;
+  return { kind: "set_timer", timer, at: at.monotonic + wait };
+}
+
+/** Takes a generation off an engine that leaves, to its copy or to a new one. */
+export function evacuate(
+  state: RelayState,
+  exchangeId: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const request = state.requests.get(exchangeId);
+  const leaving = !isOpen(state, request?.upstream ?? "");
+  if (
+    request === undefined || request.phase === "waiting" || !leaving ||
+    request.move !== null
+  ) {
+    return [];
+  }
+  const resumed = request.events === 0
+    ? null
+    : resumeFromCopy(state, request, { reason: "leaving", at });
+  return resumed ??
+    startMove(state, request, { avoid: [], stop: false, at });
+}
+
+/**
+ * Goes on with a generation at the engine that keeps a copy of its memory.
+ * The former attempt's connection is closed first, so that its engine stops.
+ */
+export function resumeFromCopy(
+  state: RelayState,
+  request: RelayedRequest,
+  { reason, at }: { readonly reason: string; readonly at: Moment },
+): readonly RelayEffect[] | null {
+  const { copyAt, lastEventId, requestId } = request;
+  const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
+  if (copyAt === null || vm === undefined) {
+    return null;
+  }
+  const resumption = { address: vm.address, handle: requestId, lastEventId };
+  const ending = reason === "leaving" ? "cancelled" : "failed";
+  return resume(state, request, { to: copyAt, resumption, reason, ending, at });
+}
+
+function resume(
+  state: RelayState,
+  request: RelayedRequest,
+  options: {
+    readonly to: string;
+    readonly resumption: {
+      readonly address: string;
+      readonly handle: string;
+      readonly lastEventId: string | null;
+    };
+    readonly reason: string;
+    readonly ending: "cancelled" | "failed";
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { to: upstream, resumption, reason, ending, at } = options;
+  const { upstream: from, events, requestId, lastEventId } = request;
+  const dropped = endAttempt(state, request, { ending, at });
+  const figures = { from, upstream, events, after: lastEventId ?? "" };
+  return [
+    decide(state, { kind: "resume", subject: requestId, reason, figures }, at),
+    count("resumptions", reason),
+    ...dropped,
+    ...startAttempt(state, request, { upstream, resumption, at }),
+  ];
+}
+
+function startMove(
+  state: RelayState,
+  request: RelayedRequest,
+  { avoid, stop, at }: {
+    readonly avoid: readonly string[];
+    readonly stop: boolean;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { exchangeId, service, upstream, demand, attemptId } = request;
+  const pool = state.pools.get(service);
+  const source = state.upstreams.get(upstream);
+  if (pool?.service.engines?.moves !== true || source === undefined) {
+    return [];
+  }
+  const done = tokensOf(pool, request);
+  const to = request.events === 0 ? null : pool.dispatcher.transfer({
+    ...demand,
+    promptTokens: demand.promptTokens + done,
+    avoid: [...avoid, upstream],
+  }, at);
+  const target = state.upstreams.get(to ?? "");
+  if (to === null || target === undefined) {
+    // Nothing was generated yet, or no engine has room: both may change.
+    const timer = { kind: "evacuate", exchangeId } as const;
+    return [{ kind: "set_timer", timer, at: at.monotonic + againMs }];
+  }
+  const generationId = copyOf(attemptId);
+  releaseCopy(state, request, at);
+  pool.dispatcher.sent({ generationId, engine: to, demand }, at);
+  pool.dispatcher.progressed(generationId, done, at);
+  const move: Move = {
+    to,
+    phase: stop ? "stopping" : "copying",
+    askedAt: at.monotonic,
+    copies: 1,
+    avoid,
+  };
+  request.move = move;
+  const figures = { from: upstream, upstream: to, events: request.events, stop };
+  return [
+    decide(state, {
+      kind: "choose",
+      subject: request.requestId,
+      reason: "move",
+      figures,
+    }, at),
+    askForCopy(state, request, move),
+  ];
+}
+
+function askForCopy(
+  state: RelayState,
+  request: RelayedRequest,
+  { to, phase }: Move,
+): RelayEffect {
+  const { attemptId, exchangeId, requestId, upstream } = request;
+  return {
+    kind: "copy_generation",
+    attemptId,
+    exchangeId,
+    requestId,
+    from: state.upstreams.get(upstream)?.address ?? "",
+    to: state.upstreams.get(to)?.address ?? "",
+    stop: phase === "stopping",
+  };
+}
+
+function continueMove(
+  state: RelayState,
+  event: Timed<Copied>,
+): readonly RelayEffect[] {
+  const { exchangeId, attemptId, outcome, at } = event;
+  const request = state.requests.get(exchangeId);
+  const move = request?.move ?? null;
+  if (
+    request === undefined || move === null || request.attemptId !== attemptId
+  ) {
+    return [];
+  }
+  switch (outcome.kind) {
+    case "copied":
+      return move.phase === "stopping"
+        ? goOn(state, request, { move, handle: outcome.handle, at })
+        : copyAgain(state, request, { move, at });
+    case "no_room": {
+      const avoid = [...move.avoid, move.to];
+      if (outcome.handle !== null && move.avoid.length >= maxCopies) {
+        return goOnAtSource(state, request, { handle: outcome.handle, at });
+      }
+      const stop = move.phase === "stopping";
+      request.move = null;
+      return startMove(state, request, { avoid, stop, at });
+    }
+    case "busy": {
+      const timer = { kind: "evacuate", exchangeId } as const;
+      request.move = null;
+      return [{ kind: "set_timer", timer, at: at.monotonic + againMs }];
+    }
+    case "not_running":
+    case "unknown":
+      return loseMove(state, request, { move, reason: outcome.kind, at });
+  }
+}
+
+/** Stops the generation once what is left to copy is little. */
+function copyAgain(
+  state: RelayState,
+  request: RelayedRequest,
+  { move, at }: { readonly move: Move; readonly at: Moment },
+): readonly RelayEffect[] {
+  const quick = at.monotonic - move.askedAt <= quickCopyMs;
+  const next: Move = {
+    ...move,
+    phase: quick || move.copies >= maxCopies ? "stopping" : "copying",
+    askedAt: at.monotonic,
+    copies: move.copies + 1,
+  };
+  request.move = next;
+  return [askForCopy(state, request, next)];
+}
+
+function goOn(
+  state: RelayState,
+  request: RelayedRequest,
+  { move, handle, at }: {
+    readonly move: Move;
+    readonly handle: string;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { lastEventId, upstream } = request;
+  const address = state.upstreams.get(upstream)?.address ?? "";
+  const resumption = { address, handle, lastEventId };
+  const reason = "moved";
+  const ending = "cancelled";
+  return resume(state, request, { to: move.to, resumption, reason, ending, at });
+}
+
+/** An engine that stopped a generation can go on with it itself. */
+function goOnAtSource(
+  state: RelayState,
+  request: RelayedRequest,
+  { handle, at }: { readonly handle: string; readonly at: Moment },
+): readonly RelayEffect[] {
+  const { lastEventId, upstream: to } = request;
+  const address = state.upstreams.get(to)?.address ?? "";
+  const resumption = { address, handle, lastEventId };
+  const reason = "no_room";
+  const ending = "cancelled";
+  return resume(state, request, { to, resumption, reason, ending, at });
+}
+
+/** A generation that was not told to stop runs on; another one is lost. */
+function loseMove(
+  state: RelayState,
+  request: RelayedRequest,
+  { move, reason, at }: {
+    readonly move: Move;
+    readonly reason: string;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { requestId, upstream, events } = request;
+  const figures = { upstream, to: move.to, events, phase: move.phase };
+  const decision = { subject: requestId, reason: "copy_failed", figures };
+  if (move.phase === "copying") {
+    releaseCopy(state, request, at);
+    return [
+      decide(state, { ...decision, kind: "retry", reason }, at),
+      count("retries", reason),
+    ];
+  }
+  const dropped = endAttempt(state, request, { ending: "failed", at });
+  state.requests.delete(request.exchangeId);
+  return [
+    decide(state, { ...decision, kind: "drop" }, at),
+    ...dropped,
+    ...refusalOf(request, { error: "generation_lost", notRun: false }),
+    ...pumpBacklogs(state, at),
+  ];
+}
+
+/** Whether an upstream is listed and takes new work. */
+export function isOpen(state: RelayState, id: string): boolean {
+  return state.upstreams.get(id)?.state === "live" && !state.left.has(id);
+}
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ChangeFeed, Json, Table, Vm } from "@lavenderferry/platform";
 import type { Resumption } from "./relay_effect.ts";
+import type { CopyOutcome } from "./relay_event.ts";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
 
@@ -45,6 +46,20 @@
   writeFailure(retryAfterMs: number | null): string[];
 }
 
+/** Asks engines to copy the memory of the generations that they run. */
+export interface GenerationCopier {
+  /** Resolves once the copy is complete or failed; never rejects. */
+  copy(copy: {
+    /** Address of the engine that runs the generation. */
+    readonly from: string;
+    /** Address of the engine that takes the copy. */
+    readonly to: string;
+    readonly requestId: string;
+    /** Stops the generation first. */
+    readonly stop: boolean;
+  }): Promise<CopyOutcome>;
+}
+
 /** A caller's question for addresses. */
 export interface AddressQuestion {
   readonly dataCentre: string;
@@ -77,5 +92,6 @@
   readonly rows: RowCodec;
   readonly headers: HeaderCodec;
   readonly addresses: AddressCodec;
+  readonly copier: GenerationCopier;
   readonly readinessPath: string;
 }
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -1,6 +1,7 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import { exchange, sendDue } from "../fleet/exchange_part.ts";
-import { evacuate, learnUpstreams } from "../fleet/source_part.ts";
+import { learnUpstreams } from "../fleet/source_part.ts";
+import { evacuate } from "../moves/move_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
 import { pumpBacklogs } from "../requests/place_request.ts";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -53,7 +53,7 @@
     reduce: reduceRelay,
     handlers: {
       ...callers.handlers,
-      ...new UpstreamRunner(ports.headers, callers).handlers,
+      ...new UpstreamRunner(ports.headers, callers, ports.copier).handlers,
       ...new SourceRunner(ports, settings).handlers,
       ...exchanges.handlers,
       ...createProcessHandlers({
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -39,6 +39,17 @@
     readonly resumption: Resumption | null;
   }
   | { readonly kind: "drop_attempt"; readonly attemptId: string }
+  | {
+    /** Copies a running generation's memory to another engine. */
+    readonly kind: "copy_generation";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    readonly requestId: string;
+    readonly from: string;
+    readonly to: string;
+    /** Stops the generation first. */
+    readonly stop: boolean;
+  }
   | {
     /** Closes idle connections to upstreams that are gone. */
     readonly kind: "keep_connections";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -45,6 +45,17 @@
   readonly arrivedAt: number;
 }
 
+/** What became of a copy of a generation's memory. */
+export type CopyOutcome =
+  | { readonly kind: "copied"; readonly handle: string }
+  /** The engine runs no such generation. */
+  | { readonly kind: "not_running" }
+  /** Another copy is on its way. */
+  | { readonly kind: "busy" }
+  /** No room there, or not reached; a stopped one is kept at its engine. */
+  | { readonly kind: "no_room"; readonly handle: string | null }
+  | { readonly kind: "unknown" };
+
 /** Events of requests and their attempts. */
 export type RequestEvent =
   | RequestReceived
@@ -68,6 +79,12 @@
     readonly exchangeId: string;
     readonly answer: Answer;
   }
+  | {
+    readonly kind: "generation_copied";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    readonly outcome: CopyOutcome;
+  }
   | {
     /** Whole events of a stream. */
     readonly kind: "events_received";
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -2,6 +2,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import type { RelayState } from "../state.ts";
+import { movePart, resumeFromCopy } from "../moves/move_part.ts";
 import { count, decide } from "../util/effects.ts";
 import {
   copyOf,
@@ -10,7 +11,6 @@
   placeRequest,
   pumpBacklogs,
   refusalOf,
-  startAttempt,
   tokensOf,
 } from "./place_request.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
@@ -37,6 +37,7 @@
   >,
   RelayEffect
 > = {
+  ...movePart,
   attempt_refused: retryRefused,
   attempt_failed: recoverFailed,
   answer_received: passAnswer,
@@ -159,7 +160,8 @@
   const { upstream, requestId, runs, sends, demand, resumed } = request;
   const pool = state.pools.get(request.service);
   endAttempt(state, request, { ending: "refused", at });
-  if (reason === "misdirected") {
+  if (reason !== "not_executed") {
+    // The next list of upstreams opens it again if it is still there.
     pool?.dispatcher.removeEngine(upstream);
   }
   const figures = { upstream, sends, runs };
@@ -199,6 +201,10 @@
     return [];
   }
   const { at, reason } = event;
+  if (request.move?.phase === "stopping") {
+    // The engine closes the stream of a generation that it was told to stop.
+    return [];
+  }
   const resumption = resumeFromCopy(state, request, { reason, at });
   if (resumption !== null) {
     return resumption;
@@ -240,29 +246,3 @@
     at.monotonic < deadline &&
     state.pools.get(service)?.repeats.available === true;
 }
-
-/**
- * Goes on with a generation at the engine that keeps a copy of its memory.
- * The former attempt's connection is closed first, so that its engine stops.
- */
-export function resumeFromCopy(
-  state: RelayState,
-  request: RelayedRequest,
-  { reason, at }: { readonly reason: string; readonly at: Moment },
-): readonly RelayEffect[] | null {
-  const { copyAt, upstream: from, lastEventId, requestId, events } = request;
-  const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
-  const marked = state.fleet.marks.get(copyAt ?? "") !== undefined;
-  if (copyAt === null || vm === undefined || marked) {
-    return null;
-  }
-  const dropped = endAttempt(state, request, { ending: "cancelled", at });
-  const resumption = { address: vm.address, handle: requestId, lastEventId };
-  const figures = { from, upstream: copyAt, events, after: lastEventId ?? "" };
-  return [
-    decide(state, { kind: "resume", subject: requestId, reason, figures }, at),
-    count("resumptions", reason),
-    ...dropped,
-    ...startAttempt(state, request, { upstream: copyAt, resumption, at }),
-  ];
-}
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -84,13 +84,24 @@
   const { attemptId } = request;
   const dispatcher = state.pools.get(request.service)?.dispatcher;
   dispatcher?.ended(attemptId, ending, at);
-  dispatcher?.ended(copyOf(attemptId), "cancelled", at);
-  request.copyAt = null;
+  releaseCopy(state, request, at);
   return ending === "finished" || ending === "refused"
     ? []
     : [{ kind: "drop_attempt", attemptId }];
 }
 
+/** Gives up the copy of a generation's memory, or the move to one. */
+export function releaseCopy(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): void {
+  const dispatcher = state.pools.get(request.service)?.dispatcher;
+  dispatcher?.ended(copyOf(request.attemptId), "cancelled", at);
+  request.copyAt = null;
+  request.move = null;
+}
+
 /** Tells the caller of a failure, as far as the answer has not begun. */
 export function refusalOf(
   request: RelayedRequest,
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -23,6 +23,26 @@
 /** One of the phases of a relayed request. */
 export type RequestPhase = keyof typeof requestPhases;
 
+/** How far a generation is on its way to another engine. */
+export const movePhases = {
+  /** Its memory is copied while it runs on. */
+  copying: "copying",
+  /** It was told to stop; what is new of its memory is copied. */
+  stopping: "stopping",
+} as const;
+
+/** A generation that is moved off an engine that leaves. */
+export interface Move {
+  readonly to: string;
+  readonly phase: keyof typeof movePhases;
+  /** Monotonic milliseconds at which the current copy was asked for. */
+  readonly askedAt: number;
+  /** Copies asked for so far. */
+  readonly copies: number;
+  /** Engines that had no room. */
+  readonly avoid: readonly string[];
+}
+
 /** One request on its way between a caller and an upstream. */
 export interface RelayedRequest {
   /** Names the caller's exchange within this process. */
@@ -47,6 +67,8 @@
   lastEventId: string | null;
   /** Upstream that keeps a copy of the generation's memory. */
   copyAt: string | null;
+  /** How it leaves its engine; `null`: it stays. */
+  move: Move | null;
   /** Whether the current attempt goes on from a copy. */
   resumed: boolean;
   /** Monotonic milliseconds of the last progress of the answer. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -165,6 +165,7 @@
     events: 0,
     lastEventId: null,
     copyAt: null,
+    move: null,
     resumed: false,
     progressedAt: arrivedAt,
   };
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -40,8 +40,10 @@
   models: z.array(z.string()),
   /** Tokens in one event of a stream. */
   tokensPerEvent: z.number(),
-  /** Whether an engine can copy a generation's memory while it runs. */
+  /** Whether engines keep copies of the memory of others' generations. */
   copies: z.boolean(),
+  /** Whether engines move the memory of generations on request. */
+  moves: z.boolean(),
 });
 
 /** Schema of a service: upstreams that serve the same requests. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -32,6 +32,8 @@
   /** Upstreams that take work or that run some, by id. */
   upstreams: ReadonlyMap<string, Vm>;
   upstreamsKnown: boolean;
+  /** Why upstreams take no new work, while they are remembered. */
+  readonly left: Map<string, string>;
   members: readonly Vm[];
   membersKnown: boolean;
   /** Monotonic milliseconds until which missing upstreams are kept. */
@@ -75,6 +77,7 @@
     pools: new Map(),
     upstreams: new Map(),
     upstreamsKnown: false,
+    left: new Map(),
     members: [],
     membersKnown: false,
     keepMissingUntil: 0,
