feat(relay): a copy is used once complete; moves stop sooner

Cause: resumptions at copies under 0.7 s old were refused and lost; moves made two copies and the second waited behind others until the engine was gone.

--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -19,6 +19,7 @@
   PlacementReason,
   Release,
   Sent,
+  TransferOptions,
 } from "./dispatcher.ts";
 import { DrainRate } from "./drain_rate.ts";
 import type { Engine } from "./engine.ts";
@@ -203,9 +204,14 @@
     return releases;
   }
 
-  transfer(demand: Demand, at: Moment): string | null {
+  transfer(demand: Demand, { at, near }: TransferOptions): string | null {
     const estimate = this.#estimator.estimate(demand);
-    return this.#choose(demand, estimate, at)?.engine ?? null;
+    const context = { estimate, at };
+    const { engines } = this.#engines.serving(demand.model);
+    const nearby = engines.filter((each) => each.dataCentre === near);
+    const best = this.#best(nearby, demand, context) ??
+      this.#best(engines, demand, context);
+    return best?.engine.id ?? null;
   }
 
   sent({ generationId, engine: id, demand }: Sent, at: Moment): void {
@@ -291,17 +297,9 @@
   }
 
   #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
-    const serving = this.#engines.serving(demand.model).engines;
-    const { avoid = [] } = demand;
-    const engines = avoid.length === 0
-      ? serving
-      : serving.filter(({ id }) => !avoid.includes(id));
-    const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
-    const candidates = candidatesOf(engines, this.#random, prefix)
-      .map((engine) => this.#weigh(engine, demand, { estimate, at }))
-      .filter((each) => each !== null);
-    const best = candidates.sort((a, b) => a.score - b.score)[0];
-    if (best === undefined) {
+    const { engines } = this.#engines.serving(demand.model);
+    const best = this.#best(engines, demand, { estimate, at });
+    if (best === null) {
       return null;
     }
     const { engine, risk, cachedBlocks } = best;
@@ -320,6 +318,22 @@
     };
   }
 
+  #best(
+    serving: readonly Engine[],
+    demand: Demand,
+    context: { readonly estimate: Estimate; readonly at: Moment },
+  ): Candidate | null {
+    const { avoid = [] } = demand;
+    const engines = avoid.length === 0
+      ? serving
+      : serving.filter(({ id }) => !avoid.includes(id));
+    const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
+    const candidates = candidatesOf(engines, this.#random, prefix)
+      .map((engine) => this.#weigh(engine, demand, context))
+      .filter((each) => each !== null);
+    return candidates.sort((a, b) => a.score - b.score)[0] ?? null;
+  }
+
   #weigh(
     engine: Engine,
     demand: Demand,
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -161,7 +161,7 @@
    * Chooses an engine with room for work that runs elsewhere, now or not at
    * all; what waits is not asked.
    */
-  transfer(demand: Demand, at: Moment): string | null;
+  transfer(demand: Demand, options: TransferOptions): string | null;
   /** Notes that a generation was sent as placed. */
   sent(sent: Sent, at: Moment): void;
   /** Notes that tokens arrived; the count is since the start. */
@@ -170,6 +170,13 @@
   ended(generationId: string, ending: Ending, at: Moment): void;
 }
 
+/** How an engine is chosen for work that runs elsewhere. */
+export interface TransferOptions {
+  readonly at: Moment;
+  /** Data centre whose engines go first. */
+  readonly near?: string;
+}
+
 /** Prefix digests that an engine's cache gained and lost. */
 export interface CacheChange {
   readonly stored: readonly string[];
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -7,6 +7,7 @@
 /** All that the adaptive policy keeps of one engine. */
 export class Engine {
   readonly id: string;
+  readonly dataCentre: string;
   readonly hash: number;
   readonly view: EngineView;
   readonly circuit = new Circuit();
@@ -16,6 +17,7 @@
 
   constructor(description: EngineDescription, lagCorrection: boolean) {
     this.id = description.id;
+    this.dataCentre = description.dataCentre;
     this.hash = hashText(description.id);
     this.view = new EngineView(lagCorrection);
   }
--- a/packages/policy/src/slot_dispatcher.ts
+++ b/packages/policy/src/slot_dispatcher.ts
@@ -13,6 +13,7 @@
   Placement,
   Release,
   Sent,
+  TransferOptions,
 } from "./dispatcher.ts";
 
 /** Slots of an upstream that does not state any. */
@@ -219,7 +220,7 @@
     return releases;
   }
 
-  transfer(demand: Demand, at: Moment): string | null {
+  transfer(demand: Demand, { at }: TransferOptions): string | null {
     return this.#choose(demand, at)?.engine ?? null;
   }
 
--- a/packages/policy/src/unqueued_dispatcher.ts
+++ b/packages/policy/src/unqueued_dispatcher.ts
@@ -11,6 +11,7 @@
   Placement,
   Release,
   Sent,
+  TransferOptions,
 } from "./dispatcher.ts";
 
 /** What a baseline without a backlog does not need to know. */
@@ -48,7 +49,7 @@
     return [];
   }
 
-  transfer(demand: Demand, at: Moment): string | null {
+  transfer(demand: Demand, { at }: TransferOptions): string | null {
     const placement = this.place(demand, at);
     return placement.kind === "dispatch" ? placement.engine : null;
   }
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -18,21 +18,37 @@
 
 /**
  * Milliseconds from a notice until a generation goes on at its copy. Short
- * ones end by themselves in that time, and a young copy becomes complete.
+ * ones end by themselves in that time.
  */
-const switchMs = 500;
+const switchMs = 300;
+
+/**
+ * Milliseconds from the first event until a copy is complete: a prompt of
+ * 4,000 tokens takes a quarter of a second on one link, twice that between
+ * data centres.
+ */
+const copyMs = 900;
+
+/**
+ * Milliseconds from a notice after which an incomplete copy is used all the
+ * same: engines that are reclaimed run on for one and a half seconds or more.
+ */
+const patienceMs = 1_000;
 
 /** Milliseconds until a move that found no engine is tried again. */
 const againMs = 150;
 
 /**
- * Milliseconds above which a copy is made again before the generation stops:
- * what was generated meanwhile, and other copies, would make callers wait.
+ * Milliseconds from a notice within which a copy is made again before the
+ * generation stops: what was generated since makes callers wait.
  */
-const quickCopyMs = 120;
+const recopyMs = 600;
 
 /** Copies that are made while a generation runs on. */
-const maxCopies = 3;
+const maxCopies = 2;
+
+/** Milliseconds below which a copy left next to nothing to copy again. */
+const quickCopyMs = 120;
 
 /** Moves generations between engines. */
 export const movePart: EventHandlers<RelayState, Copied, RelayEffect> = {
@@ -41,12 +57,18 @@
 
 /** Begins to take a generation off an engine that leaves. */
 export function beginEvacuation(
-  { copyAt, exchangeId }: RelayedRequest,
+  request: RelayedRequest,
   at: Moment,
 ): RelayEffect {
-  const wait = copyAt === null ? 0 : switchMs;
+  const { copyAt, exchangeId, firstEventAt } = request;
+  const now = at.monotonic;
+  request.noticedAt = now;
+  const complete = (firstEventAt ?? now) + copyMs;
+  const due = copyAt === null
+    ? now
+    : Math.min(now + patienceMs, Math.max(now + switchMs, complete));
   const timer = { kind: "evacuate", exchangeId } as const;
-  return { kind: "set_timer", timer, at: at.monotonic + wait };
+  return { kind: "set_timer", timer, at: due };
 }
 
 /** Takes a generation off an engine that leaves, to its copy or to a new one. */
@@ -136,7 +158,7 @@
     ...demand,
     promptTokens: demand.promptTokens + done,
     avoid: [...avoid, upstream],
-  }, at);
+  }, { near: source.dataCentre, at });
   const target = state.upstreams.get(to ?? "");
   if (to === null || target === undefined) {
     // Nothing was generated yet, or no engine has room: both may change.
@@ -227,10 +249,12 @@
   request: RelayedRequest,
   { move, at }: { readonly move: Move; readonly at: Moment },
 ): readonly RelayEffect[] {
-  const quick = at.monotonic - move.askedAt <= quickCopyMs;
+  const now = at.monotonic;
+  const stop = now - move.askedAt <= quickCopyMs || move.copies >= maxCopies ||
+    now - request.noticedAt >= recopyMs;
   const next: Move = {
     ...move,
-    phase: quick || move.copies >= maxCopies ? "stopping" : "copying",
+    phase: stop ? "stopping" : "copying",
     askedAt: at.monotonic,
     copies: move.copies + 1,
   };
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -111,6 +111,7 @@
     const route = request.route.name;
     effects.push({ kind: "observe", route, milliseconds });
   }
+  request.firstEventAt ??= at.monotonic;
   request.events += event.count;
   request.lastEventId = lastEventId ?? request.lastEventId;
   request.progressedAt = at.monotonic;
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -135,6 +135,7 @@
   request.sends += 1;
   request.resumed = resumption !== null;
   request.progressedAt = at.monotonic;
+  request.firstEventAt = null;
   if (request.phase === "waiting") {
     request.phase = "sent";
   }
@@ -187,7 +188,7 @@
     return null;
   }
   const avoid = [...(demand.avoid ?? []), upstream];
-  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, at);
+  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, { at });
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
   if (copyAt === null || vm === undefined) {
     return null;
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -71,6 +71,10 @@
   move: Move | null;
   /** Whether the current attempt goes on from a copy. */
   resumed: boolean;
+  /** Monotonic milliseconds of the current attempt's first event. */
+  firstEventAt: number | null;
+  /** Monotonic milliseconds at which the upstream was known to leave. */
+  noticedAt: number;
   /** Monotonic milliseconds of the last progress of the answer. */
   progressedAt: number;
 }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -166,6 +166,8 @@
     lastEventId: null,
     copyAt: null,
     move: null,
+    firstEventAt: null,
+    noticedAt: 0,
     resumed: false,
     progressedAt: arrivedAt,
   };
