--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -32,6 +32,12 @@
  */
 const keepMissingMs = 2_500;
 
+/**
+ * Milliseconds of an outage from which on live upstreams may be missing: they
+ * state themselves about every second, and are dropped after three of them.
+ */
+const leastOutageMs = 1_000;
+
 /** Why an upstream left that the store no longer lists. */
 const missing = "gone";
 
@@ -52,7 +58,7 @@
     again("follow_upstreams", followMs(state), at),
   ],
   upstreams_failed: (state, { error, at }) => {
-    state.keepMissingUntil = Infinity;
+    state.sourceLostAt ??= at.monotonic;
     const wait = state.random.jitter(retryMs, jitterShare);
     return [count("retries", error), again("follow_upstreams", wait, at)];
   },
@@ -121,7 +127,9 @@
   vms: readonly Vm[],
   at: Moment,
 ): readonly RelayEffect[] {
-  if (state.keepMissingUntil === Infinity) {
+  const outageMs = at.monotonic - (state.sourceLostAt ?? at.monotonic);
+  state.sourceLostAt = null;
+  if (outageMs >= leastOutageMs) {
     state.keepMissingUntil = at.monotonic + keepMissingMs;
   }
   const listedIds = new Set(vms.map(({ id }) => id));
@@ -135,8 +143,10 @@
     const timer = { kind: "confirm_removals" } as const;
     effects.push({ kind: "set_timer", timer, at: state.keepMissingUntil });
   } else {
-    for (const vm of absent) {
-      effects.push(...leaveUpstream(state, vm.id, { reason: missing, at }));
+    for (const { id } of absent) {
+      effects.push(...leaveUpstream(state, id, { reason: missing, at }));
+      // Tells peers that keep missing upstreams after an outage of their own.
+      state.fleet.mark(id, { reason: missing, at });
     }
   }
   const former = state.upstreams;
@@ -160,8 +170,6 @@
     admit(state, vm, at);
   }
   effects.push(...learnVms(state, at));
-  const addresses = [...state.upstreams.values()].map((vm) => vm.address);
-  effects.push({ kind: "keep_connections", addresses });
   return [...effects, ...pumpBacklogs(state, at)];
 }
 
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -1,7 +1,6 @@
-import type { IncomingHttpHeaders } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import { Agent, request as sendRequest } from "node:http";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
-import type { Dispatcher } from "undici";
-import { Pool } from "undici";
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
@@ -14,42 +13,44 @@
 /** Milliseconds that a connection is kept idle where the upstream says none. */
 const idleMs = 2_000;
 
-/** Milliseconds before an upstream's stated limit at which one is given up. */
-const idleMarginMs = 1_000;
-
-/** Connections of one process to one upstream. */
-const maxConnections = 64;
+/** Idle connections of one process to one upstream. */
+const maxIdleConnections = 8;
 
 /** Largest whole answer, in bytes. */
 const maxAnswerBytes = 8_388_608;
 
-/** Lowest status of a final answer. */
-const firstFinalStatus = 200;
+/** Status of an upstream that another one has the address of. */
+const misdirectedStatus = 421;
+
+/** Status of an answer whose events are passed on as they come. */
+const streamStatus = 200;
 
 /** Statuses that promise callers that a request has not run. */
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 type SendRequest = Extract<UpstreamEffect, { kind: "send_request" }>;
 
-interface Pools {
-  /** Connections that are kept after an answer. */
-  readonly kept: Pool;
-  /** Connections for one request each. */
-  readonly fresh: Pool;
-}
-
 interface Attempt {
-  controller: Dispatcher.DispatchController | null;
+  readonly request: ClientRequest;
   dropped: boolean;
 }
 
-/** Sends requests to upstreams and reads their answers. */
+/**
+ * Sends requests to upstreams and reads their answers. It is built on Node's
+ * own client, which tells an answer that was cut from one that is whole also
+ * where the answer has no length or the connection is not kept.
+ */
 export class UpstreamRunner {
   readonly #codec: HeaderCodec;
   readonly #exchanges: CallerExchanges;
   readonly #copier: GenerationCopier;
-  readonly #pools = new Map<string, Pools>();
   readonly #attempts = new Map<string, Attempt>();
+  /** Keeps connections for requests that may be repeated. */
+  readonly #kept = new Agent({
+    keepAlive: true,
+    maxFreeSockets: maxIdleConnections,
+    timeout: idleMs,
+  });
 
   constructor(
     codec: HeaderCodec,
@@ -69,7 +70,7 @@
       this.#attempts.delete(attemptId);
       if (attempt !== undefined) {
         attempt.dropped = true;
-        attempt.controller?.abort(new Error("The attempt was dropped"));
+        attempt.request.destroy();
       }
     },
     copy_generation: (effect, dispatch) => {
@@ -78,16 +79,6 @@
         dispatch({ kind: "generation_copied", attemptId, exchangeId, outcome })
       );
     },
-    keep_connections: ({ addresses }) => {
-      const kept = new Set(addresses);
-      for (const [address, { kept: idle, fresh }] of this.#pools) {
-        if (!kept.has(address)) {
-          this.#pools.delete(address);
-          // Closing waits for what still runs on the connections.
-          void Promise.allSettled([idle.close(), fresh.close()]);
-        }
-      }
-    },
   };
 
   #send(effect: SendRequest, dispatch: Dispatch<RelayEvent>): void {
@@ -97,10 +88,22 @@
       dispatch({ kind: "request_left", exchangeId });
       return;
     }
-    const attempt: Attempt = { controller: null, dropped: false };
+    const { method = "GET", url = "/" } = exchange.request;
+    const end = target.address.lastIndexOf(":");
+    const reusable = method === "GET" && !streaming;
+    const request = sendRequest({
+      host: target.address.slice(0, end),
+      port: Number(target.address.slice(end + 1)),
+      method,
+      path: url,
+      // The types name an object only, but Node takes names and values in turn.
+      headers: this.#headersOf(effect, exchange) as never,
+      agent: reusable ? this.#kept : false,
+      setHost: false,
+    });
+    const attempt: Attempt = { request, dropped: false };
     this.#attempts.set(attemptId, attempt);
-    const { method = "GET" } = exchange.request;
-    const reader = new AnswerReader({
+    new AnswerReader({
       attemptId,
       exchangeId,
       streaming,
@@ -109,49 +112,25 @@
       attempt,
       dispatch,
       finished: () => this.#attempts.delete(attemptId),
-    });
-    const pools = this.#poolsOf(target.address);
-    const reusable = method === "GET" && !streaming;
-    (reusable ? pools.kept : pools.fresh).dispatch({
-      method: method as Dispatcher.HttpMethod,
-      path: exchange.request.url ?? "/",
-      headers: this.#headersOf(effect, exchange),
-      body: exchange.body.length === 0 ? null : exchange.body,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    }, reader);
+    }).read(request);
+    request.end(exchange.body);
   }
 
-  #headersOf(effect: SendRequest, { request }: CallerExchange): string[] {
+  #headersOf(effect: SendRequest, exchange: CallerExchange): string[] {
     const { target, workspace, deadline, copyTo, resumption } = effect;
+    const { request, body } = exchange;
     const remainingMs = Math.max(1, Math.floor(deadline - performance.now()));
-    return this.#codec.writeAttempt(request.rawHeaders, {
+    const headers = this.#codec.writeAttempt(request.rawHeaders, {
       instance: target.instance,
       workspace,
       remainingMs,
       copyTo,
       resumption,
     });
-  }
-
-  #poolsOf(address: string): Pools {
-    const known = this.#pools.get(address);
-    if (known !== undefined) {
-      return known;
+    if (body.length > 0 || request.method !== "GET") {
+      headers.push("Content-Length", String(body.length));
     }
-    const origin = `http://${address}`;
-    const options = {
-      connections: maxConnections,
-      connect: { timeout: connectMs, noDelay: true },
-      keepAliveTimeout: idleMs,
-      keepAliveTimeoutThreshold: idleMarginMs,
-    };
-    const pools = {
-      kept: new Pool(origin, options),
-      fresh: new Pool(origin, { ...options, pipelining: 0 }),
-    };
-    this.#pools.set(address, pools);
-    return pools;
+    return headers;
   }
 }
 
@@ -167,113 +146,105 @@
 }
 
 /** Reads one answer; reports exactly one end of the attempt. */
-class AnswerReader implements Dispatcher.DispatchHandler {
+class AnswerReader {
   readonly #options: AnswerReaderOptions;
   readonly #splitter = new EventSplitter();
   readonly #chunks: Buffer[] = [];
   #length = 0;
-  #head: AnswerHead | null = null;
-  #sent = false;
+  #connected = false;
   #done = false;
 
   constructor(options: AnswerReaderOptions) {
     this.#options = options;
   }
 
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    const { attempt } = this.#options;
-    if (attempt.dropped) {
-      controller.abort(new Error("The attempt was dropped"));
-      return;
-    }
-    attempt.controller = controller;
-    this.#sent = true;
+  /** Follows a request until its answer ends or breaks. */
+  read(request: ClientRequest): void {
+    const limit = setTimeout(() => {
+      request.destroy(new Error("The connection was not made in time"));
+    }, connectMs);
+    request.on("socket", (socket) => {
+      const connected = () => {
+        this.#connected = true;
+        clearTimeout(limit);
+      };
+      if (socket.connecting) {
+        socket.once("connect", connected);
+      } else {
+        connected();
+      }
+    });
+    request.on("response", (response) => this.#readAnswer(request, response));
+    request.on("error", (error: Error & { readonly code?: string }) => {
+      clearTimeout(limit);
+      this.#break(error.code ?? "connection_lost");
+    });
+    request.on("close", () => {
+      clearTimeout(limit);
+      this.#break("connection_lost");
+    });
   }
 
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    status: number,
-    headers: IncomingHttpHeaders,
-  ): void {
-    if (status < firstFinalStatus || this.#done) {
-      return;
-    }
-    const { codec, requestId } = this.#options;
-    const facts = codec.readAnswer(headers);
-    if (facts.requestId !== null && facts.requestId !== requestId) {
-      this.#fail(controller, "foreign_answer");
-    } else if (status === 421 || facts.notExecuted) {
-      // An upstream that refuses closes or keeps its connection as it likes.
-      this.#end({
-        kind: "attempt_refused",
-        reason: status === 421 ? "misdirected" : "not_executed",
-      });
+  #readAnswer(request: ClientRequest, response: IncomingMessage): void {
+    const { codec, requestId, streaming } = this.#options;
+    const { statusCode: status = 0 } = response;
+    const facts = codec.readAnswer(response.headers);
+    const foreign = facts.requestId !== null && facts.requestId !== requestId;
+    if (foreign) {
+      this.#fail(request, "foreign_answer");
+    } else if (status === misdirectedStatus || facts.notExecuted) {
+      response.resume();
+      const misdirected = status === misdirectedStatus;
+      const reason = misdirected ? "misdirected" : "not_executed";
+      this.#end({ kind: "attempt_refused", reason });
     } else if (facts.requestId === null || !facts.sealed || facts.encoded) {
-      this.#fail(controller, `unsigned_answer_${status}`);
+      this.#fail(request, `unsigned_answer_${status}`);
     } else if (promises.has(status)) {
-      this.#fail(controller, `status_${status}`);
+      this.#fail(request, `status_${status}`);
     } else {
-      this.#head = { status, headers: codec.writeAnswer(headers) };
-    }
-  }
-
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    if (this.#done || this.#head === null) {
-      return;
-    }
-    if (this.#streams(this.#head)) {
-      this.#pass(this.#head, chunk);
-      return;
-    }
-    this.#length += chunk.length;
-    if (this.#length > maxAnswerBytes) {
-      this.#fail(controller, "answer_too_large");
-      return;
-    }
-    // The connection's buffer is used again for what follows.
-    this.#chunks.push(Buffer.from(chunk));
-  }
-
-  onResponseEnd(): void {
-    const head = this.#head;
-    if (this.#done || head === null) {
-      return;
-    }
-    if (!this.#streams(head)) {
-      const body = Buffer.concat(this.#chunks);
-      this.#end({ kind: "answer_received", answer: { ...head, body } });
-      return;
-    }
-    const { rest } = this.#splitter;
-    if (rest.length > 0) {
-      this.#end({ kind: "attempt_failed", reason: "partial_event" });
-      return;
+      const headers = codec.writeAnswer(response.rawHeaders);
+      // Failures of an upstream come whole, also where events were asked for.
+      const events = streaming && status === streamStatus;
+      this.#readBody(request, response, { head: { status, headers }, events });
     }
-    this.#end({ kind: "stream_ended", head });
   }
 
-  onResponseError(
-    _controller: Dispatcher.DispatchController,
-    error: Error & { readonly code?: string },
+  #readBody(
+    request: ClientRequest,
+    response: IncomingMessage,
+    { head, events }: { readonly head: AnswerHead; readonly events: boolean },
   ): void {
-    if (!this.#sent) {
-      this.#end({ kind: "attempt_refused", reason: "unreachable" });
-      return;
-    }
-    const reason = error.code ?? "connection_lost";
-    this.#end({ kind: "attempt_failed", reason });
-  }
-
-  /** Failures of an upstream come whole, also where events were asked for. */
-  #streams({ status }: AnswerHead): boolean {
-    return this.#options.streaming && status === firstFinalStatus;
+    response.on("data", (chunk: Buffer) => {
+      if (this.#done) {
+        return;
+      }
+      if (events) {
+        this.#pass(head, chunk);
+        return;
+      }
+      this.#length += chunk.length;
+      this.#chunks.push(chunk);
+      if (this.#length > maxAnswerBytes) {
+        this.#fail(request, "answer_too_large");
+      }
+    });
+    response.on("error", () => this.#break("connection_lost"));
+    response.on("end", () => {
+      if (!response.complete) {
+        this.#break("connection_lost");
+      } else if (!events) {
+        const body = Buffer.concat(this.#chunks);
+        this.#end({ kind: "answer_received", answer: { ...head, body } });
+      } else if (this.#splitter.rest.length > 0) {
+        this.#break("partial_event");
+      } else {
+        this.#end({ kind: "stream_ended", head });
+      }
+    });
   }
 
   #pass(head: AnswerHead, chunk: Buffer): void {
-    const batch = this.#splitter.push(Buffer.from(chunk));
+    const batch = this.#splitter.push(chunk);
     if (batch !== null) {
       const { attemptId, exchangeId, dispatch } = this.#options;
       dispatch({
@@ -286,9 +257,18 @@
     }
   }
 
-  #fail(controller: Dispatcher.DispatchController, reason: string): void {
+  /** Ends an attempt whose connection broke, or was never made. */
+  #break(reason: string): void {
+    this.#end(
+      this.#connected
+        ? { kind: "attempt_failed", reason }
+        : { kind: "attempt_refused", reason: "unreachable" },
+    );
+  }
+
+  #fail(request: ClientRequest, reason: string): void {
     this.#end({ kind: "attempt_failed", reason });
-    controller.abort(new Error(reason));
+    request.destroy();
   }
 
   #end(end: AttemptEnd): void {
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -41,7 +41,7 @@
   writeAttempt(raw: readonly string[], facts: AttemptFacts): string[];
   readAnswer(headers: IncomingHttpHeaders): AnswerFacts;
   /** Returns names and values in turn, without those of the connection. */
-  writeAnswer(headers: IncomingHttpHeaders): string[];
+  writeAnswer(raw: readonly string[]): string[];
   /** Returns names and values in turn that a failure adds. */
   writeFailure(retryAfterMs: number | null): string[];
 }
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -49,11 +49,6 @@
     readonly to: string;
     /** Stops the generation first. */
     readonly stop: boolean;
-  }
-  | {
-    /** Closes idle connections to upstreams that are gone. */
-    readonly kind: "keep_connections";
-    readonly addresses: readonly string[];
   };
 
 /** Effects towards callers. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -36,6 +36,8 @@
   readonly left: Map<string, string>;
   members: readonly Vm[];
   membersKnown: boolean;
+  /** Monotonic milliseconds of the first failure since the last answer. */
+  sourceLostAt: number | null;
   /** Monotonic milliseconds until which missing upstreams are kept. */
   keepMissingUntil: number;
   /** The last list of upstreams, while missing ones are kept. */
@@ -80,6 +82,7 @@
     left: new Map(),
     members: [],
     membersKnown: false,
+    sourceLostAt: null,
     keepMissingUntil: 0,
     unconfirmed: null,
     fleet: new FleetNode<Routing>({
