fix(relay): an answer that a reset cut is not taken for whole

Cause: an answer without a length ends with its connection. Node reports a reset that arrives together with data as a regular end, as its event loop asks only whether the peer hung up; undici takes a reset for the end on purpose. The peer of a reset connection has no address, which tells the two apart.

--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -228,9 +228,18 @@
         this.#fail(request, "answer_too_large");
       }
     });
+    const framed = isFramed(response);
+    let reset = false;
+    if (!framed) {
+      // Node reports a reset that comes along with data as a regular end. The
+      // peer of a connection that was reset has no address any more.
+      response.socket.prependListener("end", () => {
+        reset = response.socket.remoteAddress === undefined;
+      });
+    }
     response.on("error", () => this.#break("connection_lost"));
     response.on("end", () => {
-      if (!response.complete) {
+      if (!response.complete || reset) {
         this.#break("connection_lost");
       } else if (!events) {
         const body = Buffer.concat(this.#chunks);
@@ -238,7 +247,7 @@
       } else if (this.#splitter.rest.length > 0) {
         this.#break("partial_event");
       } else {
-        this.#end({ kind: "stream_ended", head });
+        this.#end({ kind: "stream_ended", head, framed });
       }
     });
   }
@@ -285,6 +294,12 @@
   }
 }
 
+/** Whether an answer states where it ends. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 type WithoutIds<Event> = Event extends unknown
   ? Omit<Event, "attemptId" | "exchangeId">
   : never;
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -96,8 +96,10 @@
     readonly lastEventId: string | null;
   }
   | {
-    /** A stream ended as its framing says. */
+    /** A stream ended as its framing says, or with its connection. */
     readonly kind: "stream_ended";
+    /** Whether the answer itself said where it ends. */
+    readonly framed: boolean;
     readonly attemptId: string;
     readonly exchangeId: string;
     readonly head: AnswerHead;
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -132,7 +132,11 @@
   if (request === undefined) {
     return [];
   }
-  const { at, head, exchangeId } = event;
+  const { at, head, exchangeId, framed } = event;
+  if (request.move?.phase === "stopping" && !framed) {
+    // The engine closes the stream of a generation that it was told to stop.
+    return [];
+  }
   const { upstream, events, sends } = request;
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const effects = endRequest(state, request, { ending: "finished", at });
