--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,11 +4,16 @@
 
 export default tseslint.config(
   {
-    ignores: ["**/build/**", "**/generated/**", "tap-snapshots/**"],
+    ignores: [
+      "**/build/**",
+      "**/generated/**",
+      "tap-snapshots/**",
+      "target/**",
+    ],
   },
   ...tseslint.configs.strict,
   {
-    files: ["packages/*/src/**/*.ts"],
+    files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -177,7 +177,12 @@
     avoid,
   };
   request.move = move;
-  const figures = { from: upstream, upstream: to, events: request.events, stop };
+  const figures = {
+    from: upstream,
+    upstream: to,
+    events: request.events,
+    stop,
+  };
   return [
     decide(state, {
       kind: "choose",
@@ -276,7 +281,13 @@
   const resumption = { address, handle, lastEventId };
   const reason = "moved";
   const ending = "cancelled";
-  return resume(state, request, { to: move.to, resumption, reason, ending, at });
+  return resume(state, request, {
+    to: move.to,
+    resumption,
+    reason,
+    ending,
+    at,
+  });
 }
 
 /** An engine that stopped a generation can go on with it itself. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -47,7 +47,11 @@
   const exchanges = new ExchangeRunner(new PeerClients(credentials));
   const callers = new CallerExchanges(ports.headers);
   const metrics = createRelayMetrics(state);
-  const loop: Loop<RelayState, RelayEvent, RelayEffect> = new Loop<RelayState, RelayEvent, RelayEffect>({
+  const loop: Loop<RelayState, RelayEvent, RelayEffect> = new Loop<
+    RelayState,
+    RelayEvent,
+    RelayEffect
+  >({
     clock: systemClock,
     state,
     reduce: reduceRelay,
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -217,7 +217,12 @@
   const repeat = mayRepeat(state, request, at);
   const { upstream, requestId, events } = request;
   request.runs += 1;
-  const figures = { upstream, events, runs: request.runs, sends: request.sends };
+  const figures = {
+    upstream,
+    events,
+    runs: request.runs,
+    sends: request.sends,
+  };
   const dropped = endAttempt(state, request, { ending: "failed", at });
   if (!repeat) {
     state.requests.delete(request.exchangeId);
