test(relay,platform): requests, moves, sources, cut answers and the codec

A request that every upstream had refused waited for one of them until its deadline; it is refused at once now.

--- /dev/null
+++ b/packages/platform/src/row_follower_test.ts
@@ -0,0 +1,52 @@
+import t from "tap";
+import { RowFollower } from "./row_follower.ts";
+
+function row(key: string, version: number, value: string | null = key) {
+  return { key, version, value };
+}
+
+function followerOf(): RowFollower {
+  const follower = new RowFollower();
+  const rows = [row("a", 3), row("b", 5)];
+  follower.take({ rows, version: 7, lost: false });
+  return follower;
+}
+
+t.test("changes are applied in turn", (t) => {
+  const follower = followerOf();
+  t.equal(follower.after, 7);
+  const rows = [row("a", 8, null), row("c", 9)];
+  t.equal(follower.take({ rows, version: 9, lost: false }), true);
+  t.strictSame([...follower.rows.keys()], ["b", "c"]);
+  t.equal(follower.after, 9);
+  t.end();
+});
+
+t.test("what is older than what is known changes nothing", (t) => {
+  const follower = followerOf();
+  follower.take({ rows: [row("a", 8, null)], version: 8, lost: false });
+  const old = [row("a", 6, "old"), row("b", 4, "old")];
+  t.equal(follower.take({ rows: old, version: 6, lost: false }), false);
+  t.strictSame([...follower.rows.keys()], ["b"]);
+  t.equal(follower.after, 8, "the newest version stays");
+  t.end();
+});
+
+t.test("a lost history asks for all rows", (t) => {
+  const follower = followerOf();
+  t.equal(follower.take({ rows: [], version: 0, lost: true }), false);
+  t.equal(follower.after, null);
+  t.equal(follower.rows.size, 2, "what is known stays until then");
+  const rows = [row("b", 12, "new")];
+  t.equal(follower.take({ rows, version: 14, lost: false }), true);
+  t.strictSame([...follower.rows], [["b", { version: 12, value: "new" }]]);
+  t.end();
+});
+
+t.test("a full read that is older than what is known is no news", (t) => {
+  const follower = followerOf();
+  follower.reset();
+  t.equal(follower.take({ rows: [], version: 2, lost: false }), false);
+  t.equal(follower.rows.size, 2);
+  t.end();
+});
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -158,7 +158,7 @@
   }
 
   place(demand: Demand, at: Moment): Placement {
-    const refusal = this.#impossible(demand) ?? this.#overRetried(demand, at);
+    const refusal = this.#impossible(demand) ?? this.#overRetried(demand);
     if (refusal !== null) {
       return refusal;
     }
@@ -264,7 +264,11 @@
         ? refuse("unknown_model", "no_model", { retryAfterMs })
         : refuse("no_upstream", "no_engine", { retryAfterMs });
     }
-    const { promptTokens } = demand;
+    const { promptTokens, avoid = [] } = demand;
+    if (engines.every(({ id }) => avoid.includes(id))) {
+      // All that serve the model have just refused this demand.
+      return this.#overloaded("engines_full", this.#backlog.cost);
+    }
     return promptTokens < memoryTokens
       ? null
       : refuse("prompt_too_long", "engines_full", {
@@ -273,7 +277,7 @@
       });
   }
 
-  #overRetried(demand: Demand, at: Moment): Refusal | null {
+  #overRetried(demand: Demand): Refusal | null {
     if (!this.#sentRequests.has(demand.requestId)) {
       this.#retries.earn();
       return null;
@@ -281,7 +285,7 @@
     if (!this.#options.circuits || this.#retries.spend()) {
       return null;
     }
-    return this.#overloaded("retry_budget", this.#backlog.cost, at);
+    return this.#overloaded("retry_budget", this.#backlog.cost);
   }
 
   /** Whether something comparable that waits has an earlier deadline. */
@@ -395,7 +399,7 @@
     const unreachable = this.#options.refusals &&
       now + waitDoubt * waitMs > latest;
     if (unreachable || this.#backlog.size >= maxBacklog) {
-      return this.#refusalOf(demand, { figures, share, at });
+      return this.#refusalOf(demand, { figures, share });
     }
     const { cost } = estimate;
     const waiting = { demand, deadline: latest, cost };
@@ -405,16 +409,15 @@
 
   #refusalOf(
     demand: Demand,
-    cause: { figures: Figures; share: number; at: Moment },
+    cause: { figures: Figures; share: number },
   ): Refusal {
-    const { figures, share, at } = cause;
+    const { figures, share } = cause;
     const workspaces = this.#backlog.workspaces;
     const overShare = this.#options.fairness && workspaces > 1 &&
       share > 2 / workspaces && this.#backlog.countOf(demand.workspace) > 0;
     const refusal = this.#overloaded(
       "target_unreachable",
       this.#backlog.cost,
-      at,
     );
     return overShare
       ? {
@@ -426,7 +429,7 @@
       : { ...refusal, figures };
   }
 
-  #overloaded(reason: PlacementReason, ahead: number, _at: Moment): Refusal {
+  #overloaded(reason: PlacementReason, ahead: number): Refusal {
     const waitMs = this.#drain.wait(ahead);
     const jittered = this.#random.jitter(waitMs, 0.25);
     const retryAfterMs = Math.round(
@@ -448,7 +451,6 @@
       const placement = this.#overloaded(
         "target_unreachable",
         this.#backlog.cost,
-        at,
       );
       const lateMs = Math.round(at.monotonic - deadline);
       return { demand, placement: { ...placement, figures: { lateMs } } };
--- a/packages/policy/src/slot_dispatcher.ts
+++ b/packages/policy/src/slot_dispatcher.ts
@@ -34,6 +34,9 @@
 /** Load, in shares of the slots, that an upstream on probation is worth. */
 const probationPenalty = 0.5;
 
+/** Milliseconds after which a caller asks again where none is open. */
+const noUpstreamRetryMs = 400;
+
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 5_000;
 const retryAfterJitter = 0.25;
@@ -150,13 +153,13 @@
     if (placed !== null) {
       return placed;
     }
-    const slots = this.#openSlots(at);
+    const slots = this.#openSlots(demand, at);
     if (slots === 0) {
       return {
         kind: "refuse",
         error: "no_upstream",
         reason: "no_engine",
-        retryAfterMs: this.#retryAfter(minRetryAfterMs),
+        retryAfterMs: this.#retryAfter(noUpstreamRetryMs),
         figures: { upstreams: this.#upstreams.size },
       };
     }
@@ -292,10 +295,14 @@
     return load / slots + remote + probation + spread;
   }
 
-  #openSlots(at: Moment): number {
+  /** Slots that may become free for a demand. */
+  #openSlots({ avoid = [] }: Demand, at: Moment): number {
     let slots = 0;
     for (const upstream of this.#upstreams.values()) {
-      if (upstream.open && upstream.circuit.allowance(at.monotonic) > 0) {
+      const { id, open, circuit } = upstream;
+      if (
+        open && !avoid.includes(id) && circuit.allowance(at.monotonic) > 0
+      ) {
         slots += upstream.slots;
       }
     }
--- /dev/null
+++ b/packages/policy/src/slot_dispatcher_test.ts
@@ -0,0 +1,115 @@
+import t from "tap";
+import type { Demand } from "./dispatcher.ts";
+import { SlotDispatcher } from "./slot_dispatcher.ts";
+import { demandOf } from "./testing/demand_of.ts";
+
+function at(milliseconds: number) {
+  return { monotonic: milliseconds, wall: milliseconds };
+}
+
+function dispatcherOf(slots: Readonly<Record<string, number>>): SlotDispatcher {
+  const dispatcher = new SlotDispatcher(1, "a");
+  for (const [id, count] of Object.entries(slots)) {
+    dispatcher.addEngine({ id, dataCentre: "a", pool: "p", slots: count });
+  }
+  return dispatcher;
+}
+
+function requestOf(requestId: string, change: Partial<Demand> = {}): Demand {
+  const targets = { ...demandOf({}).targets, firstTokenMs: 100 };
+  return demandOf({ requestId, targets, arrivedAt: 0, ...change });
+}
+
+/** Sends requests until one is not dispatched. */
+function fill(dispatcher: SlotDispatcher): number {
+  for (let count = 0;; count++) {
+    const demand = requestOf(`r${count}`);
+    const placement = dispatcher.place(demand, at(0));
+    if (placement.kind !== "dispatch") {
+      return count;
+    }
+    const { engine } = placement;
+    dispatcher.sent({ generationId: `g${count}`, engine, demand }, at(0));
+  }
+}
+
+t.test("all slots are used before a request waits", (t) => {
+  const dispatcher = dispatcherOf({ a: 2, b: 4 });
+  t.equal(fill(dispatcher), 6);
+  t.equal(dispatcher.waiting, 1);
+  t.end();
+});
+
+t.test("a request that waits takes the first free slot", (t) => {
+  const dispatcher = dispatcherOf({ a: 1, b: 1 });
+  fill(dispatcher);
+  t.strictSame(dispatcher.release(at(10)), []);
+  dispatcher.ended("g1", "finished", at(20));
+  t.match(dispatcher.release(at(20)), [
+    { demand: { requestId: "r2" }, placement: { kind: "dispatch" } },
+  ]);
+  t.end();
+});
+
+t.test("a request that no slot can take in time is refused at once", (t) => {
+  const dispatcher = dispatcherOf({ a: 1 });
+  fill(dispatcher);
+  const placement = dispatcher.place(requestOf("late"), at(1));
+  t.match(placement, { kind: "refuse", error: "overloaded" });
+  t.ok(placement.kind === "refuse" && placement.retryAfterMs > 0);
+  t.end();
+});
+
+t.test("a wait ends with a refusal when its time is over", (t) => {
+  const dispatcher = dispatcherOf({ a: 1 });
+  fill(dispatcher);
+  t.match(dispatcher.release(at(80)), [
+    { demand: { requestId: "r1" }, placement: { kind: "refuse" } },
+  ]);
+  t.equal(dispatcher.waiting, 0);
+  t.end();
+});
+
+t.test("the peers' work counts", (t) => {
+  const dispatcher = dispatcherOf({ a: 4, b: 4 });
+  const share = { engine: "a", running: 4, tokens: 0 };
+  dispatcher.peerChanged("peer", [share]);
+  t.equal(fill(dispatcher), 4);
+  dispatcher.peerChanged("peer", []);
+  t.match(dispatcher.release(at(1)), [{ placement: { engine: "a" } }]);
+  t.end();
+});
+
+t.test("upstreams that refused a request do not get it again", (t) => {
+  const dispatcher = dispatcherOf({ a: 4, b: 4 });
+  const second = requestOf("r", { avoid: ["a"] });
+  t.match(dispatcher.place(second, at(0)), { engine: "b" });
+  const third = requestOf("r", { avoid: ["a", "b"] });
+  t.match(dispatcher.place(third, at(0)), { kind: "refuse" });
+  t.equal(dispatcher.waiting, 0);
+  t.end();
+});
+
+t.test("an upstream that fails gets no work for a while", (t) => {
+  const dispatcher = dispatcherOf({ a: 4 });
+  for (let index = 0; index < 3; index++) {
+    const demand = requestOf(`f${index}`);
+    dispatcher.sent({ generationId: "f", engine: "a", demand }, at(0));
+    dispatcher.ended("f", "failed", at(0));
+  }
+  t.match(dispatcher.place(requestOf("r"), at(1)), { error: "no_upstream" });
+  t.match(dispatcher.place(requestOf("r"), at(1_000)), { kind: "dispatch" });
+  t.end();
+});
+
+t.test("an upstream of the own data centre goes first", (t) => {
+  const dispatcher = new SlotDispatcher(1, "a");
+  const far = { id: "far", dataCentre: "b", pool: "p", slots: 12 };
+  dispatcher.addEngine(far);
+  dispatcher.addEngine({ ...far, id: "near", dataCentre: "a" });
+  for (let index = 0; index < 20; index++) {
+    const placement = dispatcher.place(requestOf(`r${index}`), at(0));
+    t.match(placement, { engine: "near" });
+  }
+  t.end();
+});
--- /dev/null
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -0,0 +1,93 @@
+import t from "tap";
+import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+
+const d1 = upstreamOf("d1", { pool: "desk", role: "service", slots: 6 });
+const d2 = upstreamOf("d22", { pool: "desk", role: "service", slots: 6 });
+
+function targets(relay: RelayFixture): ReadonlySet<string> {
+  const found = new Set<string>();
+  for (let index = 0; index < 20; index++) {
+    const exchangeId = `x${index}`;
+    const [sent] = only(relay.request({ exchangeId }), "send_request");
+    found.add(sent?.target.instance ?? "");
+    relay.reduce({ kind: "request_left", exchangeId });
+  }
+  return found;
+}
+
+t.test("an upstream that leaves gets no new work", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1, d2]);
+  t.equal(targets(relay).size, 2);
+  const vms = [d1, { ...d2, state: "leaving" as const }];
+  relay.reduce({ kind: "upstreams_learned", vms });
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  // A stale read that still lists it as live opens nothing.
+  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2] });
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  t.end();
+});
+
+t.test("an upstream that is no longer listed gets no new work", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1, d2]);
+  relay.reduce({ kind: "upstreams_learned", vms: [d1] });
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  t.ok(relay.state.fleet.marks.get("d22") !== undefined, "peers are told");
+  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2] });
+  t.equal(targets(relay).size, 2, "it is back");
+  t.end();
+});
+
+t.test("one failed read keeps no missing upstream", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1, d2]);
+  const error = "store_unavailable";
+  relay.reduce({ kind: "upstreams_failed", error });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 300);
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  t.end();
+});
+
+t.test("upstreams that lapsed in an outage are kept for a while", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1, d2]);
+  const error = "store_unavailable";
+  relay.reduce({ kind: "upstreams_failed", error });
+  relay.reduce({ kind: "upstreams_failed", error }, 4_000);
+  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 400);
+  t.equal(targets(relay).size, 2);
+  const timer = { kind: "confirm_removals" } as const;
+  relay.reduce({ kind: "timer_fired", timer }, 2_600);
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  t.end();
+});
+
+t.test("a peer's mark ends the wait for a missing upstream", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1, d2]);
+  const error = "store_unavailable";
+  relay.reduce({ kind: "upstreams_failed", error });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 4_000);
+  const wall = 1_700_000_000_000 + relay.now;
+  relay.reduce({
+    kind: "exchange_received",
+    replyId: 1,
+    message: {
+      sender: "front-2",
+      epoch: "e",
+      sequence: 1,
+      acknowledged: 0,
+      full: false,
+      configurationVersion: 0,
+      members: [],
+      duties: [],
+      shares: [],
+      lengths: [],
+      configurations: [],
+      marks: [{ upstream: "d22", reason: "gone", at: wall }],
+    },
+  });
+  t.strictSame([...targets(relay)], ["instance-d1"]);
+  t.end();
+});
--- /dev/null
+++ b/packages/relay/src/http/event_splitter_test.ts
@@ -0,0 +1,36 @@
+import fc from "fast-check";
+import t from "tap";
+import { EventSplitter } from "./event_splitter.ts";
+
+t.test("events are passed on whole, whatever the chunks", (t) => {
+  const stream = "id: 1\ndata: a\n\nid: 2\nversions: 3\ndata: b\n\n";
+  fc.assert(
+    fc.property(fc.array(fc.nat({ max: stream.length })), (cuts) => {
+      const places = [...new Set([0, ...cuts, stream.length])]
+        .sort((a, b) => a - b);
+      const splitter = new EventSplitter();
+      let passed = "";
+      let count = 0;
+      let last: string | null = null;
+      for (let index = 0; index + 1 < places.length; index++) {
+        const chunk = stream.slice(places[index], places[index + 1]);
+        const batch = splitter.push(Buffer.from(chunk));
+        passed += batch?.bytes.toString() ?? "";
+        count += batch?.count ?? 0;
+        last = batch?.lastEventId ?? last;
+        t.ok(passed === "" || passed.endsWith("\n\n"));
+      }
+      return passed === stream && count === 2 && last === "2";
+    }),
+  );
+  t.end();
+});
+
+t.test("an event that is not whole stays behind", (t) => {
+  const splitter = new EventSplitter();
+  const batch = splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
+  t.equal(batch?.bytes.toString(), "id: 1\ndata: a\n\n");
+  t.equal(batch?.lastEventId, "1");
+  t.equal(splitter.rest.toString(), "id: 2\nda");
+  t.end();
+});
--- /dev/null
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -0,0 +1,200 @@
+import { createServer as createHttpServer, request as ask } from "node:http";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Test } from "tap";
+import t from "tap";
+import type { HeaderCodec } from "../ports.ts";
+import type { RelayEvent } from "../relay_event.ts";
+import { CallerExchanges } from "./caller_exchanges.ts";
+import { UpstreamRunner } from "./upstream_runner.ts";
+
+const codec: HeaderCodec = {
+  readRequest: () => ({
+    requestId: "r1",
+    key: null,
+    budgetMs: null,
+    generation: null,
+  }),
+  writeAttempt: (_raw, { remainingMs }) => ["left", String(remainingMs)],
+  readAnswer: (headers) => ({
+    requestId: headers["id"] === undefined ? null : String(headers["id"]),
+    sealed: headers["seal"] !== undefined,
+    notExecuted: headers["not-run"] !== undefined,
+    encoded: false,
+  }),
+  writeAnswer: (raw) => [...raw],
+  writeFailure: () => [],
+};
+
+const signed = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n";
+
+/** Starts an upstream that writes raw bytes and then does something. */
+async function startUpstream(
+  t: Test,
+  answer: (socket: Socket) => void,
+): Promise<string> {
+  const server: Server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => answer(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** A caller's request as the front server hands it on. */
+async function openExchange(t: Test, exchanges: CallerExchanges) {
+  const server = createHttpServer((request, response) => {
+    hand(request, response);
+  });
+  let hand: (request: IncomingMessage, response: ServerResponse) => void;
+  const handed = new Promise<void>((resolve) => {
+    hand = (request, response) => {
+      const body = Buffer.from("body");
+      exchanges.add("x1", { request, response, requestId: "r1", body });
+      resolve();
+    };
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const caller = ask({ host: "127.0.0.1", port, method: "POST" });
+  caller.on("error", () => undefined);
+  caller.end();
+  await handed;
+  t.teardown(() => {
+    caller.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+}
+
+/** Sends one request and returns the events until its end. */
+async function eventsOf(
+  t: Test,
+  address: string,
+  streaming = false,
+): Promise<readonly RelayEvent[]> {
+  const exchanges = new CallerExchanges(codec);
+  await openExchange(t, exchanges);
+  const copier = { copy: () => Promise.resolve({ kind: "unknown" } as const) };
+  const runner = new UpstreamRunner(codec, exchanges, copier);
+  const events: RelayEvent[] = [];
+  return await new Promise((resolve) => {
+    runner.handlers.send_request({
+      kind: "send_request",
+      attemptId: "a1",
+      exchangeId: "x1",
+      target: { address, instance: "i" },
+      streaming,
+      workspace: null,
+      deadline: performance.now() + 5_000,
+      copyTo: null,
+      resumption: null,
+    }, (event) => {
+      events.push(event);
+      if (event.kind !== "events_received") {
+        // Anything that follows would be a second end.
+        setTimeout(() => resolve(events), 50);
+      }
+    });
+  });
+}
+
+t.test("a whole answer is whole", async (t) => {
+  const address = await startUpstream(t, (socket) => {
+    socket.end(`${signed}content-length: 2\r\n\r\nok`);
+  });
+  const [event, ...more] = await eventsOf(t, address);
+  t.match(event, { kind: "answer_received", answer: { status: 200 } });
+  t.strictSame(more, []);
+});
+
+t.test("an answer without a length ends with its connection", async (t) => {
+  const address = await startUpstream(t, (socket) => {
+    socket.end(`${signed}\r\nall of it`);
+  });
+  const [event] = await eventsOf(t, address);
+  t.match(event, { kind: "answer_received" });
+});
+
+t.test("an answer without a length that is reset is not whole", async (t) => {
+  for (const waitMs of [0, 20]) {
+    const address = await startUpstream(t, (socket) => {
+      socket.write(`${signed}connection: close\r\n\r\npart of it`, () => {
+        setTimeout(() => socket.resetAndDestroy(), waitMs);
+      });
+    });
+    const events = await eventsOf(t, address);
+    t.match(events, [{ kind: "attempt_failed" }]);
+  }
+});
+
+t.test("a stream that is cut between chunks is not whole", async (t) => {
+  const event = "id: 1\ndata: a\n\n";
+  const chunk = `${event.length.toString(16)}\r\n${event}\r\n`;
+  const head = `${signed}transfer-encoding: chunked\r\nconnection: close`;
+  for (const end of ["close", "reset"]) {
+    const address = await startUpstream(t, (socket) => {
+      socket.write(`${head}\r\n\r\n${chunk}`, () => {
+        if (end === "close") {
+          socket.end();
+        } else {
+          socket.resetAndDestroy();
+        }
+      });
+    });
+    const events = await eventsOf(t, address, true);
+    t.equal(events.at(-1)?.kind, "attempt_failed", end);
+  }
+});
+
+t.test("a stream that ends with its last chunk is whole", async (t) => {
+  const event = "id: 1\ndata: a\n\n";
+  const chunk = `${event.length.toString(16)}\r\n${event}\r\n`;
+  const address = await startUpstream(t, (socket) => {
+    socket.end(`${signed}transfer-encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`);
+  });
+  t.match(await eventsOf(t, address, true), [
+    { kind: "events_received", count: 1, lastEventId: "1" },
+    { kind: "stream_ended", framed: true },
+  ]);
+});
+
+t.test("only what surely has not run is refused", async (t) => {
+  const table = [
+    { head: "HTTP/1.1 503 Full\r\nnot-run: 1\r\n", kind: "attempt_refused" },
+    { head: "HTTP/1.1 421 Other\r\n", kind: "attempt_refused" },
+    { head: "HTTP/1.1 503 Full\r\n", kind: "attempt_failed" },
+    {
+      head: "HTTP/1.1 503 Full\r\nid: r1\r\nseal: s\r\n",
+      kind: "attempt_failed",
+    },
+    {
+      head: "HTTP/1.1 200 OK\r\nid: r2\r\nseal: s\r\n",
+      kind: "attempt_failed",
+    },
+    { head: "HTTP/1.1 200 OK\r\nid: r1\r\n", kind: "attempt_failed" },
+    { head: "HTTP/1.1 200 OK\r\nseal: s\r\n", kind: "attempt_failed" },
+    { head: "what is this\r\n", kind: "attempt_failed" },
+  ];
+  for (const { head, kind } of table) {
+    const address = await startUpstream(t, (socket) => {
+      socket.end(`${head}content-length: 0\r\n\r\n`);
+    });
+    const events = await eventsOf(t, address);
+    t.match(events, [{ kind }], head);
+  }
+});
+
+t.test("an upstream that can not be reached has run nothing", async (t) => {
+  const address = await startUpstream(t, () => undefined);
+  const free = `127.0.0.1:1`;
+  t.match(await eventsOf(t, free), [{ reason: "unreachable" }]);
+  t.ok(address);
+});
+
+t.test("an upstream that closes without an answer may have run", async (t) => {
+  const address = await startUpstream(t, (socket) => socket.destroy());
+  t.match(await eventsOf(t, address), [{ kind: "attempt_failed" }]);
+});
--- /dev/null
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -0,0 +1,180 @@
+import t from "tap";
+import type { CopyOutcome } from "../relay_event.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+
+const head = { status: 200, headers: [] };
+const engines = ["e1", "e22", "e333"].map((id) => upstreamOf(id));
+
+/** Generations that run with their first events passed on. */
+function streaming(): {
+  readonly relay: RelayFixture;
+  readonly attemptId: string;
+  readonly upstream: string;
+  readonly copyAt: string | null;
+} {
+  const relay = new RelayFixture();
+  relay.learn(engines);
+  const [sent] = only(relay.generate(), "send_request");
+  const attemptId = sent?.attemptId ?? "";
+  passEvents(relay, attemptId, 7);
+  const request = relay.state.requests.get("x1");
+  const { upstream = "", copyAt = null } = request ?? {};
+  return { relay, attemptId, upstream, copyAt };
+}
+
+function passEvents(
+  relay: RelayFixture,
+  attemptId: string,
+  last: number,
+): readonly RelayEffect[] {
+  return relay.reduce({
+    kind: "events_received",
+    attemptId,
+    exchangeId: "x1",
+    head,
+    bytes: Buffer.from(`id: ${last}\ndata: x\n\n`),
+    count: last,
+    lastEventId: String(last),
+  }, 1_000);
+}
+
+function leave(relay: RelayFixture, id: string): readonly RelayEffect[] {
+  const vms = engines.map((vm) =>
+    vm.id === id ? { ...vm, state: "leaving" as const } : vm
+  );
+  return relay.reduce({ kind: "upstreams_learned", vms });
+}
+
+function evacuate(relay: RelayFixture, afterMs: number) {
+  const timer = { kind: "evacuate", exchangeId: "x1" } as const;
+  return relay.reduce({ kind: "timer_fired", timer }, afterMs);
+}
+
+function copied(
+  relay: RelayFixture,
+  attemptId: string,
+  outcome: CopyOutcome,
+): readonly RelayEffect[] {
+  const exchangeId = "x1";
+  return relay.reduce(
+    { kind: "generation_copied", attemptId, exchangeId, outcome },
+    100,
+  );
+}
+
+t.test("a long generation is given an engine that keeps a copy", (t) => {
+  const { upstream, copyAt } = streaming();
+  t.ok(copyAt !== null && copyAt !== upstream);
+  t.end();
+});
+
+t.test("a generation goes on at its copy when its engine leaves", (t) => {
+  const { relay, attemptId, upstream, copyAt } = streaming();
+  const noticed = leave(relay, upstream);
+  const [timer] = only(noticed, "set_timer").filter(({ timer }) =>
+    timer.kind === "evacuate"
+  );
+  t.ok((timer?.at ?? 0) > relay.now);
+  const effects = evacuate(relay, 500);
+  t.match(only(effects, "drop_attempt"), [{ attemptId }]);
+  const target = engines.find(({ id }) => id === copyAt);
+  t.match(only(effects, "send_request"), [{
+    target: { address: target?.address },
+    resumption: { address: target?.address, handle: "r1", lastEventId: "7" },
+  }]);
+  const order = effects.map(({ kind }) => kind);
+  t.ok(order.indexOf("drop_attempt") < order.indexOf("send_request"));
+  t.end();
+});
+
+t.test("events of the former engine are dropped after a move", (t) => {
+  const { relay, attemptId, upstream } = streaming();
+  leave(relay, upstream);
+  evacuate(relay, 500);
+  t.strictSame(passEvents(relay, attemptId, 8), []);
+  t.end();
+});
+
+t.test("a generation goes on at its copy when its engine dies", (t) => {
+  const { relay, attemptId } = streaming();
+  const effects = relay.reduce({
+    kind: "attempt_failed",
+    attemptId,
+    exchangeId: "x1",
+    reason: "ECONNRESET",
+  });
+  t.match(only(effects, "send_request"), [
+    { resumption: { handle: "r1", lastEventId: "7" } },
+  ]);
+  t.equal(only(effects, "cut_answer").length, 0);
+  t.end();
+});
+
+t.test("a copy whose engine leaves is given up", (t) => {
+  const { relay, attemptId, copyAt } = streaming();
+  leave(relay, copyAt ?? "");
+  t.equal(relay.state.requests.get("x1")?.copyAt, null);
+  const effects = relay.reduce({
+    kind: "attempt_failed",
+    attemptId,
+    exchangeId: "x1",
+    reason: "ECONNRESET",
+  });
+  t.equal(only(effects, "send_request").length, 0);
+  t.equal(only(effects, "cut_answer").length, 1);
+  t.end();
+});
+
+t.test("without a copy the engine moves the generation", (t) => {
+  const { relay, attemptId, upstream, copyAt } = streaming();
+  leave(relay, copyAt ?? "");
+  const vms = engines.map((vm) =>
+    vm.id === upstream || vm.id === copyAt
+      ? { ...vm, state: "leaving" as const }
+      : vm
+  );
+  relay.reduce({ kind: "upstreams_learned", vms });
+  const [first] = only(evacuate(relay, 1), "copy_generation");
+  t.match(first, { stop: false, requestId: "r1" });
+  const again = copied(relay, attemptId, { kind: "copied", handle: "h" });
+  t.match(only(again, "copy_generation"), [{ stop: true }]);
+  // The engine closes the stream of a generation that stops.
+  const cut = relay.reduce({
+    kind: "attempt_failed",
+    attemptId,
+    exchangeId: "x1",
+    reason: "connection_lost",
+  });
+  t.strictSame(cut, []);
+  const moved = copied(relay, attemptId, { kind: "copied", handle: "h" });
+  t.match(only(moved, "send_request"), [{
+    target: { address: first?.to },
+    resumption: { address: first?.from, handle: "h", lastEventId: "7" },
+  }]);
+  t.end();
+});
+
+t.test("a move that stopped a generation and got no answer is lost", (t) => {
+  const { relay, attemptId, upstream, copyAt } = streaming();
+  leave(relay, copyAt ?? "");
+  leave(relay, upstream);
+  evacuate(relay, 1);
+  copied(relay, attemptId, { kind: "copied", handle: "h" });
+  const effects = copied(relay, attemptId, { kind: "unknown" });
+  t.equal(only(effects, "cut_answer").length, 1);
+  t.equal(only(effects, "send_request").length, 0);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
+
+t.test("a copy that was refused leaves the generation where it is", (t) => {
+  const { relay, attemptId, upstream, copyAt } = streaming();
+  leave(relay, copyAt ?? "");
+  leave(relay, upstream);
+  evacuate(relay, 1);
+  const effects = copied(relay, attemptId, { kind: "not_running" });
+  t.equal(only(effects, "cut_answer").length, 0);
+  t.ok(only(passEvents(relay, attemptId, 8), "send_events").length === 1);
+  t.end();
+});
--- /dev/null
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -0,0 +1,196 @@
+import t from "tap";
+import {
+  only,
+  RelayFixture,
+  routeOf,
+  routingOf,
+  upstreamOf,
+} from "../fixtures/relay_fixture.ts";
+
+function deskOf(id: string) {
+  return upstreamOf(id, { pool: "desk", role: "service", slots: 6 });
+}
+
+function started(): RelayFixture {
+  const relay = new RelayFixture();
+  relay.learn([deskOf("d1"), deskOf("d2"), upstreamOf("e1")]);
+  return relay;
+}
+
+t.test("nothing is promised before anything is known", (t) => {
+  const relay = new RelayFixture();
+  const [failure] = only(relay.request(), "send_failure");
+  t.match(failure, { error: "not_ready", notRun: true });
+  t.ok((failure?.retryAfterMs ?? 0) > 0);
+  t.end();
+});
+
+t.test("what no route or key allows is refused", (t) => {
+  const table = [
+    { change: { path: "/other/" }, error: "not_found" },
+    { change: { host: "two.example" }, error: "not_found" },
+    { change: { key: "key-2" }, error: "unauthenticated" },
+    { change: { key: null }, error: "unauthenticated" },
+  ];
+  for (const { change, error } of table) {
+    const effects = started().request(change);
+    t.match(only(effects, "send_failure"), [{ error, notRun: true }]);
+    t.equal(only(effects, "send_request").length, 0);
+  }
+  t.end();
+});
+
+t.test("a key counts where the route asks for one", (t) => {
+  const relay = started();
+  const routing = routingOf({
+    version: 2,
+    routes: [routeOf({ keyless: true })],
+  });
+  relay.reduce({ kind: "routing_learned", routing });
+  const [sent] = only(relay.request({ key: null }), "send_request");
+  t.equal(sent?.workspace, null);
+  t.end();
+});
+
+t.test("an older routing changes nothing", (t) => {
+  const relay = started();
+  const newer = routingOf({ version: 5, workspaces: [] });
+  relay.reduce({ kind: "routing_learned", routing: newer });
+  relay.reduce({ kind: "routing_learned", routing: routingOf() });
+  const [failure] = only(relay.request(), "send_failure");
+  t.equal(failure?.error, "unauthenticated");
+  t.end();
+});
+
+t.test("a request is sent with what is left of its time", (t) => {
+  const relay = started();
+  const effects = relay.request({ budgetMs: 700 });
+  const [sent] = only(effects, "send_request");
+  t.match(sent, { workspace: "clinic", resumption: null, copyTo: null });
+  t.equal(sent?.deadline, relay.now - 1 + 700);
+  t.end();
+});
+
+t.test("what was refused unrun goes to another upstream", (t) => {
+  const relay = started();
+  const [first] = only(relay.request(), "send_request");
+  const effects = relay.reduce({
+    kind: "attempt_refused",
+    attemptId: first?.attemptId ?? "",
+    exchangeId: "x1",
+    reason: "not_executed",
+  });
+  const [second] = only(effects, "send_request");
+  t.not(second?.target.instance, first?.target.instance);
+  t.end();
+});
+
+t.test("refusals by all upstreams are passed on as not run", (t) => {
+  const relay = started();
+  let effects = relay.request();
+  for (let tries = 0; tries < 3; tries++) {
+    const [sent] = only(effects, "send_request");
+    if (sent === undefined) {
+      break;
+    }
+    effects = relay.reduce({
+      kind: "attempt_refused",
+      attemptId: sent.attemptId,
+      exchangeId: "x1",
+      reason: "not_executed",
+    });
+  }
+  const [failure] = only(effects, "send_failure");
+  t.match(failure, { notRun: true });
+  t.ok((failure?.retryAfterMs ?? 0) > 0);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
+
+t.test("what may have run is not repeated, and no promise is made", (t) => {
+  const relay = started();
+  const [sent] = only(relay.request(), "send_request");
+  const effects = relay.reduce({
+    kind: "attempt_failed",
+    attemptId: sent?.attemptId ?? "",
+    exchangeId: "x1",
+    reason: "ECONNRESET",
+  });
+  t.equal(only(effects, "send_request").length, 0);
+  t.match(only(effects, "send_failure"), [
+    { error: "upstream_lost", notRun: "unknown", retryAfterMs: null },
+  ]);
+  t.end();
+});
+
+t.test("a repeatable request is repeated within its attempts", (t) => {
+  const relay = started();
+  const [first] = only(relay.request({ path: "/look/1" }), "send_request");
+  const repeated = relay.reduce({
+    kind: "attempt_failed",
+    attemptId: first?.attemptId ?? "",
+    exchangeId: "x1",
+    reason: "ECONNRESET",
+  });
+  const [second] = only(repeated, "send_request");
+  t.not(second?.target.instance, first?.target.instance);
+  const failed = relay.reduce({
+    kind: "attempt_failed",
+    attemptId: second?.attemptId ?? "",
+    exchangeId: "x1",
+    reason: "ECONNRESET",
+  });
+  t.match(only(failed, "send_failure"), [{ error: "upstream_lost" }]);
+  t.end();
+});
+
+t.test("answers of an attempt that was replaced are dropped", (t) => {
+  const relay = started();
+  const [first] = only(relay.request({ path: "/look/1" }), "send_request");
+  const attemptId = first?.attemptId ?? "";
+  const event = { attemptId, exchangeId: "x1" } as const;
+  relay.reduce({ kind: "attempt_failed", reason: "lost", ...event });
+  const answer = { status: 200, headers: [], body: Buffer.from("late") };
+  const effects = relay.reduce({ kind: "answer_received", answer, ...event });
+  t.strictSame(effects, []);
+  t.end();
+});
+
+t.test("a caller that leaves frees the upstream at once", (t) => {
+  const relay = started();
+  const [sent] = only(relay.request(), "send_request");
+  const effects = relay.reduce({ kind: "request_left", exchangeId: "x1" });
+  t.match(only(effects, "drop_attempt"), [{ attemptId: sent?.attemptId }]);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
+
+t.test("the final answer comes when the route's time is over", (t) => {
+  const relay = started();
+  const effects = relay.request({ budgetMs: null });
+  const timers = only(effects, "set_timer").filter(({ timer }) =>
+    timer.kind === "request_deadline"
+  );
+  t.equal(timers[0]?.at, relay.now - 1 + 3_000);
+  const timer = { kind: "request_deadline", exchangeId: "x1" } as const;
+  const expired = relay.reduce({ kind: "timer_fired", timer }, 3_000);
+  t.match(only(expired, "send_failure"), [
+    { error: "upstream_timeout", notRun: "unknown" },
+  ]);
+  t.equal(only(expired, "drop_attempt").length, 1);
+  t.end();
+});
+
+t.test("an answer is passed on once, unchanged", (t) => {
+  const relay = started();
+  const [sent] = only(relay.request(), "send_request");
+  const event = {
+    kind: "answer_received",
+    attemptId: sent?.attemptId ?? "",
+    exchangeId: "x1",
+    answer: { status: 200, headers: ["a", "b"], body: Buffer.from("c") },
+  } as const;
+  t.match(only(relay.reduce(event), "send_answer"), [{ answer: event.answer }]);
+  t.strictSame(relay.reduce(event), []);
+  t.end();
+});
