--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -59,6 +59,12 @@
     });
   }
 
+  /** Closes all connections. */
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
   /** Applies the bounds of what callers may send. */
   limit(limits: {
     readonly idleMs: number;
--- a/packages/relay/src/process/process_runner.ts
+++ b/packages/relay/src/process/process_runner.ts
@@ -13,17 +13,20 @@
   readonly metrics: RelayMetrics;
   readonly exchanges: CallerExchanges;
   readonly front: () => FrontServer;
+  /** Ends the process. */
+  readonly exit: () => void;
 }
 
 /** Creates the handlers of timers, counters, logs and the exit. */
 export function createProcessHandlers(
-  { clock, vm, metrics, exchanges, front }: ProcessRunnerOptions,
+  { clock, vm, metrics, exchanges, front, exit }: ProcessRunnerOptions,
 ): EffectHandlers<RelayEvent, ProcessEffect> {
   const log = createDecisionLog({ vm });
   return {
     set_timer: ({ timer, at }, dispatch) => {
       const wait = Math.max(0, at - clock.now().monotonic);
-      setTimeout(() => dispatch({ kind: "timer_fired", timer }), wait);
+      // The listening sockets keep the process alive, not its timers.
+      setTimeout(() => dispatch({ kind: "timer_fired", timer }), wait).unref();
     },
     log_decision: ({ decision }) => log(decision),
     count: ({ counter, reason }) => {
@@ -36,6 +39,6 @@
     close_callers: () => {
       exchanges.closing = true;
     },
-    exit: () => process.exit(0),
+    exit,
   };
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -33,18 +33,28 @@
 const epochBytes = 6;
 const metricsPath = "/metrics";
 
+/** A relay that listens. */
+export interface RunningRelay {
+  /** Takes no new callers, and ends once nothing runs. */
+  readonly stop: () => void;
+  /** Closes all sockets at once. */
+  readonly close: () => void;
+}
+
 /** Starts a relay; resolves once it listens. */
 export async function startRelay(
   settings: RelaySettings,
   ports: RelayPorts,
-): Promise<void> {
+  exit: () => void,
+): Promise<RunningRelay> {
   const epoch = randomBytes(epochBytes).toString("hex");
   const state = createRelayState(settings, epoch, Date.now());
   const credentials = createPeerCredentials({
     ip: settings.peers.ip,
     privateNetwork: true,
   });
-  const exchanges = new ExchangeRunner(new PeerClients(credentials));
+  const peerClients = new PeerClients(credentials);
+  const exchanges = new ExchangeRunner(peerClients);
   const callers = new CallerExchanges(ports.headers);
   const metrics = createRelayMetrics(state);
   const loop: Loop<RelayState, RelayEvent, RelayEffect> = new Loop<
@@ -66,6 +76,7 @@
         metrics,
         exchanges: callers,
         front: (): FrontServer => front,
+        exit,
       }),
     },
   });
@@ -82,25 +93,33 @@
   await peers.listen(settings.peers.ip, settings.peers.port);
   const readiness = createReadinessServer(state, ports.readinessPath);
   await listen(readiness, settings.readiness);
-  await listen(createAddressServer(state, ports.addresses), settings.addresses);
+  const addresses = createAddressServer(state, ports.addresses);
+  await listen(addresses, settings.addresses);
+  const series = createMetricsServer(metrics.registry, metricsPath);
   if (settings.metrics !== null) {
-    const server = createMetricsServer(metrics.registry, metricsPath);
-    await listen(server, settings.metrics);
+    await listen(series, settings.metrics);
   }
   await front.listen(settings.callers);
   const address = `${settings.callers.ip}:${settings.callers.port}`;
   const peersAddress = `${settings.peers.ip}:${settings.peers.port}`;
   dispatch({ kind: "listening", address, peers: peersAddress });
   announce("listening", { vm: settings.vm, address, epoch });
-  process.on("SIGTERM", () => {
-    announce("stopping", { vm: settings.vm, epoch });
-    dispatch({ kind: "stop_requested" });
-  });
-  process.on("SIGHUP", () => {
-    // All that may change while a process runs comes from the store.
-    announce("reload", { vm: settings.vm, epoch });
-  });
   dispatch({ kind: "started" });
+  return {
+    stop: () => {
+      announce("stopping", { vm: settings.vm, epoch });
+      dispatch({ kind: "stop_requested" });
+    },
+    close: () => {
+      front.close();
+      peers.close();
+      peerClients.close();
+      for (const server of [readiness, addresses, series]) {
+        server.closeAllConnections();
+        server.close();
+      }
+    },
+  };
 }
 
 function createPeerMethods(
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -12,3 +12,5 @@
   service: new URL("./service/service_main.js", import.meta.url),
   platform: new URL("./platform/platform_main.js", import.meta.url),
 } as const;
+export * from "./rows/opaque_upstream.ts";
+export * from "./rows/rows_server.ts";
