--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -111,6 +111,12 @@
     const route = request.route.name;
     effects.push({ kind: "observe", route, milliseconds });
   }
+  if (request.events === 0) {
+    request.firstMs = at.monotonic - request.demand.arrivedAt;
+  } else {
+    const pauseMs = at.monotonic - request.progressedAt;
+    request.longestPauseMs = Math.max(request.longestPauseMs, pauseMs);
+  }
   request.firstEventAt ??= at.monotonic;
   request.events += event.count;
   request.lastEventId = lastEventId ?? request.lastEventId;
@@ -145,7 +151,14 @@
       kind: "finish",
       subject: request.requestId,
       reason: "streamed",
-      figures: { upstream, events, ms, sends },
+      figures: {
+        upstream,
+        events,
+        ms,
+        sends,
+        firstMs: Math.round(request.firstMs),
+        longestPauseMs: Math.round(request.longestPauseMs),
+      },
     }, at),
     ...effects,
     { kind: "finish_events", exchangeId, head },
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -134,7 +134,6 @@
   request.upstream = upstream;
   request.sends += 1;
   request.resumed = resumption !== null;
-  request.progressedAt = at.monotonic;
   request.firstEventAt = null;
   if (request.phase === "waiting") {
     request.phase = "sent";
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -75,6 +75,10 @@
   firstEventAt: number | null;
   /** Monotonic milliseconds at which the upstream was known to leave. */
   noticedAt: number;
+  /** Milliseconds from the request to its first event. */
+  firstMs: number;
+  /** Longest time between two parts of the stream, in milliseconds. */
+  longestPauseMs: number;
   /** Monotonic milliseconds of the last progress of the answer. */
   progressedAt: number;
 }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -168,6 +168,8 @@
     move: null,
     firstEventAt: null,
     noticedAt: 0,
+    firstMs: 0,
+    longestPauseMs: 0,
     resumed: false,
     progressedAt: arrivedAt,
   };
