--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -48,6 +48,9 @@
 /** Share of the strictest target that the time between tokens may take. */
 const stepTimeShare = 0.9;
 
+/** Engines that are weighed for work that moves; bounds the time it takes. */
+const maxTransferCandidates = 8;
+
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 type Refusal = Extract<Placement, { kind: "refuse" }>;
 
@@ -56,6 +59,8 @@
   readonly risk: number;
   readonly cachedBlocks: number;
   readonly score: number;
+  /** Share of the memory that is taken now. */
+  readonly fill: number;
 }
 
 /**
@@ -204,14 +209,19 @@
     return releases;
   }
 
-  transfer(demand: Demand, { at, near }: TransferOptions): string | null {
+  transfer(demand: Demand, options: TransferOptions): string | null {
+    const { at, near, maxFill = Infinity } = options;
     const estimate = this.#estimator.estimate(demand);
-    const context = { estimate, at };
     const { engines } = this.#engines.serving(demand.model);
-    const nearby = engines.filter((each) => each.dataCentre === near);
-    const best = this.#best(nearby, demand, context) ??
-      this.#best(engines, demand, context);
-    return best?.engine.id ?? null;
+    const { avoid = [] } = demand;
+    const open = engines.filter(({ id }) => !avoid.includes(id));
+    const candidates = this.#sample(open, maxTransferCandidates)
+      .map((engine) => this.#weigh(engine, demand, { estimate, at }))
+      .filter((each) => each !== null)
+      .filter(({ fill }) => fill <= maxFill)
+      .sort((a, b) => a.fill - b.fill);
+    const nearby = candidates.find(({ engine }) => engine.dataCentre === near);
+    return (nearby ?? candidates[0])?.engine.id ?? null;
   }
 
   sent({ generationId, engine: id, demand }: Sent, at: Moment): void {
@@ -322,6 +332,17 @@
     };
   }
 
+  #sample(engines: readonly Engine[], count: number): readonly Engine[] {
+    if (engines.length <= count) {
+      return engines;
+    }
+    const start = this.#random.below(engines.length);
+    return [...engines.slice(start), ...engines.slice(0, start)].slice(
+      0,
+      count,
+    );
+  }
+
   #best(
     serving: readonly Engine[],
     demand: Demand,
@@ -352,7 +373,10 @@
     if (allowance === 0) {
       return null;
     }
-    const risk = view.forecast(at).riskWith(
+    const forecast = view.forecast(at);
+    const held = (forecast.mean[0] ?? 0) + demand.promptTokens;
+    const fill = held / memoryTokens;
+    const risk = forecast.riskWith(
       estimate.footprint,
       memoryTokens * allowance,
     );
@@ -369,7 +393,7 @@
     const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
     const score = stepMs * estimate.outputTokens + risk * stallMsPerRisk -
       savedMs;
-    return { engine, risk, cachedBlocks, score };
+    return { engine, risk, cachedBlocks, score, fill };
   }
 
   /** Whether one more generation makes the engine's tokens come too late. */
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -175,6 +175,8 @@
   readonly at: Moment;
   /** Data centre whose engines go first. */
   readonly near?: string;
+  /** Share of an engine's memory that may be taken with the work. */
+  readonly maxFill?: number;
 }
 
 /** Prefix digests that an engine's cache gained and lost. */
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -172,6 +172,12 @@
 /** Events below which a generation ends before a copy is of use. */
 const leastEventsToCopy = 40;
 
+/**
+ * Share of an engine's memory up to which it takes copies. New generations
+ * need the rest: a copy only helps where its generation's engine leaves.
+ */
+const maxCopyFill = 0.6;
+
 /** Chooses an engine that keeps a copy of a long generation's memory. */
 function chooseCopy(
   state: RelayState,
@@ -187,7 +193,10 @@
     return null;
   }
   const avoid = [...(demand.avoid ?? []), upstream];
-  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, { at });
+  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, {
+    at,
+    maxFill: maxCopyFill,
+  });
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
   if (copyAt === null || vm === undefined) {
     return null;
