--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -176,7 +176,7 @@
  * Share of an engine's memory up to which it takes copies. New generations
  * need the rest: a copy only helps where its generation's engine leaves.
  */
-const maxCopyFill = 0.6;
+const maxCopyFill = 0.8;
 
 /** Chooses an engine that keeps a copy of a long generation's memory. */
 function chooseCopy(
