--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -185,7 +185,8 @@
   setShares(shares: readonly PeerWork[], at: Moment): void {
     const next = new Map(shares.map((share) => [share.engine, share]));
     for (const { key, value } of this.#exchange.store.of("shares")) {
-      if (!next.has(key) && value.running !== 0) {
+      const told = value.running !== 0 || value.tokens !== 0;
+      if (!next.has(key) && told) {
         const idle = { engine: key, running: 0, tokens: 0 };
         this.#exchange.change("shares", { key, value: idle }, { at });
       }
@@ -418,7 +419,7 @@
     const works = this.#works.get(from) ?? new Map<string, PeerWork>();
     this.#works.set(from, works);
     for (const share of shares) {
-      if (share.running === 0) {
+      if (share.running === 0 && share.tokens === 0) {
         works.delete(share.engine);
       } else {
         works.set(share.engine, share);
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -157,7 +157,7 @@
   shares(): readonly PeerShare[] {
     return [...this.#engines.values()].map(({ id, view }) => ({
       engine: id,
-      running: view.flights.size,
+      running: view.active,
       tokens: view.ownTokens,
     }));
   }
@@ -210,7 +210,7 @@
   }
 
   transfer(demand: Demand, options: TransferOptions): string | null {
-    const { at, near, maxFill = Infinity } = options;
+    const { at, near } = options;
     const estimate = this.#estimator.estimate(demand);
     const { engines } = this.#engines.serving(demand.model);
     const { avoid = [] } = demand;
@@ -218,19 +218,20 @@
     const candidates = this.#sample(open, maxTransferCandidates)
       .map((engine) => this.#weigh(engine, demand, { estimate, at }))
       .filter((each) => each !== null)
-      .filter(({ fill }) => fill <= maxFill)
       .sort((a, b) => a.fill - b.fill);
     const nearby = candidates.find(({ engine }) => engine.dataCentre === near);
     return (nearby ?? candidates[0])?.engine.id ?? null;
   }
 
-  sent({ generationId, engine: id, demand }: Sent, at: Moment): void {
+  sent(sent: Sent, at: Moment): void {
+    const { generationId, engine: id, demand, passive = false } = sent;
     const engine = this.#engines.get(id);
     if (engine === undefined) {
       return;
     }
     this.#unreserve(at, demand.requestId);
-    engine.view.start(generationId, this.#flightOf(demand, at), at);
+    const flight = { ...this.#flightOf(demand, at), passive };
+    engine.view.start(generationId, flight, at);
     engine.prefixes.expect(demand.prefix);
     this.#homes.set(generationId, engine);
     this.#rememberSent(demand.requestId);
@@ -510,7 +511,13 @@
   #flightOf(demand: Demand, at: Moment): Flight {
     const now = at.monotonic;
     const tail = this.#estimator.tailOf(demand);
-    return { demand, tail, sentAt: now, tokensOut: 0, progressedAt: now };
+    return {
+      demand,
+      tail,
+      sentAt: now,
+      tokensOut: 0,
+      progressedAt: now,
+    };
   }
 
   #rememberSent(requestId: string): void {
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -104,6 +104,8 @@
   readonly generationId: string;
   readonly engine: string;
   readonly demand: Demand;
+  /** Whether it only holds memory there and runs elsewhere. */
+  readonly passive?: boolean;
 }
 
 /** A demand of the backlog whose wait is over. */
@@ -175,8 +177,6 @@
   readonly at: Moment;
   /** Data centre whose engines go first. */
   readonly near?: string;
-  /** Share of an engine's memory that may be taken with the work. */
-  readonly maxFill?: number;
 }
 
 /** Prefix digests that an engine's cache gained and lost. */
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -21,6 +21,8 @@
   readonly demand: Demand;
   readonly tail: Tail;
   readonly sentAt: number;
+  /** Whether it only holds memory and runs elsewhere. */
+  readonly passive?: boolean;
   tokensOut: number;
   progressedAt: number;
 }
@@ -54,6 +56,7 @@
   /** Others' memory over this process's own, over the last reports. */
   #othersRatio = 0;
   readonly #peers = new Map<string, PeerShare & { readonly at: number }>();
+  #active = 0;
   /** Generations of all peers, as they last told. */
   #peersCount = 0;
   #forecast = new MemoryForecast();
@@ -73,7 +76,12 @@
     if (!this.#lagCorrection) {
       return (this.report?.running ?? 0) + (this.report?.waiting ?? 0);
     }
-    return this.flights.size + Math.max(this.#othersCount, this.#peersCount);
+    return this.#active + Math.max(this.#othersCount, this.#peersCount);
+  }
+
+  /** This process's generations that run at the engine. */
+  get active(): number {
+    return this.#active;
   }
 
   /** Takes a load report and works out what others hold. */
@@ -147,6 +155,7 @@
   /** Adds an own generation. */
   start(generationId: string, flight: Flight, at: Moment): void {
     this.flights.set(generationId, flight);
+    this.#active += flight.passive === true ? 0 : 1;
     this.#ownTokens += flight.demand.promptTokens + flight.tokensOut;
     this.#forecast.add(footprintOf(flight));
     this.#sample(at);
@@ -159,7 +168,7 @@
       return;
     }
     const fresh = tokens - flight.tokensOut;
-    if (flight.tokensOut > 0 && fresh > 0) {
+    if (flight.tokensOut > 0 && fresh > 0 && flight.passive !== true) {
       const passed = at.monotonic - flight.progressedAt;
       this.stepTime.observe(this.running, passed / fresh);
     }
@@ -176,6 +185,7 @@
       return undefined;
     }
     this.flights.delete(generationId);
+    this.#active -= flight.passive === true ? 0 : 1;
     this.#ownTokens -= flight.demand.promptTokens + flight.tokensOut;
     this.#forecastAt = -Infinity;
     this.#sample(at);
@@ -185,7 +195,7 @@
   /** Notes what this process holds, to compare later reports with. */
   #sample(at: Moment): void {
     const wall = Math.floor(at.wall / sampleMs) * sampleMs;
-    const sample = { wall, tokens: this.#ownTokens, count: this.flights.size };
+    const sample = { wall, tokens: this.#ownTokens, count: this.#active };
     if (this.#samples.at(-1)?.wall === wall) {
       this.#samples[this.#samples.length - 1] = sample;
       return;
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -41,7 +41,8 @@
 ): readonly RelayEffect[] {
   const pools = [...state.pools.values()];
   const shares = pools.flatMap(({ dispatcher }) =>
-    dispatcher.shares().filter(({ running }) => running > 0)
+    dispatcher.shares()
+      .filter(({ running, tokens }) => running > 0 || tokens > 0)
   );
   state.fleet.setShares(shares, at);
   for (const { dispatcher } of pools) {
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -167,7 +167,8 @@
   }
   const generationId = copyOf(attemptId);
   releaseCopy(state, request, at);
-  pool.dispatcher.sent({ generationId, engine: to, demand }, at);
+  const sent = { generationId, engine: to, demand, passive: true };
+  pool.dispatcher.sent(sent, at);
   pool.dispatcher.progressed(generationId, done, at);
   const move: Move = {
     to,
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -172,12 +172,6 @@
 /** Events below which a generation ends before a copy is of use. */
 const leastEventsToCopy = 40;
 
-/**
- * Share of an engine's memory up to which it takes copies. New generations
- * need the rest: a copy only helps where its generation's engine leaves.
- */
-const maxCopyFill = 0.8;
-
 /** Chooses an engine that keeps a copy of a long generation's memory. */
 function chooseCopy(
   state: RelayState,
@@ -193,17 +187,15 @@
     return null;
   }
   const avoid = [...(demand.avoid ?? []), upstream];
-  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, {
-    at,
-    maxFill: maxCopyFill,
-  });
+  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, { at });
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
   if (copyAt === null || vm === undefined) {
     return null;
   }
   request.copyAt = copyAt;
   const generationId = copyOf(attemptId);
-  pool.dispatcher.sent({ generationId, engine: copyAt, demand }, at);
+  const sent = { generationId, engine: copyAt, demand, passive: true };
+  pool.dispatcher.sent(sent, at);
   pool.dispatcher.progressed(generationId, tokensOf(pool, request), at);
   return vm.address;
 }
