--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -73,6 +73,11 @@
         attempt.request.destroy();
       }
     },
+    check_copy: ({ attemptId, exchangeId, address }, dispatch) => {
+      void this.#copier.keptAt(address).then((keptTokens) =>
+        dispatch({ kind: "copy_checked", attemptId, exchangeId, keptTokens })
+      );
+    },
     copy_generation: (effect, dispatch) => {
       const { attemptId, exchangeId } = effect;
       void this.#copier.copy(effect).then((outcome) =>
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -77,7 +77,10 @@
 ): Promise<readonly RelayEvent[]> {
   const exchanges = new CallerExchanges(codec);
   await openExchange(t, exchanges);
-  const copier = { copy: () => Promise.resolve({ kind: "unknown" } as const) };
+  const copier = {
+    copy: () => Promise.resolve({ kind: "unknown" } as const),
+    keptAt: () => Promise.resolve(null),
+  };
   const runner = new UpstreamRunner(codec, exchanges, copier);
   const events: RelayEvent[] = [];
   return await new Promise((resolve) => {
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -15,6 +15,13 @@
 import { count, decide } from "../util/effects.ts";
 
 type Copied = Extract<RequestEvent, { kind: "generation_copied" }>;
+type Checked = Extract<RequestEvent, { kind: "copy_checked" }>;
+
+/**
+ * Share of a generation's tokens that an engine has to keep for a copy to be
+ * believed there: copies lag by what was generated in some hundred ms.
+ */
+const leastKept = 0.8;
 
 /**
  * Milliseconds from a notice until a generation goes on at its copy. Short
@@ -51,7 +58,12 @@
 const quickCopyMs = 120;
 
 /** Moves generations between engines. */
-export const movePart: EventHandlers<RelayState, Copied, RelayEffect> = {
+export const movePart: EventHandlers<
+  RelayState,
+  Copied | Checked,
+  RelayEffect
+> = {
+  copy_checked: (state, event) => useCopy(state, event),
   generation_copied: (state, event) => continueMove(state, event),
 };
 
@@ -85,11 +97,41 @@
   ) {
     return [];
   }
-  const resumed = request.events === 0
-    ? null
-    : resumeFromCopy(state, request, { reason: "leaving", at });
-  return resumed ??
-    startMove(state, request, { avoid: [], stop: false, at });
+  const copy = state.upstreams.get(request.copyAt ?? "");
+  if (request.events === 0 || copy === undefined) {
+    return startMove(state, request, { avoid: [], stop: false, at });
+  }
+  const { attemptId } = request;
+  const { address } = copy;
+  return [{ kind: "check_copy", attemptId, exchangeId, address }];
+}
+
+/**
+ * Goes on at a copy that is there. An engine without room drops copies, and
+ * a generation that was stopped for one of those would be lost.
+ */
+function useCopy(
+  state: RelayState,
+  event: Timed<Checked>,
+): readonly RelayEffect[] {
+  const { exchangeId, attemptId, keptTokens, at } = event;
+  const request = state.requests.get(exchangeId);
+  const pool = state.pools.get(request?.service ?? "");
+  if (
+    request === undefined || pool === undefined || request.move !== null ||
+    request.attemptId !== attemptId
+  ) {
+    return [];
+  }
+  const tokens = request.demand.promptTokens + tokensOf(pool, request);
+  if (keptTokens !== null && keptTokens >= leastKept * tokens) {
+    const reason = "leaving";
+    const resumed = resumeFromCopy(state, request, { reason, at, keptTokens });
+    if (resumed !== null) {
+      return resumed;
+    }
+  }
+  return startMove(state, request, { avoid: [], stop: false, at });
 }
 
 /**
@@ -99,7 +141,11 @@
 export function resumeFromCopy(
   state: RelayState,
   request: RelayedRequest,
-  { reason, at }: { readonly reason: string; readonly at: Moment },
+  { reason, at, keptTokens }: {
+    readonly reason: string;
+    readonly at: Moment;
+    readonly keptTokens?: number;
+  },
 ): readonly RelayEffect[] | null {
   const { copyAt, lastEventId, requestId } = request;
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
@@ -108,7 +154,14 @@
   }
   const resumption = { address: vm.address, handle: requestId, lastEventId };
   const ending = reason === "leaving" ? "cancelled" : "failed";
-  return resume(state, request, { to: copyAt, resumption, reason, ending, at });
+  return resume(state, request, {
+    to: copyAt,
+    resumption,
+    reason,
+    ending,
+    ...(keptTokens === undefined ? {} : { keptTokens }),
+    at,
+  });
 }
 
 function resume(
@@ -123,13 +176,18 @@
     };
     readonly reason: string;
     readonly ending: "cancelled" | "failed";
+    /** Tokens that the engine said it keeps; -1: it was not asked. */
+    readonly keptTokens?: number;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
+  const { keptTokens = -1 } = options;
   const { to: upstream, resumption, reason, ending, at } = options;
   const { upstream: from, events, requestId, lastEventId } = request;
+  const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
   const dropped = endAttempt(state, request, { ending, at });
-  const figures = { from, upstream, events, after: lastEventId ?? "" };
+  const after = lastEventId ?? "";
+  const figures = { from, upstream, events, after, ageMs, keptTokens };
   return [
     decide(state, { kind: "resume", subject: requestId, reason, figures }, at),
     count("resumptions", reason),
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -51,6 +51,13 @@
   return relay.reduce({ kind: "timer_fired", timer }, afterMs);
 }
 
+/** Answers the question whether the copy is there. */
+function check(relay: RelayFixture, attemptId: string, keptTokens: number) {
+  const exchangeId = "x1";
+  const kind = "copy_checked";
+  return relay.reduce({ kind, attemptId, exchangeId, keptTokens });
+}
+
 function copied(
   relay: RelayFixture,
   attemptId: string,
@@ -76,9 +83,12 @@
     timer.kind === "evacuate"
   );
   t.ok((timer?.at ?? 0) > relay.now);
-  const effects = evacuate(relay, 500);
-  t.match(only(effects, "drop_attempt"), [{ attemptId }]);
   const target = engines.find(({ id }) => id === copyAt);
+  const asked = evacuate(relay, 500);
+  t.match(only(asked, "check_copy"), [{ address: target?.address }]);
+  t.equal(only(asked, "drop_attempt").length, 0);
+  const effects = check(relay, attemptId, 3_028);
+  t.match(only(effects, "drop_attempt"), [{ attemptId }]);
   t.match(only(effects, "send_request"), [{
     target: { address: target?.address },
     resumption: { address: target?.address, handle: "r1", lastEventId: "7" },
@@ -88,10 +98,22 @@
   t.end();
 });
 
+t.test("a copy that is not there stops nothing", (t) => {
+  const { relay, attemptId, upstream } = streaming();
+  leave(relay, upstream);
+  evacuate(relay, 500);
+  const effects = check(relay, attemptId, 100);
+  t.equal(only(effects, "drop_attempt").length, 0);
+  t.match(only(effects, "copy_generation"), [{ stop: false }]);
+  t.ok(only(passEvents(relay, attemptId, 8), "send_events").length === 1);
+  t.end();
+});
+
 t.test("events of the former engine are dropped after a move", (t) => {
   const { relay, attemptId, upstream } = streaming();
   leave(relay, upstream);
   evacuate(relay, 500);
+  check(relay, attemptId, 3_028);
   t.strictSame(passEvents(relay, attemptId, 8), []);
   t.end();
 });
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -48,6 +48,11 @@
 
 /** Asks engines to copy the memory of the generations that they run. */
 export interface GenerationCopier {
+  /**
+   * Returns the tokens that an engine keeps of others' generations; `null`
+   * where it does not say. Never rejects.
+   */
+  keptAt(address: string): Promise<number | null>;
   /** Resolves once the copy is complete or failed; never rejects. */
   copy(copy: {
     /** Address of the engine that runs the generation. */
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -39,6 +39,13 @@
     readonly resumption: Resumption | null;
   }
   | { readonly kind: "drop_attempt"; readonly attemptId: string }
+  | {
+    /** Asks an engine how much memory it keeps for others' generations. */
+    readonly kind: "check_copy";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    readonly address: string;
+  }
   | {
     /** Copies a running generation's memory to another engine. */
     readonly kind: "copy_generation";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -79,6 +79,13 @@
     readonly exchangeId: string;
     readonly answer: Answer;
   }
+  | {
+    readonly kind: "copy_checked";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    /** Tokens kept for all generations; `null`: the engine did not say. */
+    readonly keptTokens: number | null;
+  }
   | {
     readonly kind: "generation_copied";
     readonly attemptId: string;
--- a/packages/standins/src/rows/opaque_upstream.ts
+++ b/packages/standins/src/rows/opaque_upstream.ts
@@ -23,6 +23,8 @@
 
 /** What all upstreams of a test know together. */
 export class RunBook {
+  /** Tokens of copies that every engine reports to keep. */
+  kept = 10_000;
   readonly runs = new Map<string, Run>();
 
   /** Returns the run of a request. */
@@ -84,6 +86,10 @@
       this.#move(moveSchema.parse(await readJson(request)), response);
       return;
     }
+    if (request.url === "/report") {
+      sendJson(response, 200, { held: this.#options.book.kept });
+      return;
+    }
     const expected = request.headers["lavenderferry-expect-instance"];
     if (expected !== instance) {
       response.writeHead(421, { "lavenderferry-instance-id": instance }).end();
