--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -51,6 +51,9 @@
 /** Engines that are weighed for work that moves; bounds the time it takes. */
 const maxTransferCandidates = 8;
 
+/** Engines that are weighed for a copy: few, so that processes spread them. */
+const copyCandidates = 2;
+
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 type Refusal = Extract<Placement, { kind: "refuse" }>;
 
@@ -215,7 +218,8 @@
     const { engines } = this.#engines.serving(demand.model);
     const { avoid = [] } = demand;
     const open = engines.filter(({ id }) => !avoid.includes(id));
-    const candidates = this.#sample(open, maxTransferCandidates)
+    const count = near === undefined ? copyCandidates : maxTransferCandidates;
+    const candidates = this.#sample(open, count)
       .map((engine) => this.#weigh(engine, demand, { estimate, at }))
       .filter((each) => each !== null)
       .sort((a, b) => a.fill - b.fill);
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -109,6 +109,37 @@
   t.end();
 });
 
+t.test("a resumption that is refused is asked for again", (t) => {
+  const { relay, attemptId } = streaming();
+  const event = { attemptId, exchangeId: "x1" } as const;
+  const died = relay.reduce({
+    kind: "attempt_failed",
+    reason: "ECONNRESET",
+    ...event,
+  });
+  let [sent] = only(died, "send_request");
+  let tries = 0;
+  while (sent !== undefined) {
+    const effects = relay.reduce({
+      kind: "attempt_refused",
+      reason: "not_executed",
+      exchangeId: "x1",
+      attemptId: sent.attemptId,
+    });
+    tries += 1;
+    if (only(effects, "cut_answer").length > 0) {
+      break;
+    }
+    const timer = { kind: "resume_again", exchangeId: "x1" } as const;
+    const again = relay.reduce({ kind: "timer_fired", timer }, 100);
+    t.match(only(again, "send_request"), [{ resumption: sent.resumption }]);
+    [sent] = only(again, "send_request");
+  }
+  t.equal(tries, 5, "and cut after a bounded number of times");
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
+
 t.test("events of the former engine are dropped after a move", (t) => {
   const { relay, attemptId, upstream } = streaming();
   leave(relay, upstream);
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -5,6 +5,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
 import { pumpBacklogs } from "../requests/place_request.ts";
+import { resumeAgain } from "../requests/answer_part.ts";
 import { expireRequest } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
 import { decide } from "../util/effects.ts";
@@ -70,6 +71,8 @@
   request_deadline: (state, { exchangeId }, at) =>
     expireRequest(state, exchangeId, at),
   evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
+  resume_again: (state, { exchangeId }, at) =>
+    resumeAgain(state, exchangeId, at),
   check_stop: (state, _timer, at) => checkStop(state, at),
 };
 
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -9,6 +9,7 @@
   | { readonly kind: "confirm_removals" }
   | { readonly kind: "request_deadline"; readonly exchangeId: string }
   | { readonly kind: "evacuate"; readonly exchangeId: string }
+  | { readonly kind: "resume_again"; readonly exchangeId: string }
   | { readonly kind: "check_stop" };
 
 /** Milliseconds between two runs of the periodic timers. */
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -11,6 +11,7 @@
   placeRequest,
   pumpBacklogs,
   refusalOf,
+  startAttempt,
   tokensOf,
 } from "./place_request.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
@@ -22,6 +23,15 @@
 /** Attempts of one request, counting those that were refused unrun. */
 const maxSends = 4;
 
+/**
+ * Times that a refused resumption is asked for again. Each may be refused for
+ * want of room, which other generations free all the time.
+ */
+const maxRefusedResumptions = 4;
+
+/** Milliseconds until a refused resumption is asked for again. */
+const resumeAgainMs = 100;
+
 /** Milliseconds after which a caller asks again when upstreams refuse. */
 const refusedRetryMs = 400;
 
@@ -118,6 +128,7 @@
     request.longestPauseMs = Math.max(request.longestPauseMs, pauseMs);
   }
   request.firstEventAt ??= at.monotonic;
+  request.refusedResumptions = 0;
   request.events += event.count;
   request.lastEventId = lastEventId ?? request.lastEventId;
   request.progressedAt = at.monotonic;
@@ -175,7 +186,8 @@
     return [];
   }
   const { at, reason } = event;
-  const { upstream, requestId, runs, sends, demand, resumed } = request;
+  const { upstream, requestId, runs, sends, demand, resumption } = request;
+  const resumed = resumption !== null;
   const pool = state.pools.get(request.service);
   endAttempt(state, request, { ending: "refused", at });
   if (reason !== "not_executed") {
@@ -183,6 +195,18 @@
     pool?.dispatcher.removeEngine(upstream);
   }
   const figures = { upstream, sends, runs };
+  if (resumed && reason === "not_executed") {
+    request.refusedResumptions += 1;
+    if (request.refusedResumptions <= maxRefusedResumptions) {
+      const { exchangeId } = request;
+      const timer = { kind: "resume_again", exchangeId } as const;
+      const due = at.monotonic + resumeAgainMs;
+      return [
+        count("retries", reason),
+        { kind: "set_timer", timer, at: due },
+      ];
+    }
+  }
   const decision = { kind: "retry", subject: requestId, reason, figures };
   const allowed = !resumed && sends < maxSends &&
     at.monotonic < request.deadline && pool?.repeats.spend() === true;
@@ -210,6 +234,23 @@
   ];
 }
 
+/** Asks again for a resumption that was refused. */
+export function resumeAgain(
+  state: RelayState,
+  exchangeId: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const request = state.requests.get(exchangeId);
+  if (request === undefined || request.resumption === null) {
+    return [];
+  }
+  const { upstream, resumption, refusedResumptions } = request;
+  if (refusedResumptions === 0 || !state.upstreams.has(upstream)) {
+    return [];
+  }
+  return startAttempt(state, request, { upstream, resumption, at });
+}
+
 function recoverFailed(
   state: RelayState,
   event: Event<"attempt_failed">,
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -133,7 +133,7 @@
   request.attemptId = attemptId;
   request.upstream = upstream;
   request.sends += 1;
-  request.resumed = resumption !== null;
+  request.resumption = resumption;
   request.firstEventAt = null;
   if (request.phase === "waiting") {
     request.phase = "sent";
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -1,4 +1,5 @@
 import type { Demand } from "@lavenderferry/policy";
+import type { Resumption } from "../relay_effect.ts";
 import type { Route } from "../routing/routing.ts";
 
 /** What a request states of the generation that it asks for. */
@@ -69,8 +70,10 @@
   copyAt: string | null;
   /** How it leaves its engine; `null`: it stays. */
   move: Move | null;
-  /** Whether the current attempt goes on from a copy. */
-  resumed: boolean;
+  /** Where the current attempt goes on from; `null`: it is a first run. */
+  resumption: Resumption | null;
+  /** Times that the current resumption was refused. */
+  refusedResumptions: number;
   /** Monotonic milliseconds of the current attempt's first event. */
   firstEventAt: number | null;
   /** Monotonic milliseconds at which the upstream was known to leave. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -170,7 +170,8 @@
     noticedAt: 0,
     firstMs: 0,
     longestPauseMs: 0,
-    resumed: false,
+    resumption: null,
+    refusedResumptions: 0,
     progressedAt: arrivedAt,
   };
 }
