--- a/packages/platform/src/http_transport.ts
+++ b/packages/platform/src/http_transport.ts
@@ -18,10 +18,9 @@
     path: "/v1/table/scan",
     body: { prefix, ...options },
   }),
-  changes: ({ prefix, after, waitMs }) => ({
-    path: "/v1/table/changes",
-    body: { prefix, after, waitMs },
-  }),
+  changes: () => {
+    throw new TypeError("The platform's table has no feed of changes");
+  },
   commit: ({ writes }) => ({ path: "/v1/table/commit", body: { writes } }),
   list_vms: () => ({ path: "/v1/vms/list", body: {} }),
   put_object: ({ key, value }) => ({
--- /dev/null
+++ b/packages/relay/src/process/metrics_page_test.ts
@@ -0,0 +1,16 @@
+import { readFileSync } from "node:fs";
+import t from "tap";
+import { RelayFixture } from "../fixtures/relay_fixture.ts";
+import { createRelayMetrics } from "./metrics.ts";
+
+t.test("the page names exactly the series that are served", async (t) => {
+  const page = readFileSync(
+    new URL("../../../../docs/METRICS.md", import.meta.url),
+    "utf8",
+  );
+  const named = [...page.matchAll(/`(lavenderferry_relay_\w+)`/g)]
+    .map(([, name]) => name);
+  const { registry } = createRelayMetrics(new RelayFixture().state);
+  const served = (await registry.getMetricsAsJSON()).map(({ name }) => name);
+  t.strictSame(named.sort(), served.sort());
+});
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -5,7 +5,7 @@
 import type { RequestEvent, RequestReceived } from "../relay_event.ts";
 import type { Route } from "../routing/routing.ts";
 import type { RelayState } from "../state.ts";
-import { decide, fail } from "../util/effects.ts";
+import { count, decide, fail } from "../util/effects.ts";
 import {
   endRequest,
   placeRequest,
@@ -122,6 +122,7 @@
   state.requests.set(exchangeId, request);
   const timer = { kind: "request_deadline", exchangeId } as const;
   return [
+    count("requests", route.name),
     decide(state, {
       kind: "admit",
       subject: requestId,
--- a/packages/runtime/src/decision_log.ts
+++ b/packages/runtime/src/decision_log.ts
@@ -1,3 +1,4 @@
+import type { DestinationStream } from "pino";
 import pino from "pino";
 import type { Decision } from "./decisions.ts";
 
@@ -28,13 +29,8 @@
  */
 export function createDecisionLog(
   base: Readonly<Record<string, string>>,
+  output: DestinationStream = standardOutput(),
 ): (decision: Decision) => void {
-  const output = pino.destination({
-    sync: false,
-    minLength: batchBytes,
-    maxLength: maxWaitingBytes,
-    periodicFlush: flushMs,
-  });
   const logger = pino({ base, timestamp: false }, output);
   const volumes = new Map<string, Volume>();
   return function logDecision({ kind, subject, reason, figures, at }) {
@@ -57,3 +53,12 @@
     logger.info(leftOut === 0 ? line : { ...line, leftOut });
   };
 }
+
+function standardOutput(): DestinationStream {
+  return pino.destination({
+    sync: false,
+    minLength: batchBytes,
+    maxLength: maxWaitingBytes,
+    periodicFlush: flushMs,
+  });
+}
