--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -3,6 +3,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import { pumpBacklogs } from "../requests/place_request.ts";
 import type { RelayState } from "../state.ts";
+import { repeatsOf } from "../state.ts";
 import { count, decide } from "../util/effects.ts";
 import { learnRouting, leaveUpstream } from "./source_part.ts";
 
@@ -75,6 +76,12 @@
     const kind = "member";
     effects.push(decide(state, { kind, subject: id, reason, figures }, at));
   }
+  if (news.members.length > 0) {
+    const burst = repeatsOf(state);
+    for (const { repeats } of state.pools.values()) {
+      repeats.limit(burst);
+    }
+  }
   for (const { dispatcher } of state.pools.values()) {
     for (const [peer, shares] of news.shares) {
       dispatcher.peerChanged(peer, shares, at);
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -120,11 +120,21 @@
       : new AdaptiveDispatcher(seed),
     repeats: new RetryBudget({
       share: settings.repeatShare,
-      burst: settings.repeats,
+      burst: repeatsOf(state),
     }),
   };
 }
 
+/**
+ * Part of the repeats that the fleet may send which one process takes: half,
+ * as windows overlap, over the members.
+ */
+export function repeatsOf({ settings, fleet }: RelayState): number {
+  const members = fleet.membership.all()
+    .filter(({ state }) => state !== "gone").length;
+  return Math.max(1, Math.floor(settings.repeats / (2 * members)));
+}
+
 /** Returns an id that no other process or run uses. */
 export function nextId(state: RelayState): string {
   return `${state.epoch}-${state.nextId++}`;
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -30,7 +30,7 @@
       "port": 8749,
     },
     "region": "pl-central",
-    "repeats": 3,
+    "repeats": 56,
     "repeatShare": 0.1,
     "stopMs": 7700,
     "vm": "front-lodz-a-1",
