fix(relay): a list that is read again forgives an upstream no failures

Cause: the size of each engine was stated again with every list, which the dispatcher takes for a load report of an idle engine and so for a success: the circuit of an upstream that fails some of its requests never opened. The test fails without the change.

--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -7,7 +7,7 @@
 import { RouteTable } from "../routing/route_table.ts";
 import type { Routing } from "../routing/routing.ts";
 import type { Pool, RelayState } from "../state.ts";
-import { createPool } from "../state.ts";
+import { closeUpstream, createPool } from "../state.ts";
 import { timerPeriods } from "../process/timers.ts";
 import { count, decide } from "../util/effects.ts";
 import { applyNews, sendDue } from "./exchange_part.ts";
@@ -183,8 +183,8 @@
     return [];
   }
   state.left.set(id, reason);
-  for (const { dispatcher } of state.pools.values()) {
-    dispatcher.removeEngine(id);
+  for (const pool of state.pools.values()) {
+    closeUpstream(pool, id);
   }
   const effects: RelayEffect[] = [
     decide(
@@ -216,6 +216,11 @@
     return;
   }
   const { id, dataCentre, slots } = vm;
+  if (pool.open.has(id)) {
+    // Stating its size again would reset what its circuit has counted.
+    return;
+  }
+  pool.open.add(id);
   pool.dispatcher.addEngine({
     id,
     dataCentre,
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -91,3 +91,38 @@
   t.strictSame([...targets(relay)], ["instance-d1"]);
   t.end();
 });
+
+t.test("a list that is read again forgives no failures", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1]);
+  for (let index = 0; index < 3; index++) {
+    const exchangeId = `f${index}`;
+    const [sent] = only(relay.request({ exchangeId }), "send_request");
+    const attemptId = sent?.attemptId ?? "";
+    const reason = "ECONNRESET";
+    relay.reduce({ kind: "attempt_failed", attemptId, exchangeId, reason });
+    relay.reduce({ kind: "upstreams_learned", vms: [d1] });
+  }
+  const [failure] = only(relay.request(), "send_failure");
+  t.match(failure, { error: "no_upstream", notRun: true });
+  t.end();
+});
+
+t.test("the size of an engine is known however often it leaves", (t) => {
+  const relay = new RelayFixture();
+  const engine = upstreamOf("e1");
+  relay.learn([engine]);
+  const generation = {
+    model: "m",
+    promptTokens: 31_000,
+    maxTokens: 10,
+    prefix: [],
+  };
+  for (let index = 0; index < 2; index++) {
+    const [failure] = only(relay.generate({ generation }), "send_failure");
+    t.equal(failure?.error, "prompt_too_long");
+    relay.reduce({ kind: "upstreams_learned", vms: [] });
+    relay.reduce({ kind: "upstreams_learned", vms: [engine] });
+  }
+  t.end();
+});
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -2,6 +2,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import type { RelayState } from "../state.ts";
+import { closeUpstream } from "../state.ts";
 import { movePart, resumeFromCopy } from "../moves/move_part.ts";
 import { count, decide } from "../util/effects.ts";
 import {
@@ -190,9 +191,9 @@
   const resumed = resumption !== null;
   const pool = state.pools.get(request.service);
   endAttempt(state, request, { ending: "refused", at });
-  if (reason !== "not_executed") {
+  if (reason !== "not_executed" && pool !== undefined) {
     // The next list of upstreams opens it again if it is still there.
-    pool?.dispatcher.removeEngine(upstream);
+    closeUpstream(pool, upstream);
   }
   const figures = { upstream, sends, runs };
   if (resumed && reason === "not_executed") {
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -18,6 +18,14 @@
   readonly service: Service;
   readonly dispatcher: Dispatcher;
   readonly repeats: RetryBudget;
+  /** Upstreams that take work, and whose size the dispatcher knows. */
+  readonly open: Set<string>;
+}
+
+/** Gives an upstream of a pool no new work. */
+export function closeUpstream({ dispatcher, open }: Pool, id: string): void {
+  open.delete(id);
+  dispatcher.removeEngine(id);
 }
 
 /** Everything that the relay's reducer knows. */
@@ -122,6 +130,7 @@
       share: settings.repeatShare,
       burst: repeatsOf(state),
     }),
+    open: new Set(),
   };
 }
 
