--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -58,9 +58,16 @@
     again("follow_upstreams", followMs(state), at),
   ],
   upstreams_failed: (state, { error, at }) => {
+    const lost = state.sourceLostAt === null
+      ? [noteStore(state, { reason: "lost", figures: { error }, at })]
+      : [];
     state.sourceLostAt ??= at.monotonic;
     const wait = state.random.jitter(retryMs, jitterShare);
-    return [count("retries", error), again("follow_upstreams", wait, at)];
+    return [
+      ...lost,
+      count("retries", error),
+      again("follow_upstreams", wait, at),
+    ];
   },
   members_learned: (state, { vms, at }) => {
     state.members = vms;
@@ -127,7 +134,12 @@
   vms: readonly Vm[],
   at: Moment,
 ): readonly RelayEffect[] {
+  const effects: RelayEffect[] = [];
   const outageMs = at.monotonic - (state.sourceLostAt ?? at.monotonic);
+  if (state.sourceLostAt !== null) {
+    const figures = { outageMs: Math.round(outageMs) };
+    effects.push(noteStore(state, { reason: "regained", figures, at }));
+  }
   state.sourceLostAt = null;
   if (outageMs >= leastOutageMs) {
     state.keepMissingUntil = at.monotonic + keepMissingMs;
@@ -138,7 +150,6 @@
   );
   const keep = at.monotonic < state.keepMissingUntil && absent.length > 0;
   state.unconfirmed = keep ? vms : null;
-  const effects: RelayEffect[] = [];
   if (keep) {
     const timer = { kind: "confirm_removals" } as const;
     effects.push({ kind: "set_timer", timer, at: state.keepMissingUntil });
@@ -249,6 +260,18 @@
   }, at);
 }
 
+function noteStore(
+  state: RelayState,
+  { reason, figures, at }: {
+    readonly reason: "lost" | "regained";
+    readonly figures: Readonly<Record<string, string | number>>;
+    readonly at: Moment;
+  },
+): RelayEffect {
+  const kind = "member";
+  return decide(state, { kind, subject: "store", reason, figures }, at);
+}
+
 function noteUpstream(state: RelayState, vm: Vm, at: Moment): RelayEffect {
   const { id, address, dataCentre, pool = "" } = vm;
   return decide(state, {
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -53,9 +53,15 @@
   const relay = new RelayFixture();
   relay.learn([d1, d2]);
   const error = "store_unavailable";
-  relay.reduce({ kind: "upstreams_failed", error });
-  relay.reduce({ kind: "upstreams_failed", error }, 4_000);
-  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 400);
+  const lost = relay.reduce({ kind: "upstreams_failed", error });
+  t.match(only(lost, "log_decision"), [{ decision: { reason: "lost" } }]);
+  const again = relay.reduce({ kind: "upstreams_failed", error }, 4_000);
+  t.strictSame(only(again, "log_decision"), []);
+  const vms = [d1];
+  const back = relay.reduce({ kind: "upstreams_learned", vms }, 400);
+  t.match(only(back, "log_decision"), [
+    { decision: { reason: "regained", figures: { outageMs: 4_400 } } },
+  ]);
   t.equal(targets(relay).size, 2);
   const timer = { kind: "confirm_removals" } as const;
   relay.reduce({ kind: "timer_fired", timer }, 2_600);
