--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -67,7 +67,8 @@
   async #followRouting(): Promise<RelayEvent> {
     const { store, rows } = this.#ports;
     const { after } = this.#routings;
-    const changes = await store.changes(rows.routings, after, routingWaitMs);
+    const waitMs = after === null ? 0 : routingWaitMs;
+    const changes = await store.changes(rows.routings, after, waitMs);
     const changed = this.#routings.take(changes);
     const row = this.#routings.rows.get(rows.routing);
     const routing = changed && row !== undefined
@@ -81,7 +82,9 @@
   async #followUpstreams(): Promise<readonly Vm[]> {
     const { store, rows } = this.#ports;
     const { after } = this.#upstreams;
-    const changes = await store.changes(rows.upstreams, after, upstreamsWaitMs);
+    // A full read is answered at once; one that hangs is given up sooner.
+    const waitMs = after === null ? 0 : upstreamsWaitMs;
+    const changes = await store.changes(rows.upstreams, after, waitMs);
     this.#upstreams.take(changes);
     const vms: Vm[] = [];
     for (const [key, { value }] of this.#upstreams.rows) {
