--- a/packages/relay/src/process/metrics_page_test.ts
+++ b/packages/relay/src/process/metrics_page_test.ts
@@ -5,7 +5,7 @@
 
 t.test("the page names exactly the series that are served", async (t) => {
   const page = readFileSync(
-    new URL("../../../../docs/METRICS.md", import.meta.url),
+    new URL("../../../../docs/OPERATIONS.md", import.meta.url),
     "utf8",
   );
   const named = [...page.matchAll(/`(lavenderferry_relay_\w+)`/g)]
