fix(relay): four faults found on reading the change again

- A look-up that may have run was refused as overloaded when it could not be repeated; a refusal promises that it has not run.
- An engine's own failure left the copy of the generation counted for ever.
- A generation that stopped for a copy and found no room elsewhere waited for its deadline; it goes on at its engine, or is cut at once without a handle.
- The engine that stopped a generation is one function now, not two.
Each test failed before.

--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -1,5 +1,5 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
-import type { RelayEffect } from "../relay_effect.ts";
+import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import {
   copyOf,
@@ -99,7 +99,7 @@
   }
   const copy = state.upstreams.get(request.copyAt ?? "");
   if (request.events === 0 || copy === undefined) {
-    return startMove(state, request, { avoid: [], stop: false, at });
+    return moveOrWait(state, request, at);
   }
   const { attemptId } = request;
   const { address } = copy;
@@ -131,7 +131,7 @@
       return resumed;
     }
   }
-  return startMove(state, request, { avoid: [], stop: false, at });
+  return moveOrWait(state, request, at);
 }
 
 /**
@@ -169,11 +169,7 @@
   request: RelayedRequest,
   options: {
     readonly to: string;
-    readonly resumption: {
-      readonly address: string;
-      readonly handle: string;
-      readonly lastEventId: string | null;
-    };
+    readonly resumption: Resumption;
     readonly reason: string;
     readonly ending: "cancelled" | "failed";
     /** Tokens that the engine said it keeps; -1: it was not asked. */
@@ -196,6 +192,27 @@
   ];
 }
 
+/** Begins a move; tries again where that can not be yet. */
+function moveOrWait(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { exchangeId, service } = request;
+  if (state.pools.get(service)?.service.engines?.moves !== true) {
+    return [];
+  }
+  const move = startMove(state, request, { avoid: [], stop: false, at });
+  // Nothing was generated yet, or no engine has room: both may change.
+  return move ?? [evacuateAgain(exchangeId, at)];
+}
+
+function evacuateAgain(exchangeId: string, at: Moment): RelayEffect {
+  const timer = { kind: "evacuate", exchangeId } as const;
+  return { kind: "set_timer", timer, at: at.monotonic + againMs };
+}
+
+/** Has the engine copy a generation; `null` where no other has room. */
 function startMove(
   state: RelayState,
   request: RelayedRequest,
@@ -204,12 +221,12 @@
     readonly stop: boolean;
     readonly at: Moment;
   },
-): readonly RelayEffect[] {
-  const { exchangeId, service, upstream, demand, attemptId } = request;
+): readonly RelayEffect[] | null {
+  const { service, upstream, demand, attemptId } = request;
   const pool = state.pools.get(service);
   const source = state.upstreams.get(upstream);
-  if (pool?.service.engines?.moves !== true || source === undefined) {
-    return [];
+  if (pool === undefined || source === undefined) {
+    return null;
   }
   const done = tokensOf(pool, request);
   const to = request.events === 0 ? null : pool.dispatcher.transfer({
@@ -219,9 +236,7 @@
   }, { near: source.dataCentre, at });
   const target = state.upstreams.get(to ?? "");
   if (to === null || target === undefined) {
-    // Nothing was generated yet, or no engine has room: both may change.
-    const timer = { kind: "evacuate", exchangeId } as const;
-    return [{ kind: "set_timer", timer, at: at.monotonic + againMs }];
+    return null;
   }
   const generationId = copyOf(attemptId);
   releaseCopy(state, request, at);
@@ -285,22 +300,18 @@
   switch (outcome.kind) {
     case "copied":
       return move.phase === "stopping"
-        ? goOn(state, request, { move, handle: outcome.handle, at })
+        ? goOn(state, request, {
+          to: move.to,
+          handle: outcome.handle,
+          reason: "moved",
+          at,
+        })
         : copyAgain(state, request, { move, at });
-    case "no_room": {
-      const avoid = [...move.avoid, move.to];
-      if (outcome.handle !== null && move.avoid.length >= maxCopies) {
-        return goOnAtSource(state, request, { handle: outcome.handle, at });
-      }
-      const stop = move.phase === "stopping";
+    case "no_room":
+      return moveElsewhere(state, request, { move, ...outcome, at });
+    case "busy":
       request.move = null;
-      return startMove(state, request, { avoid, stop, at });
-    }
-    case "busy": {
-      const timer = { kind: "evacuate", exchangeId } as const;
-      request.move = null;
-      return [{ kind: "set_timer", timer, at: at.monotonic + againMs }];
-    }
+      return [evacuateAgain(exchangeId, at)];
     case "not_running":
     case "unknown":
       return loseMove(state, request, { move, reason: outcome.kind, at });
@@ -326,39 +337,50 @@
   return [askForCopy(state, request, next)];
 }
 
-function goOn(
+/**
+ * Tries another engine. One that stopped for the copy can go on at the engine
+ * that keeps it, where no other has room.
+ */
+function moveElsewhere(
   state: RelayState,
   request: RelayedRequest,
   { move, handle, at }: {
     readonly move: Move;
-    readonly handle: string;
+    readonly handle: string | null;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
-  const { lastEventId, upstream } = request;
-  const address = state.upstreams.get(upstream)?.address ?? "";
-  const resumption = { address, handle, lastEventId };
-  const reason = "moved";
-  const ending = "cancelled";
-  return resume(state, request, {
-    to: move.to,
-    resumption,
-    reason,
-    ending,
-    at,
-  });
+  const stop = move.phase === "stopping";
+  const avoid = [...move.avoid, move.to];
+  if (!stop) {
+    request.move = null;
+    return startMove(state, request, { avoid, stop, at }) ??
+      [evacuateAgain(request.exchangeId, at)];
+  }
+  if (handle === null) {
+    return loseMove(state, request, { move, reason: "no_room", at });
+  }
+  const next = move.avoid.length < maxCopies
+    ? startMove(state, request, { avoid, stop, at })
+    : null;
+  const to = request.upstream;
+  return next ?? goOn(state, request, { to, handle, reason: "no_room", at });
 }
 
-/** An engine that stopped a generation can go on with it itself. */
-function goOnAtSource(
+/** Goes on with a generation that its engine stopped and keeps. */
+function goOn(
   state: RelayState,
   request: RelayedRequest,
-  { handle, at }: { readonly handle: string; readonly at: Moment },
+  { to, handle, reason, at }: {
+    readonly to: string;
+    readonly handle: string;
+    readonly reason: string;
+    readonly at: Moment;
+  },
 ): readonly RelayEffect[] {
-  const { lastEventId, upstream: to } = request;
-  const address = state.upstreams.get(to)?.address ?? "";
+  const { lastEventId, upstream } = request;
+  const address = state.upstreams.get(upstream)?.address ?? "";
   const resumption = { address, handle, lastEventId };
-  const reason = "no_room";
   const ending = "cancelled";
   return resume(state, request, { to, resumption, reason, ending, at });
 }
@@ -394,6 +416,6 @@
 }
 
 /** Whether an upstream is listed and takes new work. */
-export function isOpen(state: RelayState, id: string): boolean {
+function isOpen(state: RelayState, id: string): boolean {
   return state.upstreams.get(id)?.state === "live" && !state.left.has(id);
 }
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -231,3 +231,55 @@
   t.ok(only(passEvents(relay, attemptId, 8), "send_events").length === 1);
   t.end();
 });
+
+t.test("a failure of the engine itself frees the copy", (t) => {
+  const relay = new RelayFixture();
+  relay.learn(engines);
+  const [sent] = only(relay.generate(), "send_request");
+  const dispatcher = relay.state.pools.get("models")?.dispatcher;
+  t.ok(dispatcher?.shares().some(({ tokens }) => tokens > 0));
+  relay.reduce({
+    kind: "answer_received",
+    attemptId: sent?.attemptId ?? "",
+    exchangeId: "x1",
+    answer: { status: 500, headers: [], body: Buffer.from("failed") },
+  });
+  t.ok(dispatcher?.shares().every(({ tokens }) => tokens === 0));
+  t.end();
+});
+
+/** A generation that was told to stop while its memory is copied. */
+function stopping() {
+  const { relay, attemptId, upstream, copyAt } = streaming();
+  leave(relay, copyAt ?? "");
+  const rest = engines.filter(({ id }) => id !== copyAt && id !== upstream);
+  const vms = [
+    ...rest,
+    ...engines.filter((vm) => !rest.includes(vm))
+      .map((vm) => ({ ...vm, state: "leaving" as const })),
+  ];
+  relay.reduce({ kind: "upstreams_learned", vms });
+  evacuate(relay, 1);
+  const asked = copied(relay, attemptId, { kind: "copied", handle: "h" });
+  t.match(only(asked, "copy_generation"), [{ stop: true }]);
+  return { relay, attemptId, upstream };
+}
+
+t.test("one that stopped and finds no room goes on where it was", (t) => {
+  const { relay, attemptId, upstream } = stopping();
+  const source = engines.find(({ id }) => id === upstream)?.address;
+  const effects = copied(relay, attemptId, { kind: "no_room", handle: "h" });
+  t.match(only(effects, "send_request"), [{
+    target: { address: source },
+    resumption: { address: source, handle: "h", lastEventId: "7" },
+  }]);
+  t.end();
+});
+
+t.test("one that stopped and has no handle is lost at once", (t) => {
+  const { relay, attemptId } = stopping();
+  const effects = copied(relay, attemptId, { kind: "no_room", handle: null });
+  t.equal(only(effects, "cut_answer").length, 1);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -12,6 +12,7 @@
   placeRequest,
   pumpBacklogs,
   refusalOf,
+  refuse,
   startAttempt,
   tokensOf,
 } from "./place_request.ts";
@@ -36,6 +37,9 @@
 /** Milliseconds after which a caller asks again when upstreams refuse. */
 const refusedRetryMs = 400;
 
+/** Share by which that varies, so that callers do not return together. */
+const retryJitter = 0.5;
+
 /** Lowest status of an upstream's own failure. */
 const firstFailureStatus = 500;
 
@@ -88,10 +92,8 @@
   }
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const { upstream, runs, sends } = request;
-  // The connection has carried a whole answer, so it stays open.
-  state.pools.get(request.service)?.dispatcher
-    .ended(attemptId, failed ? "failed" : "finished", at);
-  state.requests.delete(exchangeId);
+  const ending = failed ? "failed" : "finished";
+  const effects = endRequest(state, request, { ending, at });
   return [
     decide(state, {
       kind: "finish",
@@ -99,6 +101,7 @@
       reason: "answered",
       figures: { status: answer.status, upstream, ms, runs, sends },
     }, at),
+    ...effects,
     { kind: "observe", route: request.route.name, milliseconds: ms },
     { kind: "send_answer", exchangeId, answer },
     ...pumpBacklogs(state, at),
@@ -213,16 +216,10 @@
     at.monotonic < request.deadline && pool?.repeats.spend() === true;
   if (!allowed) {
     state.requests.delete(request.exchangeId);
-    const unrun = runs === 0 && !resumed;
+    const retryAfterMs = state.random.jitter(refusedRetryMs, retryJitter);
     return [
       decide(state, { ...decision, kind: "drop" }, at),
-      ...refusalOf(request, {
-        error: unrun ? "upstream_refused" : "upstream_lost",
-        notRun: unrun ? true : "unknown",
-        ...(unrun
-          ? { retryAfterMs: state.random.jitter(refusedRetryMs, 0.5) }
-          : {}),
-      }),
+      ...refuse(request, "upstream_refused", retryAfterMs),
       ...pumpBacklogs(state, at),
     ];
   }
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -1,3 +1,4 @@
+import type { ErrorKind } from "@lavenderferry/errors";
 import type { Ending, Placement } from "@lavenderferry/policy";
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
@@ -26,11 +27,7 @@
         reason: "no_pool",
         figures: { service: request.service },
       }, at),
-      ...refusalOf(request, {
-        error: "no_upstream",
-        notRun: request.runs === 0 ? true : "unknown",
-        retryAfterMs: noPoolRetryMs,
-      }),
+      ...refuse(request, "no_upstream", noPoolRetryMs),
     ];
   }
   if (request.sends === 0) {
@@ -113,6 +110,24 @@
     : fail(exchangeId, failure);
 }
 
+/**
+ * Tells the caller when to come back. Refusals promise that a request has not
+ * run, so one that may have run is lost instead.
+ */
+export function refuse(
+  request: RelayedRequest,
+  error: ErrorKind,
+  retryAfterMs: number,
+): readonly RelayEffect[] {
+  const unrun = request.runs === 0 && request.resumption === null;
+  return refusalOf(
+    request,
+    unrun
+      ? { error, notRun: true, retryAfterMs }
+      : { error: "upstream_lost", notRun: "unknown" },
+  );
+}
+
 /** Sends a request to an upstream. */
 export function startAttempt(
   state: RelayState,
@@ -228,17 +243,14 @@
     }
     case "wait":
       return [decide(state, { kind: "queue", subject, reason, figures }, at)];
-    case "refuse":
+    case "refuse": {
+      const { error, retryAfterMs } = placement;
+      const kind = error === "unknown_model" ? "no_upstream" : error;
       state.requests.delete(request.exchangeId);
       return [
         decide(state, { kind: "refuse", subject, reason, figures }, at),
-        ...refusalOf(request, {
-          error: placement.error === "unknown_model"
-            ? "no_upstream"
-            : placement.error,
-          notRun: request.runs === 0 ? true : "unknown",
-          retryAfterMs: placement.retryAfterMs,
-        }),
+        ...refuse(request, kind, retryAfterMs),
       ];
+    }
   }
 }
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -194,3 +194,41 @@
   t.strictSame(relay.reduce(event), []);
   t.end();
 });
+
+t.test("what may have run is never refused as not run", (t) => {
+  const full = { running: 6, tokens: 0 };
+  const cases = [
+    // All upstreams are full when the request is to be sent again.
+    (relay: RelayFixture) => {
+      const pool = relay.state.pools.get("desk");
+      for (const engine of ["d1", "d2"]) {
+        pool?.dispatcher.peerChanged(engine, [{ engine, ...full }], {
+          monotonic: relay.now,
+          wall: 0,
+        });
+      }
+    },
+    // All upstreams have left by then.
+    (relay: RelayFixture) =>
+      relay.reduce({ kind: "upstreams_learned", vms: [] }),
+    // Its service is not known any more.
+    (relay: RelayFixture) => relay.state.pools.delete("desk"),
+  ];
+  for (const change of cases) {
+    const relay = started();
+    const [sent] = only(relay.request({ path: "/look/1" }), "send_request");
+    change(relay);
+    const failed = relay.reduce({
+      kind: "attempt_failed",
+      attemptId: sent?.attemptId ?? "",
+      exchangeId: "x1",
+      reason: "ECONNRESET",
+    });
+    const timer = { kind: "pump_backlog" } as const;
+    const later = relay.reduce({ kind: "timer_fired", timer }, 290);
+    const failures = only([...failed, ...later], "send_failure");
+    t.match(failures, [{ error: "upstream_lost", notRun: "unknown" }]);
+    t.equal(failures[0]?.retryAfterMs, null);
+  }
+  t.end();
+});
