--- a/packages/entry/src/fleet/exchange_part.ts
+++ b/packages/entry/src/fleet/exchange_part.ts
@@ -1,4 +1,5 @@
 import type { ExchangeEvent } from "@lavenderferry/fleet";
+import { createExchangeHandlers, sendDue } from "@lavenderferry/fleet";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import { pumpBacklog } from "../generations/generation_start.ts";
@@ -14,28 +15,10 @@
   EntryState,
   ExchangeEvent,
   EntryEffect
-> = {
-  listening: (state, { address, peers }) => {
-    state.fleet.listen(address, peers);
-    return [];
-  },
-  exchange_received: (state, { replyId, message, at }) => {
-    const reply = state.fleet.receive(message, at);
-    return [
-      { kind: "answer_exchange", replyId, message: reply },
-      ...applyNews(state, at),
-      ...sendDue(state, at),
-    ];
-  },
-  exchange_replied: (state, { peer, reply, at }) => {
-    state.fleet.replied(peer, reply, at);
-    return [...applyNews(state, at), ...sendDue(state, at)];
-  },
-  exchange_failed: (state, { peer, error, at }) => {
-    state.fleet.failed(peer, at);
-    return [count("retries", error), ...applyNews(state, at)];
-  },
-};
+> = createExchangeHandlers({
+  applyNews,
+  failed: (error) => [count("retries", error)],
+});
 
 /** States the process's own figures and sends what is due. */
 export function exchange(
@@ -67,15 +50,6 @@
   return sendDue(state, at);
 }
 
-/** Sends the messages that are due. */
-export function sendDue(
-  state: EntryState,
-  at: Moment,
-): readonly EntryEffect[] {
-  return state.fleet.poll(at)
-    .map((send) => ({ kind: "send_exchange", ...send }));
-}
-
 /** Applies what the fleet learned. */
 export function applyNews(
   state: EntryState,
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./exchange_budget.ts";
 export * from "./exchange_effect.ts";
 export * from "./exchange_event.ts";
+export * from "./exchange_handlers.ts";
 export * from "./exchange_runner.ts";
 export * from "./fleet_node.ts";
 export * from "./lease.ts";
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -1,4 +1,5 @@
 import type { ExchangeEvent } from "@lavenderferry/fleet";
+import { createExchangeHandlers, sendDue } from "@lavenderferry/fleet";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import { pumpBacklogs } from "../requests/place_request.ts";
@@ -12,28 +13,10 @@
   RelayState,
   ExchangeEvent,
   RelayEffect
-> = {
-  listening: (state, { address, peers }) => {
-    state.fleet.listen(address, peers);
-    return [];
-  },
-  exchange_received: (state, { replyId, message, at }) => {
-    const reply = state.fleet.receive(message, at);
-    return [
-      { kind: "answer_exchange", replyId, message: reply },
-      ...applyNews(state, at),
-      ...sendDue(state, at),
-    ];
-  },
-  exchange_replied: (state, { peer, reply, at }) => {
-    state.fleet.replied(peer, reply, at);
-    return [...applyNews(state, at), ...sendDue(state, at)];
-  },
-  exchange_failed: (state, { peer, error, at }) => {
-    state.fleet.failed(peer, at);
-    return [count("retries", error), ...applyNews(state, at)];
-  },
-};
+> = createExchangeHandlers({
+  applyNews,
+  failed: (error) => [count("retries", error)],
+});
 
 /** States the process's own work and sends what is due. */
 export function exchange(
@@ -52,15 +35,6 @@
   return [...applyNews(state, at), ...sendDue(state, at)];
 }
 
-/** Sends the messages that are due. */
-export function sendDue(
-  state: RelayState,
-  at: Moment,
-): readonly RelayEffect[] {
-  return state.fleet.poll(at)
-    .map((send) => ({ kind: "send_exchange", ...send }));
-}
-
 /** Applies what the fleet learned. */
 export function applyNews(
   state: RelayState,
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -10,7 +10,8 @@
 import { closeUpstream, createPool } from "../state.ts";
 import { timerPeriods } from "../process/timers.ts";
 import { count, decide } from "../util/effects.ts";
-import { applyNews, sendDue } from "./exchange_part.ts";
+import { sendDue } from "@lavenderferry/fleet";
+import { applyNews } from "./exchange_part.ts";
 
 /**
  * Milliseconds between two reads of the upstreams for each live process. Marks
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -1,5 +1,6 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
-import { exchange, sendDue } from "../fleet/exchange_part.ts";
+import { sendDue } from "@lavenderferry/fleet";
+import { exchange } from "../fleet/exchange_part.ts";
 import { learnUpstreams } from "../fleet/source_part.ts";
 import { evacuate } from "../moves/move_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
--- a/packages/steward/src/fleet/exchange_part.ts
+++ b/packages/steward/src/fleet/exchange_part.ts
@@ -1,4 +1,5 @@
 import type { ExchangeEvent } from "@lavenderferry/fleet";
+import { createExchangeHandlers, sendDue } from "@lavenderferry/fleet";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { StewardEffect } from "../effects.ts";
 import type { StewardState } from "../state.ts";
@@ -11,37 +12,9 @@
   StewardState,
   ExchangeEvent,
   StewardEffect
-> = {
-  listening: (state, { address, peers }) => {
-    state.fleet.listen(address, peers);
-    return [];
-  },
-  exchange_received: (state, { replyId, message, at }) => {
-    const reply = state.fleet.receive(message, at);
-    return [
-      { kind: "answer_exchange", replyId, message: reply },
-      ...applyNews(state),
-      ...sendDue(state, at),
-    ];
-  },
-  exchange_replied: (state, { peer, reply, at }) => {
-    state.fleet.replied(peer, reply, at);
-    return [...applyNews(state), ...sendDue(state, at)];
-  },
-  exchange_failed: (state, { peer, at }) => {
-    state.fleet.failed(peer, at);
-    return applyNews(state);
-  },
-};
-
-/** Sends the messages that are due. */
-export function sendDue(
-  state: StewardState,
-  at: Moment,
-): readonly StewardEffect[] {
-  return state.fleet.poll(at)
-    .map((send) => ({ kind: "send_exchange", ...send }));
-}
+> = createExchangeHandlers({
+  applyNews,
+});
 
 /** Tells the peers that this process is leaving. */
 export function leaveFleet(
