--- a/packages/fleet/src/address_book.ts
+++ b/packages/fleet/src/address_book.ts
@@ -28,31 +28,37 @@
 /** Share of the mean load above which an entry is listed last. */
 const crowdedShare = 1.5;
 
+/** Lists the addresses that callers should use, by `listEntries`. */
+export function listAddresses(
+  members: readonly Member[],
+  query: AddressQuery,
+): Addresses {
+  return {
+    addresses: listEntries(members, query)
+      .map(({ address }) => `http://${address}`),
+    keepUntil: query.wall + keepAddressesMs,
+  };
+}
+
 /**
  * Lists live entries: those of the given data centre first, each group in an
  * order that turns with every answer, crowded ones last within their group.
  */
-export function listAddresses(
+export function listEntries(
   members: readonly Member[],
-  query: AddressQuery,
-): Addresses {
+  query: Omit<AddressQuery, "wall">,
+): readonly Member[] {
   const entries = members.filter((member) =>
     member.role === "entry" && member.state === "live" && member.address !== ""
   );
   const near = entries.filter((each) => each.dataCentre === query.dataCentre);
   const far = entries.filter((each) => each.dataCentre !== query.dataCentre);
-  const ordered = [...order(near, query), ...order(far, query)];
-  return {
-    addresses: ordered
-      .slice(0, maxAddresses)
-      .map(({ address }) => `http://${address}`),
-    keepUntil: query.wall + keepAddressesMs,
-  };
+  return [...order(near, query), ...order(far, query)].slice(0, maxAddresses);
 }
 
 function order(
   entries: readonly Member[],
-  { turn, load = () => undefined }: AddressQuery,
+  { turn, load = () => undefined }: Omit<AddressQuery, "wall">,
 ): readonly Member[] {
   const fixed = rankByRendezvous("addresses", entries);
   const start = fixed.length === 0 ? 0 : turn % fixed.length;
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -23,9 +23,17 @@
 import { vmSchema } from "./vm_list.ts";
 
 /** What a platform client is made from. */
-export interface PlatformOptions {
-  /** Base address of the platform, or how it is reached. */
-  readonly url: string | Transport;
+export type PlatformOptions =
+  & PlatformLimits
+  & (
+    /** Base address of a platform that is spoken to in JSON over HTTP. */
+    | { readonly url: string }
+    /** How another platform is reached. */
+    | { readonly transport: Transport }
+  );
+
+/** Bounds of what a platform client sends. */
+export interface PlatformLimits {
   /** Milliseconds after which an operation counts as failed. */
   readonly timeoutMs?: number;
   /** Operations in flight at the same time. */
@@ -100,9 +108,9 @@
   constructor(options: PlatformOptions) {
     const concurrency = options.concurrency ?? defaultConcurrency;
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
-    this.#transport = typeof options.url === "string"
-      ? new HttpTransport(options.url, concurrency)
-      : options.url;
+    this.#transport = "transport" in options
+      ? options.transport
+      : new HttpTransport(options.url, concurrency);
     this.#concurrency = concurrency;
     this.#reads = createQueue(
       concurrency,
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -48,12 +48,6 @@
 /** Share of the strictest target that the time between tokens may take. */
 const stepTimeShare = 0.9;
 
-/** Engines that are weighed for work that moves; bounds the time it takes. */
-const maxTransferCandidates = 8;
-
-/** Engines that are weighed for a copy: few, so that processes spread them. */
-const copyCandidates = 2;
-
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 type Refusal = Extract<Placement, { kind: "refuse" }>;
 
@@ -213,13 +207,9 @@
   }
 
   transfer(demand: Demand, options: TransferOptions): string | null {
-    const { at, near } = options;
+    const { at, near, candidates: count } = options;
     const estimate = this.#estimator.estimate(demand);
-    const { engines } = this.#engines.serving(demand.model);
-    const { avoid = [] } = demand;
-    const open = engines.filter(({ id }) => !avoid.includes(id));
-    const count = near === undefined ? copyCandidates : maxTransferCandidates;
-    const candidates = this.#sample(open, count)
+    const candidates = this.#sample(this.#openTo(demand), count)
       .map((engine) => this.#weigh(engine, demand, { estimate, at }))
       .filter((each) => each !== null)
       .sort((a, b) => a.fill - b.fill);
@@ -279,8 +269,8 @@
         ? refuse("unknown_model", "no_model", { retryAfterMs })
         : refuse("no_upstream", "no_engine", { retryAfterMs });
     }
-    const { promptTokens, avoid = [] } = demand;
-    if (engines.every(({ id }) => avoid.includes(id))) {
+    const { promptTokens } = demand;
+    if (this.#openTo(demand).length === 0) {
       // All that serve the model have just refused this demand.
       return this.#overloaded("engines_full", this.#backlog.cost);
     }
@@ -316,9 +306,12 @@
   }
 
   #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
-    const { engines } = this.#engines.serving(demand.model);
-    const best = this.#best(engines, demand, { estimate, at });
-    if (best === null) {
+    const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
+    const candidates = candidatesOf(this.#openTo(demand), this.#random, prefix)
+      .map((engine) => this.#weigh(engine, demand, { estimate, at }))
+      .filter((each) => each !== null);
+    const best = candidates.sort((a, b) => a.score - b.score)[0];
+    if (best === undefined) {
       return null;
     }
     const { engine, risk, cachedBlocks } = best;
@@ -348,20 +341,12 @@
     );
   }
 
-  #best(
-    serving: readonly Engine[],
-    demand: Demand,
-    context: { readonly estimate: Estimate; readonly at: Moment },
-  ): Candidate | null {
-    const { avoid = [] } = demand;
-    const engines = avoid.length === 0
-      ? serving
-      : serving.filter(({ id }) => !avoid.includes(id));
-    const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
-    const candidates = candidatesOf(engines, this.#random, prefix)
-      .map((engine) => this.#weigh(engine, demand, context))
-      .filter((each) => each !== null);
-    return candidates.sort((a, b) => a.score - b.score)[0] ?? null;
+  /** Engines that serve a demand's model and have not refused it. */
+  #openTo({ model, avoid = [] }: Demand): readonly Engine[] {
+    const { engines } = this.#engines.serving(model);
+    return avoid.length === 0
+      ? engines
+      : engines.filter(({ id }) => !avoid.includes(id));
   }
 
   #weigh(
@@ -515,13 +500,7 @@
   #flightOf(demand: Demand, at: Moment): Flight {
     const now = at.monotonic;
     const tail = this.#estimator.tailOf(demand);
-    return {
-      demand,
-      tail,
-      sentAt: now,
-      tokensOut: 0,
-      progressedAt: now,
-    };
+    return { demand, tail, sentAt: now, tokensOut: 0, progressedAt: now };
   }
 
   #rememberSent(requestId: string): void {
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -177,6 +177,8 @@
   readonly at: Moment;
   /** Data centre whose engines go first. */
   readonly near?: string;
+  /** Engines that are weighed; few spread what processes decide at once. */
+  readonly candidates: number;
 }
 
 /** Prefix digests that an engine's cache gained and lost. */
--- a/packages/relay/src/fleet/exchange_part_test.ts
+++ b/packages/relay/src/fleet/exchange_part_test.ts
@@ -15,24 +15,7 @@
     address: `10.0.0.${index + 2}:1`,
     peers: `10.0.0.${index + 2}:2`,
   }));
-  relay.reduce({
-    kind: "exchange_received",
-    replyId: 1,
-    message: {
-      sender: "front-2",
-      epoch: "e",
-      sequence: 1,
-      acknowledged: 0,
-      full: false,
-      configurationVersion: 0,
-      members,
-      duties: [],
-      shares: [],
-      lengths: [],
-      configurations: [],
-      marks: [],
-    },
-  });
+  relay.hear({ members });
 }
 
 /** Repeats that a process sends one after the other. */
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -110,7 +110,7 @@
   for (const vm of state.upstreams.values()) {
     admit(state, vm, at);
   }
-  const { version, limits, routes, services } = routing;
+  const { version, limits, routes } = routing;
   return [
     decide(state, {
       kind: "configure",
@@ -120,7 +120,6 @@
     }, at),
     {
       kind: "apply_limits",
-      services,
       idleMs: limits.idleMs,
       headersMs: limits.headersMs,
       bodyBytes: limits.bodyBytes,
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -76,24 +76,7 @@
   relay.reduce({ kind: "upstreams_failed", error });
   relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 4_000);
   const wall = 1_700_000_000_000 + relay.now;
-  relay.reduce({
-    kind: "exchange_received",
-    replyId: 1,
-    message: {
-      sender: "front-2",
-      epoch: "e",
-      sequence: 1,
-      acknowledged: 0,
-      full: false,
-      configurationVersion: 0,
-      members: [],
-      duties: [],
-      shares: [],
-      lengths: [],
-      configurations: [],
-      marks: [{ upstream: "d22", reason: "gone", at: wall }],
-    },
-  });
+  relay.hear({ marks: [{ upstream: "d22", reason: "gone", at: wall }] });
   t.strictSame([...targets(relay)], ["instance-d1"]);
   t.end();
 });
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -5,6 +5,7 @@
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { Socket } from "../settings.ts";
+import { listen } from "../util/listen.ts";
 import type { CallerExchanges } from "./caller_exchanges.ts";
 
 /** What the callers' server works with. */
@@ -52,11 +53,8 @@
   }
 
   /** Listens on the socket. */
-  listen({ ip, port }: Socket): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, ip, resolve);
-    });
+  listen(socket: Socket): Promise<void> {
+    return listen(this.#server, socket);
   }
 
   /** Closes all connections. */
@@ -132,6 +130,7 @@
       const error = "body_too_large";
       exchanges.sendFailure(response, { error, notRun: true });
     });
+    // The caller broke off before its request was whole: nothing was sent on.
     request.on("error", () => response.destroy());
   }
 }
--- a/packages/relay/src/http/side_server.ts
+++ b/packages/relay/src/http/side_server.ts
@@ -1,10 +1,10 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
-import { listAddresses } from "@lavenderferry/fleet";
+import { listEntries } from "@lavenderferry/fleet";
+import { announce } from "@lavenderferry/runtime";
 import polka from "polka";
 import type { Registry } from "prom-client";
 import type { AddressCodec } from "../ports.ts";
-import type { Socket } from "../settings.ts";
 import type { RelayState } from "../state.ts";
 import { isReady } from "../util/is_ready.ts";
 
@@ -57,20 +57,15 @@
         response.writeHead(200, { "content-type": registry.contentType });
         response.end(text);
       },
-      () => response.writeHead(500).end(),
+      (error: unknown) => {
+        announce("metrics_failed", { error: String(error) });
+        response.writeHead(500).end();
+      },
     );
   });
   return serverOf(application);
 }
 
-/** Listens on a socket. */
-export function listen(server: Server, { ip, port }: Socket): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, ip, resolve);
-  });
-}
-
 /** Callers stay in their data centre while it has processes enough. */
 function addressesFor(
   state: RelayState,
@@ -84,11 +79,11 @@
   const near = members.filter((each) =>
     each.dataCentre === dataCentre && each.state === "live"
   );
-  const { addresses } = listAddresses(
-    near.length >= leastNear ? near : members,
-    { dataCentre, turn, wall: 0 },
-  );
-  return addresses.map((address) => address.replace("http://", ""));
+  const entries = listEntries(near.length >= leastNear ? near : members, {
+    dataCentre,
+    turn,
+  });
+  return entries.map(({ address }) => address);
 }
 
 function serverOf(application: ReturnType<typeof polka>): Server {
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -202,7 +202,7 @@
       const misdirected = status === misdirectedStatus;
       const reason = misdirected ? "misdirected" : "not_executed";
       this.#end({ kind: "attempt_refused", reason });
-    } else if (facts.requestId === null || !facts.sealed || facts.encoded) {
+    } else if (facts.requestId === null || !facts.signed || facts.encoded) {
       this.#fail(request, `unsigned_answer_${status}`);
     } else if (promises.has(status)) {
       this.#fail(request, `status_${status}`);
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -19,7 +19,7 @@
   writeAttempt: (_raw, { remainingMs }) => ["left", String(remainingMs)],
   readAnswer: (headers) => ({
     requestId: headers["id"] === undefined ? null : String(headers["id"]),
-    sealed: headers["seal"] !== undefined,
+    signed: headers["seal"] !== undefined,
     notExecuted: headers["not-run"] !== undefined,
     encoded: false,
   }),
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -57,6 +57,9 @@
 /** Milliseconds below which a copy left next to nothing to copy again. */
 const quickCopyMs = 120;
 
+/** Engines that are weighed for a move; bounds the time that it takes. */
+const moveCandidates = 8;
+
 /** Moves generations between engines. */
 export const movePart: EventHandlers<
   RelayState,
@@ -233,7 +236,7 @@
     ...demand,
     promptTokens: demand.promptTokens + done,
     avoid: [...avoid, upstream],
-  }, { near: source.dataCentre, at });
+  }, { near: source.dataCentre, candidates: moveCandidates, at });
   const target = state.upstreams.get(to ?? "");
   if (to === null || target === undefined) {
     return null;
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -28,7 +28,7 @@
 export interface AnswerFacts {
   readonly requestId: string | null;
   /** Whether it bears the upstream's signature. */
-  readonly sealed: boolean;
+  readonly signed: boolean;
   readonly notExecuted: boolean;
   /** Whether the body is not the upstream's own bytes. */
   readonly encoded: boolean;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -17,7 +17,6 @@
   createAddressServer,
   createMetricsServer,
   createReadinessServer,
-  listen,
 } from "./http/side_server.ts";
 import { UpstreamRunner } from "./http/upstream_runner.ts";
 import type { RelayPorts } from "./ports.ts";
@@ -29,6 +28,7 @@
 import type { RelaySettings } from "./settings.ts";
 import type { RelayState } from "./state.ts";
 import { createRelayState } from "./state.ts";
+import { listen } from "./util/listen.ts";
 
 const epochBytes = 6;
 const metricsPath = "/metrics";
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -2,7 +2,6 @@
 import type { ExchangeEffect } from "@lavenderferry/fleet";
 import type { Decision } from "@lavenderferry/runtime";
 import type { Answer, AnswerHead } from "./relay_event.ts";
-import type { Service } from "./routing/routing.ts";
 import type { TimerName } from "./process/timers.ts";
 
 /** The upstream that an attempt goes to. */
@@ -121,7 +120,6 @@
   }
   | {
     readonly kind: "apply_limits";
-    readonly services: readonly Service[];
     readonly idleMs: number;
     readonly headersMs: number;
     readonly bodyBytes: number;
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -121,12 +121,9 @@
   const effects: RelayEffect[] = [];
   if (request.phase !== "streaming") {
     request.phase = "streaming";
-    const milliseconds = at.monotonic - request.demand.arrivedAt;
-    const route = request.route.name;
-    effects.push({ kind: "observe", route, milliseconds });
-  }
-  if (request.events === 0) {
     request.firstMs = at.monotonic - request.demand.arrivedAt;
+    const route = request.route.name;
+    effects.push({ kind: "observe", route, milliseconds: request.firstMs });
   } else {
     const pauseMs = at.monotonic - request.progressedAt;
     request.longestPauseMs = Math.max(request.longestPauseMs, pauseMs);
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -187,6 +187,9 @@
 /** Events below which a generation ends before a copy is of use. */
 const leastEventsToCopy = 40;
 
+/** Engines that are weighed for a copy: few, so that processes spread them. */
+const copyCandidates = 2;
+
 /** Chooses an engine that keeps a copy of a long generation's memory. */
 function chooseCopy(
   state: RelayState,
@@ -202,7 +205,10 @@
     return null;
   }
   const avoid = [...(demand.avoid ?? []), upstream];
-  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, { at });
+  const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, {
+    at,
+    candidates: copyCandidates,
+  });
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
   if (copyAt === null || vm === undefined) {
     return null;
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -52,8 +52,6 @@
   unconfirmed: readonly Vm[] | null;
   readonly fleet: FleetNode<Routing>;
   readonly requests: Map<string, RelayedRequest>;
-  /** Exchanges of requests in a dispatcher's backlog, by request id. */
-  readonly waiting: Map<string, string>;
   readonly decisions: Decisions;
   nextId: number;
   stopping: boolean;
@@ -108,7 +106,6 @@
       },
     }, startedAt),
     requests: new Map(),
-    waiting: new Map(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
     stopping: false,
--- a/packages/standins/src/rows/opaque_upstream.ts
+++ b/packages/standins/src/rows/opaque_upstream.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import { z } from "zod";
 import { readJson, sendJson } from "../util/http_server.ts";
+import { listenOnLoopback } from "../util/listen_on_loopback.ts";
 
 /** One generation, which several engines may run in turn. */
 interface Run {
@@ -62,13 +63,8 @@
   }
 
   /** Starts to serve on a free port; returns the address. */
-  async start(): Promise<string> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
-    const address = this.#server.address();
-    const port = typeof address === "object" ? address?.port : undefined;
-    return `127.0.0.1:${port ?? 0}`;
+  start(): Promise<string> {
+    return listenOnLoopback(this.#server);
   }
 
   /** Dies: all connections are cut. */
--- a/packages/standins/src/rows/rows_server.ts
+++ b/packages/standins/src/rows/rows_server.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import { z } from "zod";
 import { readJson, sendJson } from "../util/http_server.ts";
+import { listenOnLoopback } from "../util/listen_on_loopback.ts";
 
 /** Tables that only the operator and the upstreams write. */
 const foreignTables: ReadonlySet<string> = new Set(["op", "servers"]);
@@ -56,13 +57,8 @@
   }
 
   /** Starts to serve on a free port; returns the address. */
-  async start(): Promise<string> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
-    const address = this.#server.address();
-    const port = typeof address === "object" ? address?.port : undefined;
-    return `127.0.0.1:${port ?? 0}`;
+  start(): Promise<string> {
+    return listenOnLoopback(this.#server);
   }
 
   /** Closes all connections. */
