--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,3 +1,4 @@
+import type { ErrorKind } from "@lavenderferry/errors";
 import type { Vm } from "@lavenderferry/platform";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
@@ -21,8 +22,14 @@
 const minFollowMs = 250;
 const maxFollowMs = 1_500;
 
-/** Milliseconds until a source that failed is asked again. */
-const retryMs = 400;
+/** Milliseconds until an operation that failed is tried again. */
+const retryMs = {
+  follow_routing: 400,
+  follow_upstreams: 400,
+  // Peers tell of members as well.
+  list_members: 800,
+  state_member: 800,
+} as const;
 
 /** Share by which periods vary between processes. */
 const jitterShare = 0.3;
@@ -50,44 +57,39 @@
     again("follow_routing", 0, at),
   ],
   routing_unchanged: (_state, { at }) => [again("follow_routing", 0, at)],
-  routing_failed: (state, { error, at }) => [
-    count("retries", error),
-    again("follow_routing", state.random.jitter(retryMs, jitterShare), at),
+  routing_unreadable: (state, { version, at }) => [
+    noteUnreadable(state, "routing", { version, at }),
+    again("follow_routing", 0, at),
   ],
-  upstreams_learned: (state, { vms, at }) => [
+  routing_failed: (state, event) => retry(state, "follow_routing", event),
+  upstreams_learned: (state, { vms, unreadable, at }) => [
+    ...noteUnreadableRows(state, { upstreams: unreadable }, at),
     ...learnUpstreams(state, vms, at),
     again("follow_upstreams", followMs(state), at),
   ],
-  upstreams_failed: (state, { error, at }) => {
+  upstreams_failed: (state, event) => {
+    const { error, detail, at } = event;
+    const figures = { error, detail };
+    // One line an outage: this operation is tried all the time.
     const lost = state.sourceLostAt === null
-      ? [noteStore(state, { reason: "lost", figures: { error }, at })]
+      ? [noteStore(state, { reason: "lost", figures, at })]
       : [];
     state.sourceLostAt ??= at.monotonic;
-    const wait = state.random.jitter(retryMs, jitterShare);
-    return [
-      ...lost,
-      count("retries", error),
-      again("follow_upstreams", wait, at),
-    ];
+    return [...lost, ...tryAgain(state, "follow_upstreams", event)];
   },
-  members_learned: (state, { vms, at }) => {
+  members_learned: (state, { vms, unreadable, at }) => {
     state.members = vms;
     state.membersKnown = true;
     const period = timerPeriods.list_members;
     return [
+      ...noteUnreadableRows(state, { members: unreadable }, at),
       ...learnVms(state, at),
       again("list_members", state.random.jitter(period, jitterShare), at),
     ];
   },
-  members_failed: (state, { error, at }) => [
-    count("retries", error),
-    again("list_members", state.random.jitter(2 * retryMs, jitterShare), at),
-  ],
+  members_failed: (state, event) => retry(state, "list_members", event),
   member_stated: () => [],
-  member_failed: (state, { error, at }) => [
-    count("retries", error),
-    again("state_member", state.random.jitter(2 * retryMs, jitterShare), at),
-  ],
+  member_failed: (state, event) => retry(state, "state_member", event),
 };
 
 /** Takes a routing that is newer than the one in force. */
@@ -302,12 +304,63 @@
   return state.random.jitter(period, jitterShare);
 }
 
+/** Notes why an operation of the store failed, and tries it again. */
+function retry(
+  state: RelayState,
+  kind: keyof typeof retryMs,
+  event: {
+    readonly error: ErrorKind;
+    readonly detail: string;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { error: reason, detail, at } = event;
+  const figures = { operation: kind, detail };
+  const decision = {
+    kind: "retry",
+    subject: "store",
+    reason,
+    figures,
+  } as const;
+  return [decide(state, decision, at), ...tryAgain(state, kind, event)];
+}
+
+/** Tries an operation of the store again after a while. */
+function tryAgain(
+  state: RelayState,
+  kind: keyof typeof retryMs,
+  { error, at }: { readonly error: ErrorKind; readonly at: Moment },
+): readonly RelayEffect[] {
+  return [
+    count("retries", error),
+    again(kind, state.random.jitter(retryMs[kind], jitterShare), at),
+  ];
+}
+
+/** Writes a line for each row that has become unreadable. */
+function noteUnreadableRows(
+  state: RelayState,
+  rows: Partial<RelayState["unreadable"]>,
+  at: Moment,
+): readonly RelayEffect[] {
+  const known = new Set(Object.values(state.unreadable).flat());
+  Object.assign(state.unreadable, rows);
+  return Object.values(rows).flat().filter((key) => !known.has(key))
+    .map((key) => noteUnreadable(state, key, { at }));
+}
+
+function noteUnreadable(
+  state: RelayState,
+  subject: string,
+  { version = -1, at }: { readonly version?: number; readonly at: Moment },
+): RelayEffect {
+  const figures = { version };
+  const reason = "unreadable";
+  return decide(state, { kind: "configure", subject, reason, figures }, at);
+}
+
 function again(
-  kind:
-    | "follow_routing"
-    | "follow_upstreams"
-    | "list_members"
-    | "state_member",
+  kind: keyof typeof retryMs,
   wait: number,
   at: Moment,
 ): RelayEffect {
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -20,10 +20,10 @@
   relay.learn([d1, d2]);
   t.equal(targets(relay).size, 2);
   const vms = [d1, { ...d2, state: "leaving" as const }];
-  relay.reduce({ kind: "upstreams_learned", vms });
+  relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] });
   t.strictSame([...targets(relay)], ["instance-d1"]);
   // A stale read that still lists it as live opens nothing.
-  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2] });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2], unreadable: [] });
   t.strictSame([...targets(relay)], ["instance-d1"]);
   t.end();
 });
@@ -31,10 +31,10 @@
 t.test("an upstream that is no longer listed gets no new work", (t) => {
   const relay = new RelayFixture();
   relay.learn([d1, d2]);
-  relay.reduce({ kind: "upstreams_learned", vms: [d1] });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1], unreadable: [] });
   t.strictSame([...targets(relay)], ["instance-d1"]);
   t.ok(relay.state.fleet.marks.get("d22") !== undefined, "peers are told");
-  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2] });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1, d2], unreadable: [] });
   t.equal(targets(relay).size, 2, "it is back");
   t.end();
 });
@@ -43,8 +43,8 @@
   const relay = new RelayFixture();
   relay.learn([d1, d2]);
   const error = "store_unavailable";
-  relay.reduce({ kind: "upstreams_failed", error });
-  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 300);
+  relay.reduce({ kind: "upstreams_failed", error, detail: "down" });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1], unreadable: [] }, 300);
   t.strictSame([...targets(relay)], ["instance-d1"]);
   t.end();
 });
@@ -53,12 +53,23 @@
   const relay = new RelayFixture();
   relay.learn([d1, d2]);
   const error = "store_unavailable";
-  const lost = relay.reduce({ kind: "upstreams_failed", error });
+  const lost = relay.reduce({
+    kind: "upstreams_failed",
+    error,
+    detail: "down",
+  });
   t.match(only(lost, "log_decision"), [{ decision: { reason: "lost" } }]);
-  const again = relay.reduce({ kind: "upstreams_failed", error }, 4_000);
+  const again = relay.reduce({
+    kind: "upstreams_failed",
+    error,
+    detail: "down",
+  }, 4_000);
   t.strictSame(only(again, "log_decision"), []);
   const vms = [d1];
-  const back = relay.reduce({ kind: "upstreams_learned", vms }, 400);
+  const back = relay.reduce(
+    { kind: "upstreams_learned", vms, unreadable: [] },
+    400,
+  );
   t.match(only(back, "log_decision"), [
     { decision: { reason: "regained", figures: { outageMs: 4_400 } } },
   ]);
@@ -73,8 +84,8 @@
   const relay = new RelayFixture();
   relay.learn([d1, d2]);
   const error = "store_unavailable";
-  relay.reduce({ kind: "upstreams_failed", error });
-  relay.reduce({ kind: "upstreams_learned", vms: [d1] }, 4_000);
+  relay.reduce({ kind: "upstreams_failed", error, detail: "down" });
+  relay.reduce({ kind: "upstreams_learned", vms: [d1], unreadable: [] }, 4_000);
   const wall = 1_700_000_000_000 + relay.now;
   relay.hear({ marks: [{ upstream: "d22", reason: "gone", at: wall }] });
   t.strictSame([...targets(relay)], ["instance-d1"]);
@@ -91,7 +102,7 @@
     const attemptId = sent?.attemptId ?? "";
     const reason = "ECONNRESET";
     relay.reduce({ kind: "attempt_failed", attemptId, exchangeId, reason });
-    relay.reduce({ kind: "upstreams_learned", vms: [engine] });
+    relay.reduce({ kind: "upstreams_learned", vms: [engine], unreadable: [] });
   }
   t.strictSame(only(relay.generate(), "send_request"), []);
   t.end();
@@ -110,8 +121,52 @@
   for (let index = 0; index < 2; index++) {
     const [failure] = only(relay.generate({ generation }), "send_failure");
     t.equal(failure?.error, "prompt_too_long");
-    relay.reduce({ kind: "upstreams_learned", vms: [] });
-    relay.reduce({ kind: "upstreams_learned", vms: [engine] });
+    relay.reduce({ kind: "upstreams_learned", vms: [], unreadable: [] });
+    relay.reduce({ kind: "upstreams_learned", vms: [engine], unreadable: [] });
+  }
+  t.end();
+});
+
+t.test("rows that can not be read are told once", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1]);
+  const read = (unreadable: readonly string[]) =>
+    only(
+      relay.reduce({ kind: "upstreams_learned", vms: [d1], unreadable }),
+      "log_decision",
+    ).map(({ decision }) => `${decision.subject} ${decision.reason}`);
+  t.strictSame(read(["servers/x"]), ["servers/x unreadable"]);
+  t.strictSame(read(["servers/x"]), []);
+  t.strictSame(read(["servers/x", "servers/y"]), ["servers/y unreadable"]);
+  t.strictSame(read([]), []);
+  t.strictSame(read(["servers/x"]), ["servers/x unreadable"]);
+  t.end();
+});
+
+t.test("a newer routing that can not be read changes nothing", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([d1]);
+  const kind = "routing_unreadable";
+  const effects = relay.reduce({ kind, version: 77 });
+  t.match(only(effects, "log_decision"), [
+    { decision: { reason: "unreadable", figures: { version: 77 } } },
+  ]);
+  t.match(only(effects, "set_timer"), [{ timer: { kind: "follow_routing" } }]);
+  t.equal(only(relay.request(), "send_request").length, 1);
+  t.end();
+});
+
+t.test("an operation that failed is told with its reason", (t) => {
+  const relay = new RelayFixture();
+  const failure = { error: "store_unavailable", detail: "no answer" } as const;
+  const kinds = ["routing_failed", "members_failed", "member_failed"] as const;
+  for (const kind of kinds) {
+    const effects = relay.reduce({ kind, ...failure });
+    const figures = { detail: "no answer" };
+    t.match(only(effects, "log_decision"), [
+      { decision: { reason: "store_unavailable", figures } },
+    ]);
+    t.equal(only(effects, "set_timer").length, 1);
   }
   t.end();
 });
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -37,28 +37,22 @@
     follow_routing: (_effect, dispatch) => {
       this.#followRouting().then(
         dispatch,
-        (error: unknown) => {
-          const { kind } = toFailure(error);
-          dispatch({ kind: "routing_failed", error: kind });
-        },
+        (error: unknown) =>
+          dispatch({ kind: "routing_failed", ...describe(error) }),
       );
     },
     follow_upstreams: (_effect, dispatch) => {
       this.#followUpstreams().then(
-        (vms) => dispatch({ kind: "upstreams_learned", vms }),
-        (error: unknown) => {
-          const { kind } = toFailure(error);
-          dispatch({ kind: "upstreams_failed", error: kind });
-        },
+        dispatch,
+        (error: unknown) =>
+          dispatch({ kind: "upstreams_failed", ...describe(error) }),
       );
     },
     list_members: (_effect, dispatch) => {
       this.#listMembers().then(
-        (vms) => dispatch({ kind: "members_learned", vms }),
-        (error: unknown) => {
-          const { kind } = toFailure(error);
-          dispatch({ kind: "members_failed", error: kind });
-        },
+        dispatch,
+        (error: unknown) =>
+          dispatch({ kind: "members_failed", ...describe(error) }),
       );
     },
     state_member: ({ leaving }, dispatch) => this.#state(leaving, dispatch),
@@ -71,15 +65,16 @@
     const changes = await store.changes(rows.routings, after, waitMs);
     const changed = this.#routings.take(changes);
     const row = this.#routings.rows.get(rows.routing);
-    const routing = changed && row !== undefined
-      ? rows.readRouting(row.value)
-      : null;
+    if (!changed || row === undefined) {
+      return { kind: "routing_unchanged" };
+    }
+    const routing = rows.readRouting(row.value);
     return routing === null
-      ? { kind: "routing_unchanged" }
+      ? { kind: "routing_unreadable", version: row.version }
       : { kind: "routing_learned", routing };
   }
 
-  async #followUpstreams(): Promise<readonly Vm[]> {
+  async #followUpstreams(): Promise<RelayEvent> {
     const { store, rows } = this.#ports;
     const { after } = this.#upstreams;
     // A full read is answered at once; one that hangs is given up sooner.
@@ -87,27 +82,33 @@
     const changes = await store.changes(rows.upstreams, after, waitMs);
     this.#upstreams.take(changes);
     const vms: Vm[] = [];
+    const unreadable: string[] = [];
     for (const [key, { value }] of this.#upstreams.rows) {
       const vm = rows.readUpstream(key, value);
-      if (vm !== null) {
+      if (vm === null) {
+        unreadable.push(key);
+      } else {
         vms.push(vm);
       }
     }
-    return vms;
+    return { kind: "upstreams_learned", vms, unreadable };
   }
 
-  async #listMembers(): Promise<readonly Vm[]> {
+  async #listMembers(): Promise<RelayEvent> {
     const rows = await this.#ports.store.scan(membersPrefix, "leases");
     const vms: Vm[] = [];
+    const unreadable: string[] = [];
     for (const { key, version, value } of rows) {
       const parsed = vmSchema.safeParse(value);
       if (key === this.#key) {
         this.#memberVersion = version;
       } else if (parsed.success) {
         vms.push(parsed.data);
+      } else {
+        unreadable.push(key);
       }
     }
-    return vms;
+    return { kind: "members_learned", vms, unreadable };
   }
 
   get #key(): string {
@@ -135,12 +136,18 @@
         }
         // An earlier run, or a write whose answer was lost, left the row.
         this.#memberVersion = result.rows[0]?.version ?? null;
-        dispatch({ kind: "member_failed", error: "conflict" });
-      },
-      (error: unknown) => {
-        const { kind } = toFailure(error);
-        dispatch({ kind: "member_failed", error: kind });
+        const detail = "The row was written since";
+        dispatch({ kind: "member_failed", error: "conflict", detail });
       },
+      (error: unknown) =>
+        dispatch({ kind: "member_failed", ...describe(error) }),
     );
   }
 }
+
+/** A failure of no known kind is told by its cause. */
+function describe(thrown: unknown) {
+  const failure = toFailure(thrown);
+  const detail = failure.message === "" ? String(thrown) : failure.message;
+  return { error: failure.kind, detail };
+}
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -74,8 +74,8 @@
       }
     },
     check_copy: ({ attemptId, exchangeId, address }, dispatch) => {
-      void this.#copier.keptAt(address).then((keptTokens) =>
-        dispatch({ kind: "copy_checked", attemptId, exchangeId, keptTokens })
+      void this.#copier.keptAt(address).then((kept) =>
+        dispatch({ kind: "copy_checked", attemptId, exchangeId, kept })
       );
     },
     copy_generation: (effect, dispatch) => {
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -78,8 +78,8 @@
   const exchanges = new CallerExchanges(codec);
   await openExchange(t, exchanges);
   const copier = {
-    copy: () => Promise.resolve({ kind: "unknown" } as const),
-    keptAt: () => Promise.resolve(null),
+    copy: () => Promise.resolve({ kind: "not_running" } as const),
+    keptAt: () => Promise.resolve({ tokens: null, detail: "" }),
   };
   const runner = new UpstreamRunner(codec, exchanges, copier);
   const events: RelayEvent[] = [];
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -117,7 +117,8 @@
   state: RelayState,
   event: Timed<Checked>,
 ): readonly RelayEffect[] {
-  const { exchangeId, attemptId, keptTokens, at } = event;
+  const { exchangeId, attemptId, kept, at } = event;
+  const { tokens: keptTokens, detail } = kept;
   const request = state.requests.get(exchangeId);
   const pool = state.pools.get(request?.service ?? "");
   if (
@@ -134,7 +135,18 @@
       return resumed;
     }
   }
-  return moveOrWait(state, request, at);
+  const { requestId: subject, copyAt } = request;
+  const figures = {
+    copy: copyAt ?? "",
+    keptTokens: keptTokens ?? -1,
+    tokens,
+    detail,
+  };
+  const reason = "copy_missing";
+  return [
+    decide(state, { kind: "retry", subject, reason, figures }, at),
+    ...moveOrWait(state, request, at),
+  ];
 }
 
 /**
@@ -316,8 +328,11 @@
       request.move = null;
       return [evacuateAgain(exchangeId, at)];
     case "not_running":
-    case "unknown":
       return loseMove(state, request, { move, reason: outcome.kind, at });
+    case "unknown": {
+      const { kind: reason, detail } = outcome;
+      return loseMove(state, request, { move, reason, detail, at });
+    }
   }
 }
 
@@ -366,8 +381,15 @@
   const next = move.avoid.length < maxCopies
     ? startMove(state, request, { avoid, stop, at })
     : null;
+  if (next !== null) {
+    return next;
+  }
   const to = request.upstream;
-  return next ?? goOn(state, request, { to, handle, reason: "no_room", at });
+  return [
+    ...goOn(state, request, { to, handle, reason: "no_room", at }),
+    // The engine still leaves.
+    evacuateAgain(request.exchangeId, at),
+  ];
 }
 
 /** Goes on with a generation that its engine stopped and keeps. */
@@ -392,14 +414,17 @@
 function loseMove(
   state: RelayState,
   request: RelayedRequest,
-  { move, reason, at }: {
+  { move, reason, detail = "", at }: {
     readonly move: Move;
     readonly reason: string;
+    /** What the failed call said, for the log. */
+    readonly detail?: string;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
   const { requestId, upstream, events } = request;
-  const figures = { upstream, to: move.to, events, phase: move.phase };
+  const { to, phase } = move;
+  const figures = { upstream, to, events, phase, outcome: reason, detail };
   const decision = { subject: requestId, reason: "copy_failed", figures };
   if (move.phase === "copying") {
     releaseCopy(state, request, at);
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -43,7 +43,7 @@
   const vms = engines.map((vm) =>
     vm.id === id ? { ...vm, state: "leaving" as const } : vm
   );
-  return relay.reduce({ kind: "upstreams_learned", vms });
+  return relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] });
 }
 
 function evacuate(relay: RelayFixture, afterMs: number) {
@@ -55,7 +55,8 @@
 function check(relay: RelayFixture, attemptId: string, keptTokens: number) {
   const exchangeId = "x1";
   const kind = "copy_checked";
-  return relay.reduce({ kind, attemptId, exchangeId, keptTokens });
+  const kept = { tokens: keptTokens, detail: "" };
+  return relay.reduce({ kind, attemptId, exchangeId, kept });
 }
 
 function copied(
@@ -187,7 +188,7 @@
       ? { ...vm, state: "leaving" as const }
       : vm
   );
-  relay.reduce({ kind: "upstreams_learned", vms });
+  relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] });
   const [first] = only(evacuate(relay, 1), "copy_generation");
   t.match(first, { stop: false, requestId: "r1" });
   const again = copied(relay, attemptId, { kind: "copied", handle: "h" });
@@ -214,7 +215,10 @@
   leave(relay, upstream);
   evacuate(relay, 1);
   copied(relay, attemptId, { kind: "copied", handle: "h" });
-  const effects = copied(relay, attemptId, { kind: "unknown" });
+  const effects = copied(relay, attemptId, {
+    kind: "unknown",
+    detail: "timed out",
+  });
   t.equal(only(effects, "cut_answer").length, 1);
   t.equal(only(effects, "send_request").length, 0);
   t.equal(relay.state.requests.size, 0);
@@ -258,7 +262,7 @@
     ...engines.filter((vm) => !rest.includes(vm))
       .map((vm) => ({ ...vm, state: "leaving" as const })),
   ];
-  relay.reduce({ kind: "upstreams_learned", vms });
+  relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] });
   evacuate(relay, 1);
   const asked = copied(relay, attemptId, { kind: "copied", handle: "h" });
   t.match(only(asked, "copy_generation"), [{ stop: true }]);
@@ -273,6 +277,7 @@
     target: { address: source },
     resumption: { address: source, handle: "h", lastEventId: "7" },
   }]);
+  t.match(only(effects, "set_timer"), [{ timer: { kind: "evacuate" } }]);
   t.end();
 });
 
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ChangeFeed, Json, Table, Vm } from "@lavenderferry/platform";
 import type { Resumption } from "./relay_effect.ts";
-import type { CopyOutcome } from "./relay_event.ts";
+import type { CopyOutcome, KeptCopies } from "./relay_event.ts";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
 
@@ -48,11 +48,8 @@
 
 /** Asks engines to copy the memory of the generations that they run. */
 export interface GenerationCopier {
-  /**
-   * Returns the tokens that an engine keeps of others' generations; `null`
-   * where it does not say. Never rejects.
-   */
-  keptAt(address: string): Promise<number | null>;
+  /** Returns what an engine keeps of others' generations; never rejects. */
+  keptAt(address: string): Promise<KeptCopies>;
   /** Resolves once the copy is complete or failed; never rejects. */
   copy(copy: {
     /** Address of the engine that runs the generation. */
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -54,7 +54,16 @@
   | { readonly kind: "busy" }
   /** No room there, or not reached; a stopped one is kept at its engine. */
   | { readonly kind: "no_room"; readonly handle: string | null }
-  | { readonly kind: "unknown" };
+  /** No answer, or none that says. */
+  | { readonly kind: "unknown"; readonly detail: string };
+
+/** What an engine keeps for the generations of others. */
+export interface KeptCopies {
+  /** Tokens kept for all of them; `null`: the engine did not say. */
+  readonly tokens: number | null;
+  /** Why it did not say, for the log. */
+  readonly detail: string;
+}
 
 /** Events of requests and their attempts. */
 export type RequestEvent =
@@ -83,8 +92,7 @@
     readonly kind: "copy_checked";
     readonly attemptId: string;
     readonly exchangeId: string;
-    /** Tokens kept for all generations; `null`: the engine did not say. */
-    readonly keptTokens: number | null;
+    readonly kept: KeptCopies;
   }
   | {
     readonly kind: "generation_copied";
@@ -112,17 +120,40 @@
     readonly head: AnswerHead;
   };
 
+/** Why an operation of the store failed. */
+interface SourceFailure {
+  readonly error: ErrorKind;
+  /** Sentence for the log. */
+  readonly detail: string;
+}
+
 /** Events of the platform. */
 export type SourceEvent =
   | { readonly kind: "routing_learned"; readonly routing: Routing }
-  | { readonly kind: "routing_failed"; readonly error: ErrorKind }
+  | { readonly kind: "routing_failed" } & SourceFailure
   | { readonly kind: "routing_unchanged" }
-  | { readonly kind: "upstreams_learned"; readonly vms: readonly Vm[] }
-  | { readonly kind: "upstreams_failed"; readonly error: ErrorKind }
-  | { readonly kind: "members_learned"; readonly vms: readonly Vm[] }
-  | { readonly kind: "members_failed"; readonly error: ErrorKind }
+  | {
+    /** A newer row is no routing; the one in force stays. */
+    readonly kind: "routing_unreadable";
+    /** Version of the row. */
+    readonly version: number;
+  }
+  | {
+    readonly kind: "upstreams_learned";
+    readonly vms: readonly Vm[];
+    /** Keys of rows that name no upstream to use. */
+    readonly unreadable: readonly string[];
+  }
+  | { readonly kind: "upstreams_failed" } & SourceFailure
+  | {
+    readonly kind: "members_learned";
+    readonly vms: readonly Vm[];
+    /** Keys of rows that name no member. */
+    readonly unreadable: readonly string[];
+  }
+  | { readonly kind: "members_failed" } & SourceFailure
   | { readonly kind: "member_stated" }
-  | { readonly kind: "member_failed"; readonly error: ErrorKind };
+  | { readonly kind: "member_failed" } & SourceFailure;
 
 /** Events of the process. */
 export type ProcessEvent =
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -210,7 +210,7 @@
     },
     // All upstreams have left by then.
     (relay: RelayFixture) =>
-      relay.reduce({ kind: "upstreams_learned", vms: [] }),
+      relay.reduce({ kind: "upstreams_learned", vms: [], unreadable: [] }),
     // Its service is not known any more.
     (relay: RelayFixture) => relay.state.pools.delete("desk"),
   ];
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -42,6 +42,11 @@
   upstreamsKnown: boolean;
   /** Why upstreams take no new work, while they are remembered. */
   readonly left: Map<string, string>;
+  /** Keys of rows that could not be used when they were last read. */
+  readonly unreadable: {
+    upstreams: readonly string[];
+    members: readonly string[];
+  };
   members: readonly Vm[];
   membersKnown: boolean;
   /** Monotonic milliseconds of the first failure since the last answer. */
@@ -86,6 +91,7 @@
     upstreams: new Map(),
     upstreamsKnown: false,
     left: new Map(),
+    unreadable: { upstreams: [], members: [] },
     members: [],
     membersKnown: false,
     sourceLostAt: null,
