--- a/packages/policy/src/slot_dispatcher.ts
+++ b/packages/policy/src/slot_dispatcher.ts
@@ -37,11 +37,16 @@
 /** Milliseconds after which a caller asks again where none is open. */
 const noUpstreamRetryMs = 400;
 
+/** Shortest advice in milliseconds: about two requests of the initial time. */
 const minRetryAfterMs = 100;
+
+/** Longest advice in milliseconds: callers of short requests wait no longer. */
 const maxRetryAfterMs = 5_000;
+
+/** Share by which advice varies, so that callers do not return together. */
 const retryAfterJitter = 0.25;
 
-/** Demands that wait at most. */
+/** Demands that wait at most; bounds memory, as refusals come long before. */
 const maxBacklog = 1_024;
 
 interface Upstream {
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -42,7 +42,10 @@
  */
 const patienceMs = 1_000;
 
-/** Milliseconds until a move that found no engine is tried again. */
+/**
+ * Milliseconds until a move that found no engine is tried again: some ten
+ * times in the one and a half seconds of a notice.
+ */
 const againMs = 150;
 
 /**
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -15,12 +15,21 @@
 import { answerPart } from "./answer_part.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
-/** Milliseconds after which a caller asks again while nothing is known. */
+/**
+ * Milliseconds after which a caller asks again while nothing is known: about
+ * what a process needs to read the store after its start.
+ */
 const notReadyRetryMs = 500;
 
+/** Share by which that varies, so that callers do not return together. */
+const retryJitter = 0.5;
+
 /** Preemptions for a thousand generations that the policy aims at. */
 const preemptionsPerThousand = 50;
 
+/** Share of the requests of a route that must meet its targets, in percent. */
+const targetPercent = 95;
+
 /** Model of services that run no models. */
 const noModel = "";
 
@@ -95,7 +104,7 @@
       ...fail(exchangeId, {
         error: "not_ready",
         notRun: true,
-        retryAfterMs: state.random.jitter(notReadyRetryMs, 0.5),
+        retryAfterMs: state.random.jitter(notReadyRetryMs, retryJitter),
       }),
     ];
   }
@@ -197,7 +206,7 @@
       stallMs: route.pauseTargetMs,
       preemptionsPerThousand,
       completionMs: route.timeoutMs,
-      percent: 95,
+      percent: targetPercent,
     },
     arrivedAt,
   };
