fix(relay): a generation that its engine would not stop runs on

(2) Copies that began less than about two seconds before are often not there (their link is busy with those of others that left together), yet the engine's total of kept tokens hid that, and the generation was stopped for a copy that did not exist. (3) A move gave up the copy, so that nothing was left when the move failed. (4) An engine that was the target of a move was forgotten when it left the list, and going on there threw.

Now a stream that has not ended runs on whatever the engine answered, copies are believed after 2.5 s, younger generations are moved at once, the copy stays as the way back while a move is on its way, refused resumptions are asked for again for 3.5 s, and targets of moves are kept.

--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -285,8 +285,8 @@
 }
 
 function isUsed(state: RelayState, id: string): boolean {
-  for (const { upstream, copyAt } of state.requests.values()) {
-    if (upstream === id || copyAt === id) {
+  for (const { upstream, copyAt, move } of state.requests.values()) {
+    if (upstream === id || copyAt === id || move?.to === id) {
       return true;
     }
   }
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -2,11 +2,11 @@
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import {
-  copyOf,
   endAttempt,
+  moveOf,
   pumpBacklogs,
   refusalOf,
-  releaseCopy,
+  releaseMove,
   startAttempt,
   tokensOf,
 } from "../requests/place_request.ts";
@@ -30,15 +30,15 @@
 const switchMs = 300;
 
 /**
- * Milliseconds from the first event until a copy is complete: a prompt of
- * 4,000 tokens takes a quarter of a second on one link, twice that between
- * data centres.
+ * Milliseconds from the first event until a copy is taken to be complete. A
+ * prompt of 5,000 tokens takes half a second between two data centres, and
+ * those of generations that left an engine together queue on its link.
  */
-const copyMs = 900;
+const copyMs = 2_500;
 
 /**
- * Milliseconds from a notice after which an incomplete copy is used all the
- * same: engines that are reclaimed run on for one and a half seconds or more.
+ * Milliseconds from a notice for which an incomplete copy is waited for: a
+ * move takes the rest of the one and a half seconds that engines run on.
  */
 const patienceMs = 1_000;
 
@@ -81,10 +81,10 @@
   const { copyAt, exchangeId, firstEventAt } = request;
   const now = at.monotonic;
   request.noticedAt = now;
-  const complete = (firstEventAt ?? now) + copyMs;
-  const due = copyAt === null
+  const complete = (firstEventAt ?? Infinity) + copyMs;
+  const due = copyAt === null || complete > now + patienceMs
     ? now
-    : Math.min(now + patienceMs, Math.max(now + switchMs, complete));
+    : Math.max(now + switchMs, complete);
   const timer = { kind: "evacuate", exchangeId } as const;
   return { kind: "set_timer", timer, at: due };
 }
@@ -104,7 +104,8 @@
     return [];
   }
   const copy = state.upstreams.get(request.copyAt ?? "");
-  if (request.events === 0 || copy === undefined) {
+  const complete = (request.firstEventAt ?? Infinity) + copyMs;
+  if (copy === undefined || complete > at.monotonic) {
     return moveOrWait(state, request, at);
   }
   const { attemptId } = request;
@@ -121,7 +122,7 @@
   event: Timed<Checked>,
 ): readonly RelayEffect[] {
   const { exchangeId, attemptId, kept, at } = event;
-  const { tokens: keptTokens, detail } = kept;
+  const { tokens: keptTokens, freeTokens, detail } = kept;
   const request = state.requests.get(exchangeId);
   const pool = state.pools.get(request?.service ?? "");
   if (
@@ -133,7 +134,12 @@
   const tokens = request.demand.promptTokens + tokensOf(pool, request);
   if (keptTokens !== null && keptTokens >= leastKept * tokens) {
     const reason = "leaving";
-    const resumed = resumeFromCopy(state, request, { reason, at, keptTokens });
+    const resumed = resumeFromCopy(state, request, {
+      reason,
+      at,
+      keptTokens,
+      freeTokens,
+    });
     if (resumed !== null) {
       return resumed;
     }
@@ -159,10 +165,11 @@
 export function resumeFromCopy(
   state: RelayState,
   request: RelayedRequest,
-  { reason, at, keptTokens }: {
+  { reason, at, keptTokens, freeTokens }: {
     readonly reason: string;
     readonly at: Moment;
     readonly keptTokens?: number;
+    readonly freeTokens?: number;
   },
 ): readonly RelayEffect[] | null {
   const { copyAt, lastEventId, requestId } = request;
@@ -178,6 +185,7 @@
     reason,
     ending,
     ...(keptTokens === undefined ? {} : { keptTokens }),
+    ...(freeTokens === undefined ? {} : { freeTokens }),
     at,
   });
 }
@@ -192,16 +200,25 @@
     readonly ending: "cancelled" | "failed";
     /** Tokens that the engine said it keeps; -1: it was not asked. */
     readonly keptTokens?: number;
+    readonly freeTokens?: number;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
-  const { keptTokens = -1 } = options;
+  const { keptTokens = -1, freeTokens = -1 } = options;
   const { to: upstream, resumption, reason, ending, at } = options;
   const { upstream: from, events, requestId, lastEventId } = request;
   const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
   const dropped = endAttempt(state, request, { ending, at });
   const after = lastEventId ?? "";
-  const figures = { from, upstream, events, after, ageMs, keptTokens };
+  const figures = {
+    from,
+    upstream,
+    events,
+    after,
+    ageMs,
+    keptTokens,
+    freeTokens,
+  };
   return [
     decide(state, { kind: "resume", subject: requestId, reason, figures }, at),
     count("resumptions", reason),
@@ -240,7 +257,7 @@
     readonly at: Moment;
   },
 ): readonly RelayEffect[] | null {
-  const { service, upstream, demand, attemptId } = request;
+  const { service, upstream, copyAt, demand, attemptId } = request;
   const pool = state.pools.get(service);
   const source = state.upstreams.get(upstream);
   if (pool === undefined || source === undefined) {
@@ -250,14 +267,16 @@
   const to = request.events === 0 ? null : pool.dispatcher.transfer({
     ...demand,
     promptTokens: demand.promptTokens + done,
-    avoid: [...avoid, upstream],
+    avoid: [...avoid, upstream, ...(copyAt === null ? [] : [copyAt])],
   }, { near: source.dataCentre, candidates: moveCandidates, at });
   const target = state.upstreams.get(to ?? "");
   if (to === null || target === undefined) {
     return null;
   }
-  const generationId = copyOf(attemptId);
-  releaseCopy(state, request, at);
+  const streamEnded = request.move?.streamEnded ?? false;
+  const generationId = moveOf(attemptId);
+  // The copy stays: the generation goes on there if the move fails.
+  releaseMove(state, request, at);
   const sent = { generationId, engine: to, demand, passive: true };
   pool.dispatcher.sent(sent, at);
   pool.dispatcher.progressed(generationId, done, at);
@@ -267,6 +286,7 @@
     askedAt: at.monotonic,
     copies: 1,
     avoid,
+    streamEnded,
   };
   request.move = move;
   const figures = {
@@ -328,7 +348,7 @@
     case "no_room":
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
-      request.move = null;
+      releaseMove(state, request, at);
       return [evacuateAgain(exchangeId, at)];
     case "not_running":
       return loseMove(state, request, { move, reason: outcome.kind, at });
@@ -365,21 +385,22 @@
 function moveElsewhere(
   state: RelayState,
   request: RelayedRequest,
-  { move, handle, at }: {
+  { move, handle, detail, at }: {
     readonly move: Move;
     readonly handle: string | null;
+    readonly detail: string;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
   const stop = move.phase === "stopping";
   const avoid = [...move.avoid, move.to];
   if (!stop) {
-    request.move = null;
+    releaseMove(state, request, at);
     return startMove(state, request, { avoid, stop, at }) ??
       [evacuateAgain(request.exchangeId, at)];
   }
   if (handle === null) {
-    return loseMove(state, request, { move, reason: "no_room", at });
+    return loseMove(state, request, { move, reason: "no_room", detail, at });
   }
   const next = move.avoid.length < maxCopies
     ? startMove(state, request, { avoid, stop, at })
@@ -413,7 +434,10 @@
   return resume(state, request, { to, resumption, reason, ending, at });
 }
 
-/** A generation that was not told to stop runs on; another one is lost. */
+/**
+ * A generation whose stream has not ended runs on: its engine was not told to
+ * stop, or refused to. Another one goes on at its copy, or is lost.
+ */
 function loseMove(
   state: RelayState,
   request: RelayedRequest,
@@ -429,13 +453,18 @@
   const { to, phase } = move;
   const figures = { upstream, to, events, phase, outcome: reason, detail };
   const decision = { subject: requestId, reason: "copy_failed", figures };
-  if (move.phase === "copying") {
-    releaseCopy(state, request, at);
+  if (!move.streamEnded) {
+    releaseMove(state, request, at);
     return [
       decide(state, { ...decision, kind: "retry", reason }, at),
       count("retries", reason),
+      evacuateAgain(request.exchangeId, at),
     ];
   }
+  const resumed = resumeFromCopy(state, request, { reason: "copy_failed", at });
+  if (resumed !== null) {
+    return resumed;
+  }
   const dropped = endAttempt(state, request, { ending: "failed", at });
   state.requests.delete(request.exchangeId);
   return [
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -53,7 +53,12 @@
   /** Another copy is on its way. */
   | { readonly kind: "busy" }
   /** No room there, or not reached; a stopped one is kept at its engine. */
-  | { readonly kind: "no_room"; readonly handle: string | null }
+  | {
+    readonly kind: "no_room";
+    readonly handle: string | null;
+    /** What the engine said, for the log. */
+    readonly detail: string;
+  }
   /** No answer, or none that says. */
   | { readonly kind: "unknown"; readonly detail: string };
 
@@ -61,6 +66,8 @@
 export interface KeptCopies {
   /** Tokens kept for all of them; `null`: the engine did not say. */
   readonly tokens: number | null;
+  /** Tokens that it has room for beside all that it runs and keeps. */
+  readonly freeTokens: number;
   /** Why it did not say, for the log. */
   readonly detail: string;
 }
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -26,13 +26,11 @@
 const maxSends = 4;
 
 /**
- * Times that a refused resumption is asked for again. Each may be refused for
- * want of room, which other generations free all the time.
+ * Milliseconds from each refusal of a resumption until it is asked for again:
+ * copies arrive and room becomes free for some seconds, and a generation that
+ * is not resumed is lost.
  */
-const maxRefusedResumptions = 4;
-
-/** Milliseconds until a refused resumption is asked for again. */
-const resumeAgainMs = 100;
+const resumeAgainMs = [100, 150, 250, 500, 1_000, 1_500];
 
 /** Milliseconds after which a caller asks again when upstreams refuse. */
 const refusedRetryMs = 400;
@@ -153,6 +151,7 @@
   const { at, head, exchangeId, framed } = event;
   if (request.move?.phase === "stopping" && !framed) {
     // The engine closes the stream of a generation that it was told to stop.
+    request.move = { ...request.move, streamEnded: true };
     return [];
   }
   const { upstream, events, sends } = request;
@@ -197,12 +196,19 @@
   }
   const figures = { upstream, sends, runs };
   if (resumed && reason === "not_executed") {
+    const againMs = resumeAgainMs[request.refusedResumptions];
     request.refusedResumptions += 1;
-    if (request.refusedResumptions <= maxRefusedResumptions) {
+    if (againMs !== undefined && at.monotonic + againMs < request.deadline) {
       const { exchangeId } = request;
       const timer = { kind: "resume_again", exchangeId } as const;
-      const due = at.monotonic + resumeAgainMs;
+      const due = at.monotonic + againMs;
       return [
+        decide(state, {
+          kind: "retry",
+          subject: requestId,
+          reason: "resumption_refused",
+          figures,
+        }, at),
         count("retries", reason),
         { kind: "set_timer", timer, at: due },
       ];
@@ -257,6 +263,7 @@
   const { at, reason } = event;
   if (request.move?.phase === "stopping") {
     // The engine closes the stream of a generation that it was told to stop.
+    request.move = { ...request.move, streamEnded: true };
     return [];
   }
   const resumption = resumeFromCopy(state, request, { reason, at });
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -82,12 +82,13 @@
   const dispatcher = state.pools.get(request.service)?.dispatcher;
   dispatcher?.ended(attemptId, ending, at);
   releaseCopy(state, request, at);
+  releaseMove(state, request, at);
   return ending === "finished" || ending === "refused"
     ? []
     : [{ kind: "drop_attempt", attemptId }];
 }
 
-/** Gives up the copy of a generation's memory, or the move to one. */
+/** Gives up the copy of a generation's memory. */
 export function releaseCopy(
   state: RelayState,
   request: RelayedRequest,
@@ -96,6 +97,16 @@
   const dispatcher = state.pools.get(request.service)?.dispatcher;
   dispatcher?.ended(copyOf(request.attemptId), "cancelled", at);
   request.copyAt = null;
+}
+
+/** Gives up the move of a generation; what its engine does goes on. */
+export function releaseMove(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): void {
+  const dispatcher = state.pools.get(request.service)?.dispatcher;
+  dispatcher?.ended(moveOf(request.attemptId), "cancelled", at);
   request.move = null;
 }
 
@@ -184,6 +195,11 @@
   return `copy/${attemptId}`;
 }
 
+/** Name under which the dispatcher counts the move of an attempt. */
+export function moveOf(attemptId: string): string {
+  return `move/${attemptId}`;
+}
+
 /** Events below which a generation ends before a copy is of use. */
 const leastEventsToCopy = 40;
 
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -42,6 +42,8 @@
   readonly copies: number;
   /** Engines that had no room. */
   readonly avoid: readonly string[];
+  /** Whether the stream has ended, as that of a stopped generation does. */
+  readonly streamEnded: boolean;
 }
 
 /** One request on its way between a caller and an upstream. */
