feat(relay,policy): generations leave an engine in turn, and copies take idle memory only

When an engine leaves, all of its generations were copied at once over its one link, to the same emptiest engine; each copy then ended, and its rest was sent, only after all others, too late.

Now copies are made only up to half of an engine's memory, and the others take turns by size: the engine's own list of runs gives the order, the rate of copies seen so far the time, without a message between processes. Targets are chosen among two random ones with room.

Half is the share at which a copy displaces a generation.

--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -45,6 +45,11 @@
 const sharePenaltyMs = 2_000;
 const stallMsPerRisk = 2_000;
 const maxRecentRequests = 4_096;
+/**
+ * Engines with room of which the emptiest takes work that runs elsewhere. With
+ * all of them, every process would choose the same one at once.
+ */
+const transferChoices = 2;
 /** Share of the strictest target that the time between tokens may take. */
 const stepTimeShare = 0.9;
 
@@ -207,14 +212,26 @@
   }
 
   transfer(demand: Demand, options: TransferOptions): string | null {
-    const { at, near, candidates: count } = options;
+    const { at, near, largestFill = 1, candidates: count } = options;
     const estimate = this.#estimator.estimate(demand);
-    const candidates = this.#sample(this.#openTo(demand), count)
-      .map((engine) => this.#weigh(engine, demand, { estimate, at }))
-      .filter((each) => each !== null)
-      .sort((a, b) => a.fill - b.fill);
-    const nearby = candidates.find(({ engine }) => engine.dataCentre === near);
-    return (nearby ?? candidates[0])?.engine.id ?? null;
+    const open = this.#openTo(demand);
+    const nearby = near === undefined
+      ? []
+      : open.filter(({ dataCentre }) => dataCentre === near);
+    for (const engines of [nearby, open]) {
+      // The sample is in random order: others that choose now take others.
+      const able = this.#sample(engines, count)
+        .map((engine) => this.#weigh(engine, demand, { estimate, at }))
+        .filter((each) => each !== null)
+        .filter(({ fill }) => fill <= largestFill)
+        .slice(0, transferChoices)
+        .sort((a, b) => a.fill - b.fill);
+      const best = able[0];
+      if (best !== undefined) {
+        return best.engine.id;
+      }
+    }
+    return null;
   }
 
   sent(sent: Sent, at: Moment): void {
@@ -330,15 +347,17 @@
     };
   }
 
+  /** Returns up to `count` engines in random order. */
   #sample(engines: readonly Engine[], count: number): readonly Engine[] {
-    if (engines.length <= count) {
-      return engines;
+    const chosen = new Set<Engine>();
+    const wanted = Math.min(count, engines.length);
+    while (chosen.size < wanted) {
+      const engine = engines[this.#random.below(engines.length)];
+      if (engine !== undefined) {
+        chosen.add(engine);
+      }
     }
-    const start = this.#random.below(engines.length);
-    return [...engines.slice(start), ...engines.slice(0, start)].slice(
-      0,
-      count,
-    );
+    return [...chosen];
   }
 
   /** Engines that serve a demand's model and have not refused it. */
--- a/packages/policy/src/adaptive_dispatcher_test.ts
+++ b/packages/policy/src/adaptive_dispatcher_test.ts
@@ -1,3 +1,4 @@
+import { hashText } from "@lavenderferry/runtime";
 import fc from "fast-check";
 import t from "tap";
 import { AdaptiveDispatcher } from "./adaptive_dispatcher.ts";
@@ -192,3 +193,40 @@
   );
   t.end();
 });
+
+t.test("work that runs elsewhere is spread over the engines with room", (t) => {
+  const chosen = new Map<string, number>();
+  for (let seed = 1; seed <= 200; seed += 1) {
+    // Processes draw their seeds from hashes.
+    const dispatcher = new AdaptiveDispatcher(hashText(`front-${seed}`));
+    for (const id of ["e1", "e2", "e3", "e4"]) {
+      dispatcher.addEngine({ id, dataCentre: "krakow", pool: "models" });
+      // The first one is the emptiest, as one that has just started.
+      const usedTokens = id === "e1" ? 0 : 5_000;
+      const report = reportOf({ memoryTokens: 20_000, usedTokens });
+      dispatcher.report(id, report, at(0));
+    }
+    const id = dispatcher.transfer(demandOf({}), { at: at(0), candidates: 8 });
+    chosen.set(id ?? "", (chosen.get(id ?? "") ?? 0) + 1);
+  }
+  t.equal(chosen.size, 4, "no process knows what the others choose now");
+  t.ok(Math.max(...chosen.values()) <= 130, "not all choose the same one");
+  t.end();
+});
+
+t.test("work that runs elsewhere goes near first, and not beyond a fill", (t) => {
+  const dispatcher = dispatcherOf([]);
+  const engines = [["near", "krakow", 9_000], ["far", "lodz", 1_000]] as const;
+  for (const [id, dataCentre, usedTokens] of engines) {
+    dispatcher.addEngine({ id, dataCentre, pool: "models" });
+    const report = reportOf({ memoryTokens: 20_000, usedTokens });
+    dispatcher.report(id, report, at(0));
+  }
+  const options = { at: at(0), near: "krakow", candidates: 8 };
+  const demand = demandOf({ promptTokens: 1_000 });
+  t.equal(dispatcher.transfer(demand, options), "near");
+  t.equal(dispatcher.transfer(demand, { ...options, largestFill: 0.4 }), "far");
+  const none = { ...options, largestFill: 0.05 };
+  t.equal(dispatcher.transfer(demand, none), null);
+  t.end();
+});
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -177,6 +177,8 @@
   readonly at: Moment;
   /** Data centre whose engines go first. */
   readonly near?: string;
+  /** Share of its memory that an engine may hold with it; 1 if absent. */
+  readonly largestFill?: number;
   /** Engines that are weighed; few spread what processes decide at once. */
   readonly candidates: number;
 }
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -74,8 +74,13 @@
       }
     },
     check_copy: ({ attemptId, exchangeId, address }, dispatch) => {
-      void this.#copier.keptAt(address).then((kept) =>
-        dispatch({ kind: "copy_checked", attemptId, exchangeId, kept })
+      void this.#copier.report(address).then((report) =>
+        dispatch({ kind: "copy_checked", attemptId, exchangeId, report })
+      );
+    },
+    list_runs: ({ attemptId, exchangeId, address }, dispatch) => {
+      void this.#copier.report(address).then((report) =>
+        dispatch({ kind: "runs_listed", attemptId, exchangeId, report })
       );
     },
     copy_generation: (effect, dispatch) => {
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -79,7 +79,13 @@
   await openExchange(t, exchanges);
   const copier = {
     copy: () => Promise.resolve({ kind: "not_running" } as const),
-    keptAt: () => Promise.resolve({ tokens: null, freeTokens: 0, detail: "" }),
+    report: () =>
+      Promise.resolve({
+        keptTokens: null,
+        freeTokens: 0,
+        runs: [],
+        detail: "",
+      }),
   };
   const runner = new UpstreamRunner(codec, exchanges, copier);
   const events: RelayEvent[] = [];
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -13,9 +13,11 @@
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, decide } from "../util/effects.ts";
+import { turnOf } from "./move_turn.ts";
 
 type Copied = Extract<RequestEvent, { kind: "generation_copied" }>;
 type Checked = Extract<RequestEvent, { kind: "copy_checked" }>;
+type Listed = Extract<RequestEvent, { kind: "runs_listed" }>;
 
 /**
  * Share of a generation's tokens that an engine has to keep for a copy to be
@@ -57,8 +59,11 @@
 /** Copies that are made while a generation runs on. */
 const maxCopies = 2;
 
-/** Milliseconds below which a copy left next to nothing to copy again. */
-const quickCopyMs = 120;
+/**
+ * Milliseconds below which a copy left little to copy again: some ten tokens
+ * are made in each hundred, which a link carries in one.
+ */
+const quickCopyMs = 400;
 
 /** Engines that are weighed for a move; bounds the time that it takes. */
 const moveCandidates = 8;
@@ -66,11 +71,12 @@
 /** Moves generations between engines. */
 export const movePart: EventHandlers<
   RelayState,
-  Copied | Checked,
+  Copied | Checked | Listed,
   RelayEffect
 > = {
   copy_checked: (state, event) => useCopy(state, event),
   generation_copied: (state, event) => continueMove(state, event),
+  runs_listed: (state, event) => takeTurn(state, event),
 };
 
 /** Begins to take a generation off an engine that leaves. */
@@ -81,6 +87,7 @@
   const { copyAt, exchangeId, firstEventAt } = request;
   const now = at.monotonic;
   request.noticedAt = now;
+  request.turnAt = null;
   const complete = (firstEventAt ?? Infinity) + copyMs;
   const due = copyAt === null || complete > now + patienceMs
     ? now
@@ -104,9 +111,8 @@
     return [];
   }
   const copy = state.upstreams.get(request.copyAt ?? "");
-  const complete = (request.firstEventAt ?? Infinity) + copyMs;
-  if (copy === undefined || complete > at.monotonic) {
-    return moveOrWait(state, request, at);
+  if (copy === undefined || !isCopied(request, at)) {
+    return moveInTurn(state, request, at);
   }
   const { attemptId } = request;
   const { address } = copy;
@@ -121,8 +127,8 @@
   state: RelayState,
   event: Timed<Checked>,
 ): readonly RelayEffect[] {
-  const { exchangeId, attemptId, kept, at } = event;
-  const { tokens: keptTokens, freeTokens, detail } = kept;
+  const { exchangeId, attemptId, report, at } = event;
+  const { keptTokens, freeTokens, detail } = report;
   const request = state.requests.get(exchangeId);
   const pool = state.pools.get(request?.service ?? "");
   if (
@@ -154,10 +160,68 @@
   const reason = "copy_missing";
   return [
     decide(state, { kind: "retry", subject, reason, figures }, at),
-    ...moveOrWait(state, request, at),
+    ...moveInTurn(state, request, at),
   ];
 }
 
+/** Moves a generation once those that go before it had their time. */
+function moveInTurn(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { exchangeId, attemptId, upstream, turnAt } = request;
+  const source = state.upstreams.get(upstream);
+  if (turnAt === null && source !== undefined) {
+    const { address } = source;
+    return [{ kind: "list_runs", attemptId, exchangeId, address }];
+  }
+  if (turnAt !== null && turnAt > at.monotonic) {
+    const timer = { kind: "evacuate", exchangeId } as const;
+    return [{ kind: "set_timer", timer, at: turnAt }];
+  }
+  return moveOrWait(state, request, at);
+}
+
+function takeTurn(
+  state: RelayState,
+  { exchangeId, attemptId, report, at }: Timed<Listed>,
+): readonly RelayEffect[] {
+  const request = state.requests.get(exchangeId);
+  if (request?.attemptId !== attemptId || request.move !== null) {
+    return [];
+  }
+  const { tokensPerMs } = state.copyRate;
+  const leaving = copiedAt(state, request.upstream, at);
+  const runs = report.runs.filter((run) => !leaving.has(run.requestId));
+  request.turnAt = at.monotonic + turnOf(request.requestId, runs, tokensPerMs);
+  return moveInTurn(state, request, at);
+}
+
+/** Returns the ids of the generations that leave an engine for their copy. */
+function copiedAt(
+  state: RelayState,
+  upstream: string,
+  at: Moment,
+): ReadonlySet<string> {
+  const ids = new Set<string>();
+  for (const request of state.requests.values()) {
+    if (request.upstream === upstream && isCopied(request, at)) {
+      ids.add(request.requestId);
+    }
+  }
+  return ids;
+}
+
+/** Whether a generation's copy had the time to be complete. */
+function isCopied(
+  { copyAt, firstEventAt }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return copyAt !== null && firstEventAt !== null &&
+    firstEventAt + copyMs <= at.monotonic;
+}
+
 /**
  * Goes on with a generation at the engine that keeps a copy of its memory.
  * The former attempt's connection is closed first, so that its engine stops.
@@ -337,6 +401,10 @@
   }
   switch (outcome.kind) {
     case "copied":
+      if (move.copies === 1) {
+        const milliseconds = at.monotonic - move.askedAt;
+        state.copyRate.observe(copiedTokens(state, request), milliseconds);
+      }
       return move.phase === "stopping"
         ? goOn(state, request, {
           to: move.to,
@@ -475,6 +543,12 @@
   ];
 }
 
+function copiedTokens(state: RelayState, request: RelayedRequest): number {
+  const pool = state.pools.get(request.service);
+  const done = pool === undefined ? 0 : tokensOf(pool, request);
+  return request.demand.promptTokens + done;
+}
+
 /** Whether an upstream is listed and takes new work. */
 function isOpen(state: RelayState, id: string): boolean {
   return state.upstreams.get(id)?.state === "live" && !state.left.has(id);
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -1,6 +1,6 @@
 import type { Vm } from "@lavenderferry/platform";
 import t from "tap";
-import type { CopyOutcome } from "../relay_event.ts";
+import type { CopyOutcome, RunningGeneration } from "../relay_event.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 
@@ -50,15 +50,32 @@
 
 function evacuate(relay: RelayFixture, afterMs: number) {
   const timer = { kind: "evacuate", exchangeId: "x1" } as const;
-  return relay.reduce({ kind: "timer_fired", timer }, afterMs);
+  return listRuns(relay, relay.reduce({ kind: "timer_fired", timer }, afterMs));
 }
 
 /** Answers the question whether the copy is there. */
 function check(relay: RelayFixture, attemptId: string, keptTokens: number) {
   const exchangeId = "x1";
   const kind = "copy_checked";
-  const kept = { tokens: keptTokens, freeTokens: 0, detail: "" };
-  return relay.reduce({ kind, attemptId, exchangeId, kept });
+  const report = { keptTokens, freeTokens: 0, runs: [], detail: "" };
+  const effects = relay.reduce({ kind, attemptId, exchangeId, report });
+  return listRuns(relay, effects);
+}
+
+/** Answers the question, if it was asked, what else an engine runs. */
+function listRuns(
+  relay: RelayFixture,
+  effects: readonly RelayEffect[],
+  runs: readonly RunningGeneration[] = [],
+) {
+  const [asked] = only(effects, "list_runs");
+  if (asked === undefined) {
+    return effects;
+  }
+  const { attemptId, exchangeId } = asked;
+  const report = { keptTokens: 0, freeTokens: 0, runs, detail: "" };
+  const kind = "runs_listed";
+  return relay.reduce({ kind, attemptId, exchangeId, report });
 }
 
 function copied(
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ChangeFeed, Json, Table, Vm } from "@lavenderferry/platform";
 import type { Resumption } from "./relay_effect.ts";
-import type { CopyOutcome, KeptCopies } from "./relay_event.ts";
+import type { CopyOutcome, EngineReport } from "./relay_event.ts";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
 
@@ -48,8 +48,8 @@
 
 /** Asks engines to copy the memory of the generations that they run. */
 export interface GenerationCopier {
-  /** Returns what an engine keeps of others' generations; never rejects. */
-  keptAt(address: string): Promise<KeptCopies>;
+  /** Returns what an engine says of its work; never rejects. */
+  report(address: string): Promise<EngineReport>;
   /** Resolves once the copy is complete or failed; never rejects. */
   copy(copy: {
     /** Address of the engine that runs the generation. */
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -45,6 +45,13 @@
     readonly exchangeId: string;
     readonly address: string;
   }
+  | {
+    /** Asks the engine of a generation what else it runs. */
+    readonly kind: "list_runs";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    readonly address: string;
+  }
   | {
     /** Copies a running generation's memory to another engine. */
     readonly kind: "copy_generation";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -62,12 +62,20 @@
   /** No answer, or none that says. */
   | { readonly kind: "unknown"; readonly detail: string };
 
-/** What an engine keeps for the generations of others. */
-export interface KeptCopies {
-  /** Tokens kept for all of them; `null`: the engine did not say. */
-  readonly tokens: number | null;
+/** A generation that an engine runs. */
+export interface RunningGeneration {
+  readonly requestId: string;
+  /** Tokens of its prompt and its answer so far. */
+  readonly tokens: number;
+}
+
+/** What an engine says of its work. */
+export interface EngineReport {
+  /** Tokens of copies kept for others; `null`: the engine did not say. */
+  readonly keptTokens: number | null;
   /** Tokens that it has room for beside all that it runs and keeps. */
   readonly freeTokens: number;
+  readonly runs: readonly RunningGeneration[];
   /** Why it did not say, for the log. */
   readonly detail: string;
 }
@@ -99,7 +107,15 @@
     readonly kind: "copy_checked";
     readonly attemptId: string;
     readonly exchangeId: string;
-    readonly kept: KeptCopies;
+    /** Of the engine that keeps the copy. */
+    readonly report: EngineReport;
+  }
+  | {
+    readonly kind: "runs_listed";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    /** Of the engine that runs the generation. */
+    readonly report: EngineReport;
   }
   | {
     readonly kind: "generation_copied";
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -206,6 +206,13 @@
 /** Engines that are weighed for a copy: few, so that processes spread them. */
 const copyCandidates = 2;
 
+/**
+ * Share of an engine's memory up to which it takes copies: a copy doubles what
+ * a generation holds, so beyond half they take the place of generations, and
+ * an engine that leaves moves what it can in turn.
+ */
+const copyFill = 0.5;
+
 /** Chooses an engine that keeps a copy of a long generation's memory. */
 function chooseCopy(
   state: RelayState,
@@ -224,6 +231,7 @@
   const copyAt = pool.dispatcher.transfer({ ...demand, avoid }, {
     at,
     candidates: copyCandidates,
+    largestFill: copyFill,
   });
   const vm = copyAt === null ? undefined : state.upstreams.get(copyAt);
   if (copyAt === null || vm === undefined) {
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -80,6 +80,8 @@
   firstEventAt: number | null;
   /** Monotonic milliseconds at which the upstream was known to leave. */
   noticedAt: number;
+  /** Monotonic milliseconds at which its move may begin; `null`: unknown. */
+  turnAt: number | null;
   /** Milliseconds from the request to its first event. */
   firstMs: number;
   /** Longest time between two parts of the stream, in milliseconds. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -178,6 +178,7 @@
     move: null,
     firstEventAt: null,
     noticedAt: 0,
+    turnAt: null,
     firstMs: 0,
     longestPauseMs: 0,
     resumption: null,
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -7,6 +7,7 @@
   SlotDispatcher,
 } from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
+import { CopyRate } from "./moves/copy_rate.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { RouteTable } from "./routing/route_table.ts";
 import type { Routing, Service } from "./routing/routing.ts";
@@ -57,6 +58,8 @@
   unconfirmed: readonly Vm[] | null;
   readonly fleet: FleetNode<Routing>;
   readonly requests: Map<string, RelayedRequest>;
+  /** How fast engines copied memory. */
+  readonly copyRate: CopyRate;
   readonly decisions: Decisions;
   nextId: number;
   stopping: boolean;
@@ -112,6 +115,7 @@
       },
     }, startedAt),
     requests: new Map(),
+    copyRate: new CopyRate(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
     stopping: false,
