--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,7 +1,8 @@
 import { KnownError } from "@lavenderferry/errors";
 import { z } from "zod";
 import { printJson, printTable } from "../util/print.ts";
-import type { Command } from "./command.ts";
+import { explainRequest, readLogs } from "../util/saved_logs.ts";
+import type { Command, CommandContext } from "./command.ts";
 
 const explanationSchema = z.object({
   decisions: z.array(z.object({
@@ -13,32 +14,77 @@
   })),
 });
 
+type Decision = z.infer<typeof explanationSchema>["decisions"][number];
+
 /** Prints every decision about one request, over all processes. */
 export const explain: Command = {
-  usage: "explain <request>",
-  description: "Print the decisions about one request",
-  run: async ({ client, json }, subject) => {
-    const path = `explain/${encodeURIComponent(subject ?? "")}`;
-    const { body } = await client.send(path);
-    if (json) {
+  usage: "explain <request> [...logs]",
+  description: "Print the decisions about one request, also from saved logs",
+  run: async (context, subject = "", ...logs) => {
+    if (logs.length > 0) {
+      await explainLogs(context, subject, logs);
+      return;
+    }
+    const path = `explain/${encodeURIComponent(subject)}`;
+    const { body } = await context.client.send(path);
+    if (context.json) {
       printJson(body);
       return;
     }
     const { decisions } = explanationSchema.parse(body);
     if (decisions.length === 0) {
-      throw new KnownError(`No process holds a decision about "${subject}"`, {
-        kind: "not_found",
-      });
+      throw notFound(`No process holds a decision about "${subject}"`);
     }
-    printTable(
-      ["at", "process", "decision", "reason", "figures"],
-      decisions.map(({ at, process: vm, kind, reason, figures }) => [
-        new Date(at).toISOString(),
-        vm,
-        kind,
-        reason,
-        figures,
-      ]),
-    );
+    printDecisions(decisions);
   },
 };
+
+async function explainLogs(
+  { json }: CommandContext,
+  subject: string,
+  paths: readonly string[],
+): Promise<void> {
+  const { decisions, otherLines } = await readLogs(paths);
+  const found = explainRequest(decisions, subject);
+  if (found.length === 0) {
+    const read = `${decisions.length} decisions and ${otherLines} other lines`;
+    throw notFound(`The logs hold no decision about "${subject}" (${read})`);
+  }
+  if (json) {
+    printJson({ decisions: found, otherLines });
+    return;
+  }
+  printDecisions(found.map((each) => ({
+    ...each,
+    process: each.vm,
+    kind: each.subject === subject ? each.kind : `${each.kind} ${each.subject}`,
+    figures: describeFigures(each),
+  })));
+}
+
+function describeFigures({ figures, leftOut }: {
+  readonly figures: Readonly<Record<string, unknown>>;
+  readonly leftOut?: number | undefined;
+}): string {
+  const missed = leftOut === undefined ? {} : { leftOut };
+  return Object.entries({ ...figures, ...missed })
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(" ");
+}
+
+function printDecisions(decisions: readonly Decision[]): void {
+  printTable(
+    ["at", "process", "decision", "reason", "figures"],
+    decisions.map(({ at, process: vm, kind, reason, figures }) => [
+      new Date(at).toISOString(),
+      vm,
+      kind,
+      reason,
+      figures,
+    ]),
+  );
+}
+
+function notFound(message: string): Error {
+  return new KnownError(message, { kind: "not_found" });
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,13 +1,12 @@
 #!/usr/bin/env node
 import { KnownError } from "@lavenderferry/errors";
 import { exitCodes } from "@lavenderferry/runtime";
-import { describeError, loadSettings, version } from "@lavenderferry/settings";
+import { describeError, version } from "@lavenderferry/settings";
 import { cac } from "cac";
 import type { Command } from "./commands/command.ts";
 import { commands } from "./commands/mod.ts";
-import { cliSettingsSchema } from "./settings.ts";
 import { exitCodeOf } from "./util/exit_code.ts";
-import { OperatorClient } from "./util/operator_client.ts";
+import { LoadedContext } from "./util/loaded_context.ts";
 
 const cli = cac("lavenderferry");
 cli.option("--settings <file>", "Settings file in JSON with comments");
@@ -44,21 +43,13 @@
   args: readonly unknown[],
   values: Readonly<Record<string, unknown>>,
 ): Promise<void> {
-  const { settings: path, json } = values;
-  if (typeof path !== "string") {
-    throw new KnownError("The option --settings is missing", {
-      kind: "bad_request",
-    });
-  }
-  const settings = loadSettings(path, cliSettingsSchema);
-  const client = new OperatorClient(settings);
   const texts = Object.entries(values).map(([name, value]) =>
     [name, value === undefined ? undefined : String(value)] as const
   );
   const options = Object.fromEntries(texts);
-  const given = args.filter((arg) => arg !== undefined).map(String);
+  const given = args.flat().filter((arg) => arg !== undefined).map(String);
   await command.run(
-    { settings, client, json: json === true, options },
+    new LoadedContext(options, values["json"] === true),
     ...given,
   );
   process.exitCode ??= exitCodes.ok;
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ChangeFeed, Json, Table, Vm } from "@lavenderferry/platform";
+import type { DecisionLog } from "@lavenderferry/runtime";
 import type { Resumption } from "./relay_effect.ts";
 import type { CopyOutcome, EngineReport } from "./relay_event.ts";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
@@ -95,5 +96,6 @@
   readonly headers: HeaderCodec;
   readonly addresses: AddressCodec;
   readonly copier: GenerationCopier;
+  readonly log: DecisionLog;
   readonly readinessPath: string;
 }
--- a/packages/relay/src/process/process_runner.ts
+++ b/packages/relay/src/process/process_runner.ts
@@ -1,5 +1,8 @@
-import type { Clock, EffectHandlers } from "@lavenderferry/runtime";
-import { createDecisionLog } from "@lavenderferry/runtime";
+import type {
+  Clock,
+  DecisionLog,
+  EffectHandlers,
+} from "@lavenderferry/runtime";
 import type { CallerExchanges } from "../http/caller_exchanges.ts";
 import type { FrontServer } from "../http/front_server.ts";
 import type { ProcessEffect } from "../relay_effect.ts";
@@ -9,7 +12,7 @@
 /** What the effects on the process need. */
 export interface ProcessRunnerOptions {
   readonly clock: Clock;
-  readonly vm: string;
+  readonly log: DecisionLog;
   readonly metrics: RelayMetrics;
   readonly exchanges: CallerExchanges;
   readonly front: () => FrontServer;
@@ -19,16 +22,15 @@
 
 /** Creates the handlers of timers, counters, logs and the exit. */
 export function createProcessHandlers(
-  { clock, vm, metrics, exchanges, front, exit }: ProcessRunnerOptions,
+  { clock, log, metrics, exchanges, front, exit }: ProcessRunnerOptions,
 ): EffectHandlers<RelayEvent, ProcessEffect> {
-  const log = createDecisionLog({ vm });
   return {
     set_timer: ({ timer, at }, dispatch) => {
       const wait = Math.max(0, at - clock.now().monotonic);
       // The listening sockets keep the process alive, not its timers.
       setTimeout(() => dispatch({ kind: "timer_fired", timer }), wait).unref();
     },
-    log_decision: ({ decision }) => log(decision),
+    log_decision: ({ decision }) => log.write(decision),
     count: ({ counter, reason }) => {
       metrics.counters[counter].inc({ reason });
     },
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -72,7 +72,7 @@
       ...exchanges.handlers,
       ...createProcessHandlers({
         clock: systemClock,
-        vm: settings.vm,
+        log: ports.log,
         metrics,
         exchanges: callers,
         front: (): FrontServer => front,
