fix(runtime,cli): the last lines before a failure are written, lost lines are shown

How a process ends stands in runtime, not in the adapter, and the tests end as the relay does. Types of saved lines come from their schema.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,6 +1,7 @@
 import { KnownError } from "@lavenderferry/errors";
 import { z } from "zod";
 import { printJson, printTable } from "../util/print.ts";
+import type { LoggedDecision } from "../util/saved_logs.ts";
 import { explainRequest, readLogs } from "../util/saved_logs.ts";
 import type { Command, CommandContext } from "./command.ts";
 
@@ -62,11 +63,13 @@
   })));
 }
 
-function describeFigures({ figures, leftOut }: {
-  readonly figures: Readonly<Record<string, unknown>>;
-  readonly leftOut?: number | undefined;
-}): string {
-  const missed = leftOut === undefined ? {} : { leftOut };
+function describeFigures(
+  { figures, leftOut = 0, unread = 0 }: LoggedDecision,
+): string {
+  const missed = {
+    ...(leftOut === 0 ? {} : { leftOut }),
+    ...(unread === 0 ? {} : { unread }),
+  };
   return Object.entries({ ...figures, ...missed })
     .map(([name, value]) => `${name}=${String(value)}`)
     .join(" ");
--- a/packages/cli/src/util/saved_logs.ts
+++ b/packages/cli/src/util/saved_logs.ts
@@ -1,19 +1,6 @@
 import { readFile } from "node:fs/promises";
 import { z } from "zod";
 
-/** A line that a process wrote about one decision. */
-export interface LoggedDecision {
-  readonly vm: string;
-  /** Unix milliseconds by the VM's clock. */
-  readonly at: number;
-  readonly kind: string;
-  readonly subject: string;
-  readonly reason: string;
-  readonly figures: Readonly<Record<string, string | number | boolean | null>>;
-  /** Lines of this kind and reason that were not written before this one. */
-  readonly leftOut?: number | undefined;
-}
-
 /** What saved logs say of one request. */
 export interface Explanation {
   /** Decisions about the request and about the upstreams that it met. */
@@ -22,8 +9,10 @@
   readonly otherLines: number;
 }
 
+/** Schema of a line that a process wrote about one decision. */
 const decisionSchema = z.object({
   vm: z.string(),
+  /** Unix milliseconds by the VM's clock. */
   at: z.number(),
   kind: z.string(),
   subject: z.string(),
@@ -32,9 +21,15 @@
     z.string(),
     z.union([z.string(), z.number(), z.boolean(), z.null()]),
   ),
+  /** Lines of this kind and reason that were not written before this one. */
   leftOut: z.number().optional(),
+  /** Lines of any kind that were lost before this one. */
+  unread: z.number().optional(),
 });
 
+/** A line that a process wrote about one decision. */
+export type LoggedDecision = Readonly<z.output<typeof decisionSchema>>;
+
 /** Figures that name an upstream. */
 const upstreamFigures = ["upstream", "copy", "from", "to"];
 
--- a/packages/runtime/src/decision_log_test.ts
+++ b/packages/runtime/src/decision_log_test.ts
@@ -1,4 +1,5 @@
 import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { text } from "node:stream/consumers";
 import { fileURLToPath } from "node:url";
 import t from "tap";
@@ -89,20 +90,29 @@
   t.end();
 });
 
-/** Runs a program that writes 3 MB of decisions in half a second. */
-async function writeLog(read: boolean) {
-  const program = fileURLToPath(
-    new URL("./testing/log_writer.js", import.meta.url),
-  );
-  const child = spawn(process.execPath, [program], {
+/** Runs a program of the tests; its standard output is read or not. */
+async function run(name: string, read: boolean) {
+  const program = new URL(`./testing/${name}.js`, import.meta.url);
+  const child = spawn(process.execPath, [fileURLToPath(program)], {
     stdio: ["ignore", "pipe", "pipe"],
   });
-  const output = read ? text(child.stdout) : "";
-  const report = JSON.parse(await text(child.stderr)) as {
+  const ended = once(child, "exit");
+  const [output, errors] = await Promise.all([
+    read ? text(child.stdout) : "",
+    text(child.stderr),
+  ]);
+  const [code] = await ended as [number | null];
+  return { code, errors, lines: output.split("\n").length - 1 };
+}
+
+/** Writes 3 MB of decisions in half a second. */
+async function writeLog(read: boolean) {
+  const { code, errors, lines } = await run("log_writer", read);
+  const [report = ""] = errors.split("\n");
+  const { longestPauseMs } = JSON.parse(report) as {
     readonly longestPauseMs: number;
-    readonly read: boolean;
   };
-  return { ...report, lines: (await output).split("\n").length - 1 };
+  return { longestPauseMs, read: code === 0, lines };
 }
 
 /** Milliseconds: the strictest target between two events of a stream. */
@@ -120,3 +130,16 @@
   t.equal(lines, 20_000);
   t.ok(longestPauseMs < pauseTargetMs, `paused ${longestPauseMs} ms`);
 });
+
+t.test("the last lines before an error that nothing caught are written", async (t) => {
+  const { code, errors, lines } = await run("failing_program", true);
+  t.equal(lines, 3);
+  t.equal(code, 1);
+  t.match(errors, /TypeError: The upstream is not known/);
+  t.match(errors, /^closed$/m, "what it served is given up");
+});
+
+t.test("an error that nothing caught ends it without a reader too", async (t) => {
+  const { errors } = await run("failing_program", false);
+  t.match(errors, /TypeError: The upstream is not known/);
+});
--- /dev/null
+++ b/packages/runtime/src/testing/failing_program.ts
@@ -0,0 +1,14 @@
+import { createDecisionLog } from "../decision_log.ts";
+import { endOnUncaught } from "../end_process.ts";
+
+// Writes a few decisions and fails at once, before they were handed on.
+const log = createDecisionLog({ vm: "front-1" });
+endOnUncaught(log, () => process.stderr.write("closed\n"));
+for (const subject of ["r1", "r2", "r3"]) {
+  const figures = { upstream: "engine-1" };
+  const reason = "connection_lost";
+  log.write({ kind: "drop", subject, reason, figures, at: Date.now() });
+}
+setImmediate(() => {
+  throw new TypeError("The upstream is not known");
+});
--- a/packages/runtime/src/testing/log_writer.ts
+++ b/packages/runtime/src/testing/log_writer.ts
@@ -1,5 +1,7 @@
 import { monitorEventLoopDelay, performance } from "node:perf_hooks";
 import { createDecisionLog } from "../decision_log.ts";
+import { endProcess } from "../end_process.ts";
+import { exitCodes } from "../process.ts";
 
 /** Failures written in each turn; some 3 MB in all, three times the room. */
 const linesPerTurn = 200;
@@ -8,7 +10,7 @@
 const nanosecondsPerMs = 1_000_000;
 
 // Writes decisions to a standard output that may have no reader, and says on
-// standard error how long the longest turn took and whether all was read.
+// standard error how long the longest turn took. It ends as a relay does.
 const log = createDecisionLog({ vm: "front-1" });
 const delay = monitorEventLoopDelay({ resolution: turnMs });
 delay.enable();
@@ -34,11 +36,8 @@
 
 async function report(): Promise<void> {
   const longestPauseMs = Math.round(delay.max / nanosecondsPerMs);
-  const read = await log.settle();
-  process.stderr.write(JSON.stringify({ longestPauseMs, read }), () => {
-    // As a relay ends: an exit would wait for the reader.
-    process.kill(process.pid, "SIGKILL");
-  });
+  process.stderr.write(`${JSON.stringify({ longestPauseMs })}\n`);
+  await endProcess(log, exitCodes.ok);
 }
 
 write();
