--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -1,4 +1,10 @@
-import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import type {
+  EventHandlers,
+  Moment,
+  Timed,
+  TimerHandlers,
+} from "@lavenderferry/runtime";
+import { timerHandlerOf } from "@lavenderferry/runtime";
 import { retryRecord } from "../calls/call_part.ts";
 import type { EntryEffect } from "../effects.ts";
 import { exchange, leaveFleet } from "../fleet/exchange_part.ts";
@@ -46,15 +52,7 @@
 /** Milliseconds for whole answers and records beyond the stop deadline. */
 const finalStopMs = 10_000;
 
-type TimerHandlers = {
-  readonly [Kind in TimerName["kind"]]: (
-    state: EntryState,
-    timer: Extract<TimerName, { kind: Kind }>,
-    at: Moment,
-  ) => readonly EntryEffect[];
-};
-
-const timerHandlers: TimerHandlers = {
+const timerHandlers: TimerHandlers<EntryState, TimerName, EntryEffect> = {
   list_vms: () => [{ kind: "list_vms" }],
   poll_configuration: (state) => [
     { kind: "read_configuration", known: state.timeline.latest.version },
@@ -102,18 +100,7 @@
   stop_limit: () => [{ kind: "exit", now: true }],
 };
 
-function fire(
-  state: EntryState,
-  timer: TimerName,
-  at: Moment,
-): readonly EntryEffect[] {
-  const handler = timerHandlers[timer.kind] as (
-    state: EntryState,
-    timer: TimerName,
-    at: Moment,
-  ) => readonly EntryEffect[];
-  return handler(state, timer, at);
-}
+const fire = timerHandlerOf(timerHandlers);
 
 function repeat(kind: keyof typeof timerPeriods, at: Moment): EntryEffect {
   const due = at.monotonic + timerPeriods[kind];
--- a/packages/platform/src/row_follower.ts
+++ b/packages/platform/src/row_follower.ts
@@ -22,11 +22,6 @@
     return this.#after;
   }
 
-  /** Newest version seen. */
-  get version(): number {
-    return this.#version;
-  }
-
   /** The rows by key. */
   get rows(): ReadonlyMap<string, FollowedRow> {
     return this.#rows;
@@ -46,11 +41,6 @@
     return changed;
   }
 
-  /** Has all rows read again with the next call. */
-  reset(): void {
-    this.#after = null;
-  }
-
   #apply({ rows }: Changes): boolean {
     let changed = false;
     for (const { key, version, value } of rows) {
--- a/packages/platform/src/row_follower_test.ts
+++ b/packages/platform/src/row_follower_test.ts
@@ -45,7 +45,7 @@
 
 t.test("a full read that is older than what is known is no news", (t) => {
   const follower = followerOf();
-  follower.reset();
+  follower.take({ rows: [], version: 0, lost: true });
   t.equal(follower.take({ rows: [], version: 2, lost: false }), false);
   t.equal(follower.rows.size, 2);
   t.end();
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -25,7 +25,7 @@
 import type { Engine } from "./engine.ts";
 import { EnginePool } from "./engine_pool.ts";
 import type { EngineView, Flight } from "./engine_view.ts";
-import { candidatesOf } from "./engine_choice.ts";
+import { candidatesOf, sampleOf } from "./engine_choice.ts";
 import type { Estimate } from "./estimator.ts";
 import { deadlineOf, Estimator, prefillMsPerToken } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
@@ -220,7 +220,7 @@
       : open.filter(({ dataCentre }) => dataCentre === near);
     for (const engines of [nearby, open]) {
       // The sample is in random order: others that choose now take others.
-      const able = this.#sample(engines, count)
+      const able = sampleOf(engines, this.#random, count)
         .map((engine) => this.#weigh(engine, demand, { estimate, at }))
         .filter((each) => each !== null)
         .filter(({ fill }) => fill <= largestFill)
@@ -347,19 +347,6 @@
     };
   }
 
-  /** Returns up to `count` engines in random order. */
-  #sample(engines: readonly Engine[], count: number): readonly Engine[] {
-    const chosen = new Set<Engine>();
-    const wanted = Math.min(count, engines.length);
-    while (chosen.size < wanted) {
-      const engine = engines[this.#random.below(engines.length)];
-      if (engine !== undefined) {
-        chosen.add(engine);
-      }
-    }
-    return [...chosen];
-  }
-
   /** Engines that serve a demand's model and have not refused it. */
   #openTo({ model, avoid = [] }: Demand): readonly Engine[] {
     const { engines } = this.#engines.serving(model);
--- a/packages/policy/src/engine_choice.ts
+++ b/packages/policy/src/engine_choice.ts
@@ -13,16 +13,27 @@
   if (engines.length <= randomCandidates) {
     return engines;
   }
+  const chosen = new Set(sampleOf(engines, random, randomCandidates));
+  const home = prefix === undefined ? undefined : rendezvous(engines, prefix);
+  if (home !== undefined) {
+    chosen.add(home);
+  }
+  return [...chosen];
+}
+
+/** Returns up to `count` engines in random order. */
+export function sampleOf(
+  engines: readonly Engine[],
+  random: Random,
+  count: number,
+): readonly Engine[] {
   const chosen = new Set<Engine>();
-  while (chosen.size < randomCandidates) {
+  const wanted = Math.min(count, engines.length);
+  while (chosen.size < wanted) {
     const engine = engines[random.below(engines.length)];
     if (engine !== undefined) {
       chosen.add(engine);
     }
   }
-  const home = prefix === undefined ? undefined : rendezvous(engines, prefix);
-  if (home !== undefined) {
-    chosen.add(home);
-  }
   return [...chosen];
 }
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -4,6 +4,7 @@
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
+import { socketOf } from "../util/socket_of.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 
@@ -73,16 +74,10 @@
         attempt.request.destroy();
       }
     },
-    check_copy: ({ attemptId, exchangeId, address }, dispatch) => {
-      void this.#copier.report(address).then((report) =>
-        dispatch({ kind: "copy_checked", attemptId, exchangeId, report })
-      );
-    },
-    list_runs: ({ attemptId, exchangeId, address }, dispatch) => {
-      void this.#copier.report(address).then((report) =>
-        dispatch({ kind: "runs_listed", attemptId, exchangeId, report })
-      );
-    },
+    check_copy: (effect, dispatch) =>
+      this.#report(effect, "copy_checked", dispatch),
+    list_runs: (effect, dispatch) =>
+      this.#report(effect, "runs_listed", dispatch),
     copy_generation: (effect, dispatch) => {
       const { attemptId, exchangeId } = effect;
       void this.#copier.copy(effect).then((outcome) =>
@@ -91,6 +86,19 @@
     },
   };
 
+  #report(
+    { attemptId, exchangeId, address }: Extract<
+      UpstreamEffect,
+      { kind: "check_copy" | "list_runs" }
+    >,
+    kind: "copy_checked" | "runs_listed",
+    dispatch: Dispatch<RelayEvent>,
+  ): void {
+    void this.#copier.report(address).then((report) =>
+      dispatch({ kind, attemptId, exchangeId, report })
+    );
+  }
+
   #send(effect: SendRequest, dispatch: Dispatch<RelayEvent>): void {
     const { attemptId, exchangeId, target, streaming } = effect;
     const exchange = this.#exchanges.get(exchangeId);
@@ -99,11 +107,11 @@
       return;
     }
     const { method = "GET", url = "/" } = exchange.request;
-    const end = target.address.lastIndexOf(":");
+    const { ip: host, port } = socketOf(target.address);
     const reusable = method === "GET" && !streaming;
     const request = sendRequest({
-      host: target.address.slice(0, end),
-      port: Number(target.address.slice(end + 1)),
+      host,
+      port,
       method,
       path: url,
       // The types name an object only, but Node takes names and values in turn.
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -1,14 +1,15 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
-import type { RequestEvent } from "../relay_event.ts";
+import type { EngineReport, RequestEvent } from "../relay_event.ts";
 import {
   endAttempt,
+  holdMemory,
+  memoryOf,
   moveOf,
   pumpBacklogs,
   refusalOf,
   releaseMove,
   startAttempt,
-  tokensOf,
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
@@ -59,6 +60,9 @@
 /** Copies that are made while a generation runs on. */
 const maxCopies = 2;
 
+/** Engines that refuse a stopped generation, whose caller waits meanwhile. */
+const maxRefusals = 2;
+
 /**
  * Milliseconds below which a copy left little to copy again: some ten tokens
  * are made in each hundred, which a link carries in one.
@@ -92,8 +96,7 @@
   const due = copyAt === null || complete > now + patienceMs
     ? now
     : Math.max(now + switchMs, complete);
-  const timer = { kind: "evacuate", exchangeId } as const;
-  return { kind: "set_timer", timer, at: due };
+  return evacuateAt(exchangeId, due);
 }
 
 /** Takes a generation off an engine that leaves, to its copy or to a new one. */
@@ -128,7 +131,7 @@
   event: Timed<Checked>,
 ): readonly RelayEffect[] {
   const { exchangeId, attemptId, report, at } = event;
-  const { keptTokens, freeTokens, detail } = report;
+  const { keptTokens, detail } = report;
   const request = state.requests.get(exchangeId);
   const pool = state.pools.get(request?.service ?? "");
   if (
@@ -137,15 +140,10 @@
   ) {
     return [];
   }
-  const tokens = request.demand.promptTokens + tokensOf(pool, request);
+  const tokens = memoryOf(pool, request);
   if (keptTokens !== null && keptTokens >= leastKept * tokens) {
     const reason = "leaving";
-    const resumed = resumeFromCopy(state, request, {
-      reason,
-      at,
-      keptTokens,
-      freeTokens,
-    });
+    const resumed = resumeFromCopy(state, request, { reason, report, at });
     if (resumed !== null) {
       return resumed;
     }
@@ -177,8 +175,7 @@
     return [{ kind: "list_runs", attemptId, exchangeId, address }];
   }
   if (turnAt !== null && turnAt > at.monotonic) {
-    const timer = { kind: "evacuate", exchangeId } as const;
-    return [{ kind: "set_timer", timer, at: turnAt }];
+    return [evacuateAt(exchangeId, turnAt)];
   }
   return moveOrWait(state, request, at);
 }
@@ -229,11 +226,11 @@
 export function resumeFromCopy(
   state: RelayState,
   request: RelayedRequest,
-  { reason, at, keptTokens, freeTokens }: {
+  { reason, report = null, at }: {
     readonly reason: string;
+    /** What the engine with the copy said; `null`: it was not asked. */
+    readonly report?: EngineReport | null;
     readonly at: Moment;
-    readonly keptTokens?: number;
-    readonly freeTokens?: number;
   },
 ): readonly RelayEffect[] | null {
   const { copyAt, lastEventId, requestId } = request;
@@ -248,8 +245,7 @@
     resumption,
     reason,
     ending,
-    ...(keptTokens === undefined ? {} : { keptTokens }),
-    ...(freeTokens === undefined ? {} : { freeTokens }),
+    report,
     at,
   });
 }
@@ -262,14 +258,11 @@
     readonly resumption: Resumption;
     readonly reason: string;
     readonly ending: "cancelled" | "failed";
-    /** Tokens that the engine said it keeps; -1: it was not asked. */
-    readonly keptTokens?: number;
-    readonly freeTokens?: number;
+    readonly report: EngineReport | null;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
-  const { keptTokens = -1, freeTokens = -1 } = options;
-  const { to: upstream, resumption, reason, ending, at } = options;
+  const { to: upstream, resumption, reason, ending, report, at } = options;
   const { upstream: from, events, requestId, lastEventId } = request;
   const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
   const dropped = endAttempt(state, request, { ending, at });
@@ -280,8 +273,8 @@
     events,
     after,
     ageMs,
-    keptTokens,
-    freeTokens,
+    keptTokens: report?.keptTokens ?? -1,
+    freeTokens: report?.freeTokens ?? -1,
   };
   return [
     decide(state, { kind: "resume", subject: requestId, reason, figures }, at),
@@ -307,8 +300,12 @@
 }
 
 function evacuateAgain(exchangeId: string, at: Moment): RelayEffect {
+  return evacuateAt(exchangeId, at.monotonic + againMs);
+}
+
+function evacuateAt(exchangeId: string, due: number): RelayEffect {
   const timer = { kind: "evacuate", exchangeId } as const;
-  return { kind: "set_timer", timer, at: at.monotonic + againMs };
+  return { kind: "set_timer", timer, at: due };
 }
 
 /** Has the engine copy a generation; `null` where no other has room. */
@@ -327,10 +324,9 @@
   if (pool === undefined || source === undefined) {
     return null;
   }
-  const done = tokensOf(pool, request);
   const to = request.events === 0 ? null : pool.dispatcher.transfer({
     ...demand,
-    promptTokens: demand.promptTokens + done,
+    promptTokens: memoryOf(pool, request),
     avoid: [...avoid, upstream, ...(copyAt === null ? [] : [copyAt])],
   }, { near: source.dataCentre, candidates: moveCandidates, at });
   const target = state.upstreams.get(to ?? "");
@@ -341,9 +337,7 @@
   const generationId = moveOf(attemptId);
   // The copy stays: the generation goes on there if the move fails.
   releaseMove(state, request, at);
-  const sent = { generationId, engine: to, demand, passive: true };
-  pool.dispatcher.sent(sent, at);
-  pool.dispatcher.progressed(generationId, done, at);
+  holdMemory(pool, request, { generationId, engine: to, at });
   const move: Move = {
     to,
     phase: stop ? "stopping" : "copying",
@@ -393,17 +387,19 @@
 ): readonly RelayEffect[] {
   const { exchangeId, attemptId, outcome, at } = event;
   const request = state.requests.get(exchangeId);
+  const pool = state.pools.get(request?.service ?? "");
   const move = request?.move ?? null;
   if (
-    request === undefined || move === null || request.attemptId !== attemptId
+    request === undefined || pool === undefined || move === null ||
+    request.attemptId !== attemptId
   ) {
     return [];
   }
   switch (outcome.kind) {
     case "copied":
       if (move.copies === 1) {
-        const milliseconds = at.monotonic - move.askedAt;
-        state.copyRate.observe(copiedTokens(state, request), milliseconds);
+        const tokens = memoryOf(pool, request);
+        state.copyRate.observe(tokens, at.monotonic - move.askedAt);
       }
       return move.phase === "stopping"
         ? goOn(state, request, {
@@ -470,7 +466,7 @@
   if (handle === null) {
     return loseMove(state, request, { move, reason: "no_room", detail, at });
   }
-  const next = move.avoid.length < maxCopies
+  const next = move.avoid.length < maxRefusals
     ? startMove(state, request, { avoid, stop, at })
     : null;
   if (next !== null) {
@@ -498,8 +494,14 @@
   const { lastEventId, upstream } = request;
   const address = state.upstreams.get(upstream)?.address ?? "";
   const resumption = { address, handle, lastEventId };
-  const ending = "cancelled";
-  return resume(state, request, { to, resumption, reason, ending, at });
+  return resume(state, request, {
+    to,
+    resumption,
+    reason,
+    ending: "cancelled",
+    report: null,
+    at,
+  });
 }
 
 /**
@@ -543,12 +545,6 @@
   ];
 }
 
-function copiedTokens(state: RelayState, request: RelayedRequest): number {
-  const pool = state.pools.get(request.service);
-  const done = pool === undefined ? 0 : tokensOf(pool, request);
-  return request.demand.promptTokens + done;
-}
-
 /** Whether an upstream is listed and takes new work. */
 function isOpen(state: RelayState, id: string): boolean {
   return state.upstreams.get(id)?.state === "live" && !state.left.has(id);
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -1,4 +1,9 @@
-import type { EventHandlers, Moment } from "@lavenderferry/runtime";
+import type {
+  EventHandlers,
+  Moment,
+  TimerHandlers,
+} from "@lavenderferry/runtime";
+import { timerHandlerOf } from "@lavenderferry/runtime";
 import { sendDue } from "@lavenderferry/fleet";
 import { exchange } from "../fleet/exchange_part.ts";
 import { learnUpstreams } from "../fleet/source_part.ts";
@@ -40,15 +45,7 @@
 /** Milliseconds for which a stopping process takes requests in any case. */
 const leastStopMs = 3_000;
 
-type TimerHandlers = {
-  readonly [Kind in TimerName["kind"]]: (
-    state: RelayState,
-    timer: Extract<TimerName, { kind: Kind }>,
-    at: Moment,
-  ) => readonly RelayEffect[];
-};
-
-const timerHandlers: TimerHandlers = {
+const timerHandlers: TimerHandlers<RelayState, TimerName, RelayEffect> = {
   exchange: (state, _timer, at) => [
     ...exchange(state, at),
     repeat("exchange", at),
@@ -77,18 +74,7 @@
   check_stop: (state, _timer, at) => checkStop(state, at),
 };
 
-function fire(
-  state: RelayState,
-  timer: TimerName,
-  at: Moment,
-): readonly RelayEffect[] {
-  const handler = timerHandlers[timer.kind] as (
-    state: RelayState,
-    timer: TimerName,
-    at: Moment,
-  ) => readonly RelayEffect[];
-  return handler(state, timer, at);
-}
+const fire = timerHandlerOf(timerHandlers);
 
 function repeat(kind: keyof typeof timerPeriods, at: Moment): RelayEffect {
   const due = at.monotonic + timerPeriods[kind];
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -190,6 +190,26 @@
   return events * (pool.service.engines?.tokensPerEvent ?? 1);
 }
 
+/** Tokens that a generation holds in memory: its prompt and its answer. */
+export function memoryOf(pool: Pool, request: RelayedRequest): number {
+  return request.demand.promptTokens + tokensOf(pool, request);
+}
+
+/** Counts memory that an engine holds for a generation that runs elsewhere. */
+export function holdMemory(
+  pool: Pool,
+  request: RelayedRequest,
+  { generationId, engine, at }: {
+    readonly generationId: string;
+    readonly engine: string;
+    readonly at: Moment;
+  },
+): void {
+  const { demand } = request;
+  pool.dispatcher.sent({ generationId, engine, demand, passive: true }, at);
+  pool.dispatcher.progressed(generationId, tokensOf(pool, request), at);
+}
+
 /** Name under which the dispatcher counts the copy of an attempt. */
 export function copyOf(attemptId: string): string {
   return `copy/${attemptId}`;
@@ -239,9 +259,7 @@
   }
   request.copyAt = copyAt;
   const generationId = copyOf(attemptId);
-  const sent = { generationId, engine: copyAt, demand, passive: true };
-  pool.dispatcher.sent(sent, at);
-  pool.dispatcher.progressed(generationId, tokensOf(pool, request), at);
+  holdMemory(pool, request, { generationId, engine: copyAt, at });
   return vm.address;
 }
 
--- a/packages/relay/src/routing/route_table.ts
+++ b/packages/relay/src/routing/route_table.ts
@@ -1,11 +1,10 @@
-import type { Route, Routing, Service } from "./routing.ts";
+import type { Route, Routing } from "./routing.ts";
 
 /** One version of the routing, arranged for look-ups. */
 export class RouteTable {
   readonly routing: Routing;
   readonly #hosts = new Map<string, Route[]>();
   readonly #workspaces = new Map<string, string>();
-  readonly #services: ReadonlyMap<string, Service>;
 
   constructor(routing: Routing) {
     this.routing = routing;
@@ -22,9 +21,6 @@
         this.#workspaces.set(key, name);
       }
     }
-    this.#services = new Map(
-      routing.services.map((service) => [service.name, service]),
-    );
   }
 
   /** Returns the route with the longest prefix of the path. */
@@ -41,9 +37,4 @@
   workspaceOf(key: string): string | undefined {
     return this.#workspaces.get(key);
   }
-
-  /** Returns a service by its name. */
-  service(name: string): Service | undefined {
-    return this.#services.get(name);
-  }
 }
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -83,8 +83,5 @@
 /** Upstreams that serve the same requests. */
 export type Service = Readonly<z.output<typeof serviceSchema>>;
 
-/** Bounds of what a caller may send. */
-export type CallerLimits = Readonly<z.output<typeof callerLimitsSchema>>;
-
 /** One version of where requests go and who may send them. */
 export type Routing = Readonly<z.output<typeof routingSchema>>;
