feat(relay): log the requests that a planned stop ends

Change: an admission states the time until a planned exit, and the exit logs and counts each open request with the reason process_stopped.

--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -14,7 +14,7 @@
 import { retryResumption } from "../requests/answer_part.ts";
 import { expireRequest } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
-import { recordDecision } from "../util/effects.ts";
+import { count, recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
 import { timerPeriodsMs } from "./timers.ts";
 
@@ -117,6 +117,28 @@
   const isQuiet = now - state.lastRequestAt >= minQuietMs &&
     now - stopRequestedAt >= minStopMs && state.requests.size === 0;
   return isQuiet || now >= state.stopDeadline
-    ? [{ kind: "exit" }]
+    ? [...recordOpenRequests(state, at), { kind: "exit" }]
     : [schedulePeriodic("check_stop", at)];
 }
+
+/** Logs and counts the requests that the exit of the process ends. */
+function recordOpenRequests(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const effects: RelayEffect[] = [];
+  for (const request of state.requests.values()) {
+    const { requestId: subject, phase, upstream, events, demand } = request;
+    const ageMs = Math.round(at.monotonic - demand.arrivedAt);
+    effects.push(
+      recordDecision(state, {
+        kind: "drop",
+        subject,
+        reason: "process_stopped",
+        figures: { phase, upstream, events, ageMs },
+      }, at),
+      count("refusals", "process_stopped"),
+    );
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -0,0 +1,47 @@
+import t from "tap";
+import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+
+const checkStop = {
+  kind: "timer_fired",
+  timer: { kind: "check_stop" },
+} as const;
+
+/** Returns a relay with one engine and one instance of the plain service. */
+function createStartedRelay(): RelayFixture {
+  const relay = new RelayFixture();
+  relay.learn([upstreamOf("e1"), upstreamOf("d1", { pool: "desk" })]);
+  return relay;
+}
+
+function decisions(effects: readonly RelayEffect[], kind: string) {
+  return only(effects, "log_decision").map(({ decision }) => decision)
+    .filter((decision) => decision.kind === kind);
+}
+
+t.test("requests that the exit of the process ends are logged", (t) => {
+  const relay = createStartedRelay();
+  relay.generate();
+  relay.reduce({ kind: "stop_requested" });
+  const effects = relay.reduce(checkStop, 8_000);
+  t.match(decisions(effects, "drop"), [
+    { subject: "r1", reason: "process_stopped", figures: { upstream: "e1" } },
+  ]);
+  t.match(only(effects, "count"), [
+    { counter: "refusals", reason: "process_stopped" },
+  ]);
+  t.equal(only(effects, "exit").length, 1);
+  t.end();
+});
+
+t.test("admissions log the time until a planned exit", (t) => {
+  const relay = createStartedRelay();
+  t.match(decisions(relay.request(), "admit"), [{
+    figures: { stopsInMs: -1 },
+  }]);
+  relay.reduce({ kind: "stop_requested" });
+  relay.wait(2_000);
+  const effects = relay.request({ exchangeId: "x2" });
+  t.match(decisions(effects, "admit"), [{ figures: { stopsInMs: 5_999 } }]);
+  t.end();
+});
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -143,6 +143,7 @@
         workspace: request.workspace ?? "",
         budgetMs: event.budgetMs ?? -1,
         promptTokens: request.demand.promptTokens,
+        stopsInMs: stopsInMs(state, at),
       },
     }, at),
     { kind: "set_timer", timer, at: request.deadline },
@@ -150,6 +151,11 @@
   ];
 }
 
+/** Milliseconds until the process exits; -1 if no stop is planned. */
+function stopsInMs({ stopping, stopDeadline }: RelayState, at: Moment): number {
+  return stopping ? Math.round(stopDeadline - at.monotonic) : -1;
+}
+
 function createRequest(
   state: RelayState,
   event: RequestReceived,
