--- a/packages/relay/src/process/lifecycle_part_test.ts
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -45,3 +45,16 @@
   t.match(decisions(effects, "admit"), [{ figures: { stopsInMs: 5_999 } }]);
   t.end();
 });
+
+t.test("a stopping relay refuses a generation that its exit would cut", (t) => {
+  const relay = createStartedRelay();
+  relay.reduce({ kind: "stop_requested" });
+  relay.wait(3_150);
+  const effects = relay.generate();
+  t.match(only(effects, "send_failure"), [
+    { error: "draining", notRun: true, retryAfterMs: Number },
+  ]);
+  t.equal(only(effects, "send_request").length, 0);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
