fix(relay): a stopping relay refuses requests that its exit would cut

Cause: a relay that was told to stop admitted every request until it exited. Callers reach it for some seconds more, by addresses they keep and by open connections, and generations take longer than the whole stop. Change: while it stops, a relay admits a request only if it ends before the exit, at its own deadline or as no recent answer of its route took as long as is left; a stream's duration is bounded by its limit on tokens.

--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -113,6 +113,12 @@
       state.pools.set(service.name, createPool(state, service));
     }
   }
+  const routeNames = new Set(routing.routes.map(({ name }) => name));
+  for (const name of state.answerTimes.keys()) {
+    if (!routeNames.has(name)) {
+      state.answerTimes.delete(name);
+    }
+  }
   for (const vm of state.upstreams.values()) {
     openUpstream(state, vm, at);
   }
--- a/packages/relay/src/process/lifecycle_part_test.ts
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -58,3 +58,36 @@
   t.equal(relay.state.requests.size, 0);
   t.end();
 });
+
+t.test("a stopping relay serves what ends before its exit", (t) => {
+  const relay = createStartedRelay();
+  for (let index = 0; index < 8; index++) {
+    const exchangeId = `g${index}`;
+    const [sent] = only(relay.generate({ exchangeId }), "send_request");
+    const attempt = { exchangeId, attemptId: sent?.attemptId ?? "" };
+    const head = { status: 200, headers: [] };
+    const events = { bytes: Buffer.from(""), count: 25, lastEventId: "25" };
+    relay.reduce({ kind: "events_received", ...attempt, head, ...events }, 200);
+    relay.reduce({
+      kind: "stream_ended",
+      ...attempt,
+      head,
+      framed: true,
+    }, 1_000);
+  }
+  relay.reduce({ kind: "stop_requested" });
+  relay.wait(5_000);
+  const generation = { model: "m", promptTokens: 100, prefix: [] };
+  const short = { generation: { ...generation, maxTokens: 200 } };
+  t.equal(only(relay.generate(short), "send_request").length, 1);
+  const long = { generation: { ...generation, maxTokens: 400 } };
+  const effects = relay.generate({ exchangeId: "x2", ...long });
+  t.match(only(effects, "send_failure"), [{ error: "draining" }]);
+  t.equal(
+    only(relay.request({ exchangeId: "x3", budgetMs: 2_000 }), "send_request")
+      .length,
+    1,
+    "its deadline is before the exit",
+  );
+  t.end();
+});
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -16,6 +16,8 @@
   releaseBacklogs,
   startAttempt,
 } from "./place_request.ts";
+import type { AnswerTime } from "./answer_times.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
 type Event<Kind extends RequestEvent["kind"]> = Timed<
@@ -91,6 +93,10 @@
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const { upstream, runs, sends } = request;
   const outcome = failed ? "failed" : "finished";
+  if (!failed && !request.route.streaming) {
+    const time = { firstEventMs: ms, streamMs: 0, tokens: 0 };
+    recordAnswerTime(state, request, time);
+  }
   const effects = endRequest(state, request, { outcome, at });
   return [
     recordDecision(state, {
@@ -158,8 +164,14 @@
     request.move = { ...request.move, streamEnded: true };
     return [];
   }
-  const { upstream, events, sends } = request;
+  const { upstream, events, sends, firstEventMs } = request;
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
+  const pool = state.pools.get(request.service);
+  if (pool !== undefined) {
+    const tokens = generatedTokens(pool, request);
+    const streamMs = ms - firstEventMs;
+    recordAnswerTime(state, request, { firstEventMs, streamMs, tokens });
+  }
   const effects = endRequest(state, request, { outcome: "finished", at });
   return [
     recordDecision(state, {
@@ -171,7 +183,7 @@
         events,
         ms,
         sends,
-        firstMs: Math.round(request.firstEventMs),
+        firstMs: Math.round(firstEventMs),
         longestPauseMs: Math.round(request.longestPauseMs),
       },
     }, at),
@@ -181,6 +193,16 @@
   ];
 }
 
+function recordAnswerTime(
+  state: RelayState,
+  { route }: RelayedRequest,
+  time: AnswerTime,
+): void {
+  const times = state.answerTimes.get(route.name) ?? new AnswerTimes();
+  state.answerTimes.set(route.name, times);
+  times.add(time);
+}
+
 function handleRefusedAttempt(
   state: RelayState,
   event: Event<"attempt_refused">,
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -22,6 +22,12 @@
  */
 const notReadyRetryMs = 500;
 
+/**
+ * Retry delay for callers of a stopping process, in milliseconds. They have the
+ * addresses of other processes, so there is nothing to wait for.
+ */
+const drainingRetryMs = 50;
+
 /** Relative jitter of retry delays, so that callers do not retry together. */
 const retryJitterShare = 0.5;
 
@@ -129,6 +135,21 @@
     route,
     workspace: workspace ?? null,
   });
+  if (state.stopping && !endsBeforeStop(state, request)) {
+    return [
+      recordDecision(state, {
+        kind: "refuse",
+        subject: requestId,
+        reason: "draining",
+        figures: { route: route.name, stopsInMs: stopsInMs(state, at) },
+      }, at),
+      ...sendFailure(exchangeId, {
+        error: "draining",
+        notRun: true,
+        retryAfterMs: state.random.jitter(drainingRetryMs, retryJitterShare),
+      }),
+    ];
+  }
   state.requests.set(exchangeId, request);
   const timer = { kind: "request_deadline", exchangeId } as const;
   return [
@@ -151,6 +172,19 @@
   ];
 }
 
+/**
+ * Whether a request ends before a stopping process exits: at its own deadline,
+ * or because no recent answer of its route took as long as is left.
+ */
+function endsBeforeStop(
+  { answerTimes, stopDeadline }: RelayState,
+  { route, demand, deadline }: RelayedRequest,
+): boolean {
+  const boundMs = answerTimes.get(route.name)?.boundMs(demand.maxTokens) ??
+    Infinity;
+  return Math.min(deadline, demand.arrivedAt + boundMs) <= stopDeadline;
+}
+
 /** Milliseconds until the process exits; -1 if no stop is planned. */
 function stopsInMs({ stopping, stopDeadline }: RelayState, at: Moment): number {
   return stopping ? Math.round(stopDeadline - at.monotonic) : -1;
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -8,6 +8,7 @@
 } from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import { CopyRate } from "./moves/copy_rate.ts";
+import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { RouteTable } from "./routing/route_table.ts";
 import type { Routing, Service } from "./routing/routing.ts";
@@ -67,6 +68,8 @@
   readonly fleet: FleetNode<Routing>;
   /** Requests in progress, by exchange id. */
   readonly requests: Map<string, RelayedRequest>;
+  /** Durations of complete answers, by the name of their route. */
+  readonly answerTimes: Map<string, AnswerTimes>;
   readonly copyRate: CopyRate;
   /** Latest decisions, for `explain` requests. */
   readonly decisions: Decisions;
@@ -128,6 +131,7 @@
       },
     }, startedAt),
     requests: new Map(),
+    answerTimes: new Map(),
     copyRate: new CopyRate(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
