fix(relay): a stopping relay answers its open requests before it exits

Cause: at the stop deadline the process exited with its requests open, so that callers got a closed connection where a refusal or a failure was due. Change: 0.2 s before the stop deadline, requests whose answer has not begun get a final one, and those that were never sent are refused as not run. Streams go on until the exit and are then closed.

--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -12,9 +12,10 @@
 import type { ProcessEvent } from "../relay_event.ts";
 import { releaseBacklogs } from "../requests/place_request.ts";
 import { retryResumption } from "../requests/answer_part.ts";
-import { expireRequest } from "../requests/request_part.ts";
+import type { RelayedRequest } from "../requests/relayed_request.ts";
+import { dropRequest, expireRequest } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
-import { count, recordDecision } from "../util/effects.ts";
+import { recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
 import { timerPeriodsMs } from "./timers.ts";
 
@@ -45,6 +46,9 @@
 /** Minimum milliseconds for which a stopping process accepts requests. */
 const minStopMs = 3_000;
 
+/** Milliseconds before the stop deadline at which final answers are sent. */
+const finalAnswerMs = 200;
+
 const timerHandlers: TimerHandlers<RelayState, RelayTimer, RelayEffect> = {
   exchange: (state, _timer, at) => [
     ...exchangeWithPeers(state, at),
@@ -109,36 +113,38 @@
 
 /**
  * Exits once no request is open and none has arrived for `minQuietMs`, or at
- * the stop deadline.
+ * the stop deadline. Requests without an answer get a final one before.
  */
 function checkStop(state: RelayState, at: Moment): readonly RelayEffect[] {
   const now = at.monotonic;
   const stopRequestedAt = state.stopDeadline - state.settings.stopMs;
   const isQuiet = now - state.lastRequestAt >= minQuietMs &&
     now - stopRequestedAt >= minStopMs && state.requests.size === 0;
-  return isQuiet || now >= state.stopDeadline
-    ? [...recordOpenRequests(state, at), { kind: "exit" }]
-    : [schedulePeriodic("check_stop", at)];
+  if (isQuiet || now >= state.stopDeadline) {
+    const open = [...state.requests.values()];
+    return [
+      ...open.flatMap((request) => dropStopped(state, request, at)),
+      { kind: "exit" },
+    ];
+  }
+  const unanswered = now >= state.stopDeadline - finalAnswerMs
+    ? [...state.requests.values()].filter(({ phase }) => phase !== "streaming")
+    : [];
+  return [
+    ...unanswered.flatMap((request) => dropStopped(state, request, at)),
+    schedulePeriodic("check_stop", at),
+  ];
 }
 
-/** Logs and counts the requests that the exit of the process ends. */
-function recordOpenRequests(
+function dropStopped(
   state: RelayState,
+  request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const effects: RelayEffect[] = [];
-  for (const request of state.requests.values()) {
-    const { requestId: subject, phase, upstream, events, demand } = request;
-    const ageMs = Math.round(at.monotonic - demand.arrivedAt);
-    effects.push(
-      recordDecision(state, {
-        kind: "drop",
-        subject,
-        reason: "process_stopped",
-        figures: { phase, upstream, events, ageMs },
-      }, at),
-      count("refusals", "process_stopped"),
-    );
-  }
-  return effects;
+  return dropRequest(state, request, {
+    reason: "process_stopped",
+    neverRan: "draining",
+    mayHaveRun: "upstream_lost",
+    at,
+  });
 }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -73,23 +73,46 @@
   if (request === undefined) {
     return [];
   }
-  const { phase, runs } = request;
-  const neverRan = phase === "waiting" && runs === 0;
-  const error: ErrorKind = neverRan ? "no_upstream" : "upstream_timeout";
+  const effects = dropRequest(state, request, {
+    reason: "deadline_passed",
+    neverRan: "no_upstream",
+    mayHaveRun: "upstream_timeout",
+    at,
+  });
+  return [...effects, ...releaseBacklogs(state, at)];
+}
+
+/**
+ * Ends a request with a final answer, or closes an answer that has already
+ * begun. A request that has not run may be retried.
+ */
+export function dropRequest(
+  state: RelayState,
+  request: RelayedRequest,
+  { reason, neverRan, mayHaveRun, at }: {
+    readonly reason: string;
+    /** Error of a request that was never sent to an upstream. */
+    readonly neverRan: ErrorKind;
+    readonly mayHaveRun: ErrorKind;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { phase, runs, events, upstream, demand } = request;
+  const notRun = phase === "waiting" && runs === 0;
+  const ageMs = Math.round(at.monotonic - demand.arrivedAt);
   return [
     recordDecision(state, {
       kind: "drop",
       subject: request.requestId,
-      reason: "deadline_passed",
-      figures: { phase, runs, upstream: request.upstream },
+      reason,
+      figures: { phase, runs, upstream, events, ageMs },
     }, at),
     ...endRequest(state, request, { outcome: "failed", at }),
     ...failRequest(request, {
-      error,
-      notRun: neverRan ? true : "unknown",
-      ...(neverRan ? { retryAfterMs: notReadyRetryMs } : {}),
+      error: notRun ? neverRan : mayHaveRun,
+      notRun: notRun ? true : "unknown",
+      ...(notRun ? { retryAfterMs: notReadyRetryMs } : {}),
     }),
-    ...releaseBacklogs(state, at),
   ];
 }
 
