fix(relay): the exit of a stopping relay waits for answers being written

Change: the exit waits until ended responses are written, up to the stop deadline, and requests that arrive after it are refused.

--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import { errorKinds, problemMediaType, toProblem } from "@lavenderferry/errors";
@@ -21,6 +22,8 @@
 export class CallerExchanges {
   readonly #exchanges = new Map<string, CallerExchange>();
   readonly #codec: HeaderCodec;
+  /** Ended responses whose last bytes the system has not accepted yet. */
+  readonly #writing = new Set<ServerResponse>();
   /** Whether answers ask callers to close their connections. */
   closing = false;
 
@@ -50,7 +53,7 @@
       const { status, headers, body } = answer;
       const lengthHeader = ["content-length", String(body.length)];
       this.#writeHead(response, status, [...headers, ...lengthHeader]);
-      response.end(body);
+      this.#end(response, body);
     },
     send_events: ({ exchangeId, head, bytes }, dispatch) => {
       const response = this.#exchanges.get(exchangeId)?.response;
@@ -72,7 +75,9 @@
       if (response !== undefined && !response.headersSent) {
         this.#writeHead(response, head.status, head.headers);
       }
-      response?.end();
+      if (response !== undefined) {
+        this.#end(response);
+      }
     },
     send_failure: ({ exchangeId, error, notRun, retryAfterMs }) => {
       const requestId = this.#exchanges.get(exchangeId)?.requestId;
@@ -110,6 +115,25 @@
       String(body.length),
       ...this.#codec.writeFailure(retryAfterMs),
     ]);
+    this.#end(response, body);
+  }
+
+  /**
+   * Resolves once all ended responses are written to their connections, after
+   * `timeoutMs` at the latest.
+   */
+  async waitUntilWritten(timeoutMs: number): Promise<void> {
+    const signal = AbortSignal.timeout(timeoutMs);
+    const written = [...this.#writing].map((response) =>
+      once(response, "close", { signal })
+    );
+    // A caller that stopped reading gets no more than the time that is left.
+    await Promise.allSettled(written);
+  }
+
+  #end(response: ServerResponse, body?: Buffer): void {
+    this.#writing.add(response);
+    response.once("close", () => this.#writing.delete(response));
     response.end(body);
   }
 
--- /dev/null
+++ b/packages/relay/src/http/caller_exchanges_test.ts
@@ -0,0 +1,78 @@
+import { createServer, request as sendRequest } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Test } from "tap";
+import t from "tap";
+import type { HeaderCodec } from "../ports.ts";
+import { CallerExchanges } from "./caller_exchanges.ts";
+
+/** Larger than the buffers of a loopback connection. */
+const bodyBytes = 16_777_216;
+
+const codec = { writeFailure: () => [] } as unknown as HeaderCodec;
+
+/** Opens an exchange; returns it with the caller's paused answer. */
+async function openExchange(t: Test) {
+  const exchanges = new CallerExchanges(codec);
+  const server = createServer((request, response) => {
+    receive({ request, response });
+  });
+  let receive: (exchange: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+  }) => void = () => undefined;
+  const received = new Promise<Parameters<typeof receive>[0]>((resolve) => {
+    receive = resolve;
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const answer = new Promise<IncomingMessage>((resolve) => {
+    sendRequest({ host: "127.0.0.1", port }, resolve)
+      .on("error", () => undefined)
+      .end();
+  });
+  exchanges.add("x1", {
+    ...await received,
+    requestId: "r1",
+    body: Buffer.from(""),
+  });
+  return { exchanges, answer };
+}
+
+const answerOf = (length: number) =>
+  ({
+    kind: "send_answer",
+    exchangeId: "x1",
+    answer: { status: 200, headers: [], body: Buffer.alloc(length) },
+  }) as const;
+
+t.test("an exit does not truncate answers that are being written", async (t) => {
+  const { exchanges, answer } = await openExchange(t);
+  exchanges.handlers.send_answer(answerOf(bodyBytes), () => undefined);
+  let written = false;
+  const writing = exchanges.waitUntilWritten(60_000).then(() => {
+    written = true;
+  });
+  const message = await answer;
+  await new Promise((resolve) => setImmediate(resolve));
+  t.notOk(written, "the caller has not read the answer yet");
+  message.resume();
+  await writing;
+  t.ok(written);
+});
+
+t.test("an exit does not wait for a caller that stops reading", async (t) => {
+  const { exchanges, answer } = await openExchange(t);
+  exchanges.handlers.send_answer(answerOf(bodyBytes), () => undefined);
+  await answer;
+  await t.resolves(exchanges.waitUntilWritten(10));
+});
+
+t.test("an exit does not wait without an answer", async (t) => {
+  const { exchanges } = await openExchange(t);
+  await t.resolves(exchanges.waitUntilWritten(60_000));
+});
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -122,9 +122,12 @@
     now - stopRequestedAt >= minStopMs && state.requests.size === 0;
   if (isQuiet || now >= state.stopDeadline) {
     const open = [...state.requests.values()];
+    const deadline = state.stopDeadline;
+    // Requests that arrive before the process has ended are refused.
+    state.stopDeadline = Math.min(deadline, now);
     return [
       ...open.flatMap((request) => dropStopped(state, request, at)),
-      { kind: "exit" },
+      { kind: "exit", deadline },
     ];
   }
   const unanswered = now >= state.stopDeadline - finalAnswerMs
--- a/packages/relay/src/process/lifecycle_part_test.ts
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -142,3 +142,14 @@
   t.equal(only(effects, "exit").length, 1);
   t.end();
 });
+
+t.test("a relay that is exiting refuses requests that it would cut", (t) => {
+  const relay = createStartedRelay();
+  relay.reduce({ kind: "stop_requested" });
+  const stopDeadline = relay.now + 8_000;
+  const effects = relay.reduce(checkStop, 4_000);
+  t.match(only(effects, "exit"), [{ deadline: stopDeadline }]);
+  const late = relay.request({ budgetMs: 500 });
+  t.match(only(late, "send_failure"), [{ error: "draining", notRun: true }]);
+  t.end();
+});
--- a/packages/relay/src/process/process_runner.ts
+++ b/packages/relay/src/process/process_runner.ts
@@ -46,6 +46,12 @@
     close_caller_connections: () => {
       exchanges.closing = true;
     },
-    exit,
+    exit: ({ deadline }) => {
+      const timeoutMs = Math.max(
+        0,
+        Math.ceil(deadline - clock.now().monotonic),
+      );
+      void exchanges.waitUntilWritten(timeoutMs).then(exit);
+    },
   };
 }
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -144,7 +144,12 @@
     /** Closes each caller's connection after its next answer. */
     readonly kind: "close_caller_connections";
   }
-  | { readonly kind: "exit" };
+  | {
+    /** Exits once the answers to callers are written. */
+    readonly kind: "exit";
+    /** Monotonic milliseconds until which the exit waits for them. */
+    readonly deadline: number;
+  };
 
 /** Any effect that the relay's reducer can return. */
 export type RelayEffect =
