feat(relay): log the shared blocks of a prompt and how early an attempt was lost

Change: an admission names the blocks of the prompt that requests may share, and a lost attempt the time since its first event.

--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -122,6 +122,7 @@
     promptTokens: 31_000,
     maxTokens: 10,
     prefix: [],
+    sharedBlocks: [],
   };
   for (let index = 0; index < 2; index++) {
     const [failure] = only(relay.generate({ generation }), "send_failure");
--- a/packages/relay/src/moves/evacuation_test.ts
+++ b/packages/relay/src/moves/evacuation_test.ts
@@ -173,7 +173,13 @@
   const effects = relay.generate({
     exchangeId: id,
     requestId: id,
-    generation: { model: "m", promptTokens, maxTokens: 1_000, prefix: [id] },
+    generation: {
+      model: "m",
+      promptTokens,
+      maxTokens: 1_000,
+      prefix: [id],
+      sharedBlocks: [],
+    },
   });
   const attemptId = only(effects, "send_request")[0]?.attemptId ?? "";
   relay.reduce({
--- a/packages/relay/src/process/lifecycle_part_test.ts
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -77,7 +77,12 @@
   }
   relay.reduce({ kind: "stop_requested" });
   relay.wait(5_000);
-  const generation = { model: "m", promptTokens: 100, prefix: [] };
+  const generation = {
+    model: "m",
+    promptTokens: 100,
+    prefix: [],
+    sharedBlocks: [],
+  };
   const short = { generation: { ...generation, maxTokens: 200 } };
   t.equal(only(relay.generate(short), "send_request").length, 1);
   const long = { generation: { ...generation, maxTokens: 400 } };
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -308,6 +308,7 @@
   const figures = {
     upstream,
     events,
+    begunMs: begunMs(request, at),
     runs: request.runs,
     sends: request.sends,
   };
@@ -346,6 +347,11 @@
   ];
 }
 
+/** Milliseconds since the attempt's first event; -1 if there was none. */
+function begunMs({ firstEventAt }: RelayedRequest, at: Moment): number {
+  return firstEventAt === null ? -1 : Math.round(at.monotonic - firstEventAt);
+}
+
 /** Whether a request that may have run may be sent to another upstream. */
 function canRunAgain(
   state: RelayState,
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -11,6 +11,11 @@
   readonly maxTokens: number;
   /** Names of the blocks of the prompt, in order, to find cached prefixes. */
   readonly prefix: readonly string[];
+  /**
+   * Ids of the blocks of the prompt that other requests may share, in order.
+   * The last block belongs to the request or to its session.
+   */
+  readonly sharedBlocks: readonly string[];
 }
 
 /** Phases of a relayed request, in order. */
@@ -58,6 +63,8 @@
   readonly route: Route;
   readonly service: string;
   readonly workspace: string | null;
+  /** Ids of the prompt's blocks that other requests may share. */
+  readonly sharedBlocks: readonly string[];
   /** Its `excludedEngines` are the upstreams that refused or failed. */
   demand: Demand;
   /** Monotonic milliseconds by which the request must have ended. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -37,6 +37,9 @@
 /** Percentage of a route's requests that must meet its targets. */
 const targetPercent = 95;
 
+/** Longest list of block ids in a log line, in characters. */
+const maxLoggedBlockChars = 120;
+
 /** Model name in demands of services that run no models. */
 const noModel = "";
 
@@ -187,6 +190,7 @@
         workspace: request.workspace ?? "",
         budgetMs: event.budgetMs ?? -1,
         promptTokens: request.demand.promptTokens,
+        blocks: request.sharedBlocks.join(",").slice(0, maxLoggedBlockChars),
         stopsInMs: stopsInMs(state, at),
       },
     }, at),
@@ -229,6 +233,7 @@
     route,
     service: chooseService(state, route),
     workspace,
+    sharedBlocks: event.generation?.sharedBlocks ?? [],
     demand: createDemand(event, route, workspace),
     deadline: arrivedAt + allowedMs,
     phase: "waiting",
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -6,6 +6,7 @@
   routingOf,
   upstreamOf,
 } from "../fixtures/relay_fixture.ts";
+import type { RelayEffect } from "../relay_effect.ts";
 
 function createDeskUpstream(id: string) {
   return upstreamOf(id, { pool: "desk", role: "service", slots: 6 });
@@ -239,3 +240,21 @@
   }
   t.end();
 });
+
+t.test("the shared blocks of a prompt and an early loss are logged", (t) => {
+  const relay = createStartedRelay();
+  const effects = relay.generate();
+  const decisions = (kind: string, from: readonly RelayEffect[]) =>
+    only(from, "log_decision").map(({ decision }) => decision)
+      .filter((decision) => decision.kind === kind);
+  t.match(decisions("admit", effects), [{ figures: { blocks: "p" } }]);
+  const [sent] = only(effects, "send_request");
+  const lost = relay.reduce({
+    kind: "attempt_failed",
+    attemptId: sent?.attemptId ?? "",
+    exchangeId: "x1",
+    reason: "connection_lost",
+  });
+  t.match(decisions("drop", lost), [{ figures: { begunMs: -1 } }]);
+  t.end();
+});
