test(platform): a prompt part that crashes engines

One part of a prompt may crash each engine that begins to answer a request with it. The relay sends such requests on, and resumes each from its copy at the next engine, so that one engine after the other is lost.

The stand-in engine takes the part from the raw header.

--- a/packages/standins/src/rows/opaque_upstream.ts
+++ b/packages/standins/src/rows/opaque_upstream.ts
@@ -16,6 +16,20 @@
   overlappingStarts: number;
 }
 
+/** A request with an upstream's crash part that reached the upstream. */
+interface CrashPartArrival {
+  readonly requestId: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** A crash of an upstream on its crash part. */
+interface Crash {
+  readonly instance: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
 const moveSchema = z.object({
   id: z.string(),
   to: z.string(),
@@ -27,6 +41,10 @@
   /** KV tokens that every engine reports as held. */
   heldKvTokens = 10_000;
   readonly runs = new Map<string, GenerationRun>();
+  /** All requests with a crash part, repeats included, in order. */
+  readonly crashPartArrivals: CrashPartArrival[] = [];
+  /** Crashes on a crash part, in order. */
+  readonly crashes: Crash[] = [];
 
   /** Returns the run of a request; creates it on first use. */
   getOrCreate(id: string): GenerationRun {
@@ -45,8 +63,12 @@
   readonly events?: number;
   /** Milliseconds between two events. */
   readonly eventIntervalMs?: number;
+  /** Id of a prompt part; the upstream crashes before it streams an event. */
+  readonly crashPart?: string;
 }
 
+const defaultEventIntervalMs = 5;
+
 /** A stand-in upstream with opaque answers and faults. */
 export class OpaqueUpstream {
   /** Refuses requests without running them. */
@@ -92,6 +114,12 @@
       sendJson(response, 200, { held: heldKvTokens, ...memory, runs });
       return;
     }
+    const id = String(request.headers["lavenderferry-request-id"]);
+    const hasCrashPart = this.#hasCrashPart(request);
+    if (hasCrashPart) {
+      const at = performance.now();
+      this.#options.registry.crashPartArrivals.push({ requestId: id, at });
+    }
     const expectedInstance = request.headers["lavenderferry-expect-instance"];
     if (expectedInstance !== instance) {
       response.writeHead(421, { "lavenderferry-instance-id": instance }).end();
@@ -105,7 +133,6 @@
     if (this.unresponsive) {
       return;
     }
-    const id = String(request.headers["lavenderferry-request-id"]);
     const headers = {
       "lavenderferry-request-id": id,
       "lavenderferry-response-seal": `seal-${instance}`,
@@ -119,16 +146,48 @@
       ...headers,
       "content-type": "text/event-stream",
     });
+    if (hasCrashPart) {
+      response.flushHeaders();
+      this.#crashAfterInterval();
+      return;
+    }
     this.#streamGeneration(id, request, response);
   }
 
+  /** Whether a prompt part other than the request's own is the crash part. */
+  #hasCrashPart({ headers }: IncomingMessage): boolean {
+    const { crashPart } = this.#options;
+    const entries = String(headers["lavenderferry-prompt-prefix"] ?? "")
+      .split(",");
+    // The last entry belongs to the request itself.
+    return crashPart !== undefined &&
+      entries.slice(0, -1).some((entry) =>
+        entry.trim().split(":")[0] === crashPart
+      );
+  }
+
+  #crashAfterInterval(): void {
+    const { instance, registry, eventIntervalMs = defaultEventIntervalMs } =
+      this.#options;
+    setTimeout(() => {
+      if (this.#server.listening) {
+        registry.crashes.push({ instance, at: performance.now() });
+        this.stop();
+      }
+    }, eventIntervalMs);
+  }
+
   #streamGeneration(
     id: string,
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const { instance, registry, events = 0, eventIntervalMs = 5 } =
-      this.#options;
+    const {
+      instance,
+      registry,
+      events = 0,
+      eventIntervalMs = defaultEventIntervalMs,
+    } = this.#options;
     const run = registry.getOrCreate(id);
     const isResumed = request.headers["kv-from"] !== undefined;
     run.starts += isResumed ? 0 : 1;
