fix(relay): prompts that end engines are kept from further engines

Cause: the relay had no notion that a prompt can be at fault. Each loss of an engine was held against the engine alone, new requests with the same block of the prompt went to the next one, and generations that had just begun were resumed at the engine with their copy, which ended as well. Change: an engine that refuses connections right after it lost attempts that it had just begun is held against the blocks of their prompts that requests share. Three engines quarantine a block that was never answered, eight one that was; complete answers clear it, so that blocks of sound prompts are not blamed. Blocks that always come together are quarantined only together. Records merge in any order and go to peers at once, so that all processes refuse such prompts, as not run and at once; requests that no engine has begun are ended, and early losses are not resumed while a block was never answered. Connections to several engines lost together are held against no prompt.

--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -7,6 +7,7 @@
   ExchangeMessage,
   ExchangeMessage__Output,
   LengthSketch,
+  SuspectBlockRecord,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
@@ -54,6 +55,15 @@
   readonly lengths: ReadonlyMap<string, readonly LengthCounts[]>;
   /** Members whose records changed. */
   readonly members: readonly Member[];
+  /** Records of blocks under which engines ended, as peers know them. */
+  readonly suspects: readonly SuspectRecord[];
+}
+
+/** A peer's record of a block of prompts under which engines ended. */
+export interface SuspectRecord {
+  readonly block: string;
+  readonly clearances: number;
+  readonly engines: readonly string[];
 }
 
 /** Work that one process has in flight at one engine. */
@@ -219,6 +229,24 @@
     }
   }
 
+  /** Publishes a changed record of a suspect block. */
+  setSuspect({ block, clearances, engines }: SuspectRecord, at: Moment): void {
+    const value: SuspectBlockRecord = {
+      block,
+      clearances,
+      engines: [...engines],
+    };
+    this.#exchange.publish("suspects", { key: block, value }, {
+      at,
+      urgent: true,
+    });
+  }
+
+  /** Stops sending the record of a suspect block. */
+  removeSuspect(block: string): void {
+    this.#exchange.store.delete("suspects", block);
+  }
+
   /** Publishes the holder of a duty. */
   setDuty(record: DutyHolder, at: Moment): void {
     this.#applyDuty(record, { at });
@@ -354,6 +382,7 @@
     for (const record of message.duties) {
       this.#applyDuty(record, { at, from });
     }
+    this.#updates.suspects.push(...message.suspects);
     if (!stale) {
       this.#applyShares(from, message.shares);
     }
@@ -551,6 +580,7 @@
   readonly shares: Map<string, readonly PeerWork[]>;
   readonly lengths: Map<string, readonly LengthCounts[]>;
   readonly members: Member[];
+  readonly suspects: SuspectRecord[];
 }
 
 function createUpdates<Document>(): MutableUpdates<Document> {
@@ -560,6 +590,7 @@
     shares: new Map(),
     lengths: new Map(),
     members: [],
+    suspects: [],
   };
 }
 
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -157,6 +157,7 @@
     marks: [],
     shares: [],
     lengths: [],
+    suspects: [],
     duties: [],
     full: false,
     acknowledged: 0,
--- a/packages/fleet/src/item.ts
+++ b/packages/fleet/src/item.ts
@@ -4,11 +4,13 @@
   EngineShare,
   LengthSketch,
   MemberRecord,
+  SuspectBlockRecord,
 } from "@lavenderferry/protocol";
 
 /** The types of the items in messages, by kind, the most urgent first. */
 export interface ItemValues {
   readonly marks: DrainingMark;
+  readonly suspects: SuspectBlockRecord;
   readonly members: MemberRecord;
   readonly duties: DutyRecord;
   readonly shares: EngineShare;
@@ -21,6 +23,7 @@
 /** The kinds in the order in which a message is filled. */
 export const itemKinds: readonly ItemKind[] = [
   "marks",
+  "suspects",
   "members",
   "duties",
   "shares",
@@ -30,6 +33,7 @@
 /** Kinds that a process forwards; it sends only its own of the others. */
 export const forwardedKinds: ReadonlySet<ItemKind> = new Set<ItemKind>([
   "marks",
+  "suspects",
   "members",
   "duties",
 ]);
@@ -37,6 +41,7 @@
 /** Maximum number of items of each kind that a process keeps. */
 export const maxItems: Readonly<Record<ItemKind, number>> = {
   marks: 1_024,
+  suspects: 256,
   members: 4_096,
   duties: 1_024,
   shares: 1_024,
@@ -53,6 +58,12 @@
 /** The terms beside `textBytes` estimate the values of numeric fields. */
 const sizeEstimators: SizeEstimators = {
   marks: (value) => textBytes(value) + 7,
+  suspects: (value) =>
+    textBytes(value) + 2 +
+    (value.engines ?? []).reduce(
+      (sum, engine) => sum + fieldBytes + engine.length,
+      0,
+    ),
   members: (value) => textBytes(value) + 7,
   duties: (value) => textBytes(value) + 4,
   shares: (value) => textBytes(value) + 8,
--- a/packages/fleet/src/item_store.ts
+++ b/packages/fleet/src/item_store.ts
@@ -17,6 +17,7 @@
 export class ItemStore {
   readonly #items: ItemsByKind = {
     marks: new Map(),
+    suspects: new Map(),
     members: new Map(),
     duties: new Map(),
     shares: new Map(),
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -8,3 +8,4 @@
 export * from "./retry_budget.ts";
 export * from "./round_robin.ts";
 export * from "./slot_dispatcher.ts";
+export * from "./suspect_blocks.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -67,6 +67,10 @@
   SettleRequest,
   SettleRequest__Output,
 } from "./generated/lavenderferry/v1/SettleRequest.ts";
+export type {
+  SuspectBlock as SuspectBlockRecord,
+  SuspectBlock__Output as SuspectBlockRecord__Output,
+} from "./generated/lavenderferry/v1/SuspectBlock.ts";
 export type {
   TakeOverReply,
   TakeOverReply__Output,
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -1,6 +1,10 @@
 import type { ExchangeEvent } from "@lavenderferry/fleet";
 import { createExchangeHandlers, sendDueExchanges } from "@lavenderferry/fleet";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
+import {
+  mergeSuspects,
+  removeExpiredSuspects,
+} from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import { releaseBacklogs } from "../requests/place_request.ts";
 import type { RelayState } from "../state.ts";
@@ -26,6 +30,7 @@
   state: RelayState,
   at: Moment,
 ): readonly RelayEffect[] {
+  removeExpiredSuspects(state, at);
   const pools = [...state.pools.values()];
   const shares = pools.flatMap(({ dispatcher }) =>
     dispatcher.shares()
@@ -58,6 +63,7 @@
       recordDecision(state, { kind, subject: id, reason, figures }, at),
     );
   }
+  effects.push(...mergeSuspects(state, updates.suspects, at));
   if (updates.members.length > 0) {
     const burst = computeRetryBurst(state);
     for (const { retryBudget } of state.pools.values()) {
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { Agent, request as sendRequest } from "node:http";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
@@ -17,6 +19,9 @@
 /** Idle connections that one process keeps to one upstream. */
 const maxIdleConnections = 8;
 
+/** Error code of a connection to a port on which no process listens. */
+const refusedCode = "ECONNREFUSED";
+
 /** Largest answer that is not an event stream. */
 const maxAnswerBytes = 8_388_608;
 
@@ -78,6 +83,11 @@
     },
     check_copy: (effect, dispatch) =>
       this.#requestReport(effect, "copy_checked", dispatch),
+    check_engine: ({ upstream, address }, dispatch) => {
+      void refusesConnections(address).then((ended) =>
+        dispatch({ kind: "engine_checked", upstream, ended })
+      );
+    },
     list_runs: (effect, dispatch) =>
       this.#requestReport(effect, "runs_listed", dispatch),
     copy_generation: (effect, dispatch) => {
@@ -154,6 +164,23 @@
   }
 }
 
+/** Whether an address refuses connections at once, as nothing listens there. */
+async function refusesConnections(address: string): Promise<boolean> {
+  const { ip: host, port } = parseSocketAddress(address);
+  const socket = connect({ host, port });
+  try {
+    await once(socket, "connect", {
+      signal: AbortSignal.timeout(connectTimeoutMs),
+    });
+    return false;
+  } catch (error) {
+    return error instanceof Error && "code" in error &&
+      error.code === refusedCode;
+  } finally {
+    socket.destroy();
+  }
+}
+
 interface AnswerReaderOptions {
   readonly attemptId: string;
   readonly exchangeId: string;
@@ -299,7 +326,7 @@
   #endDisconnected(reason: string): void {
     this.#end(
       this.#connected
-        ? { kind: "attempt_failed", reason }
+        ? { kind: "attempt_failed", reason, connectionLost: true }
         : { kind: "attempt_refused", reason: "unreachable" },
     );
   }
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -72,6 +72,17 @@
   });
 }
 
+const idleCopier = {
+  copy: () => Promise.resolve({ kind: "not_running" } as const),
+  report: () =>
+    Promise.resolve({
+      keptTokens: null,
+      freeTokens: 0,
+      runs: [],
+      detail: "",
+    }),
+};
+
 /** Sends one attempt and returns the events that it dispatches. */
 async function sendAttempt(
   t: Test,
@@ -80,17 +91,7 @@
 ): Promise<readonly RelayEvent[]> {
   const exchanges = new CallerExchanges(codec);
   await openExchange(t, exchanges);
-  const copier = {
-    copy: () => Promise.resolve({ kind: "not_running" } as const),
-    report: () =>
-      Promise.resolve({
-        keptTokens: null,
-        freeTokens: 0,
-        runs: [],
-        detail: "",
-      }),
-  };
-  const runner = new UpstreamRunner(codec, exchanges, copier);
+  const runner = new UpstreamRunner(codec, exchanges, idleCopier);
   const events: RelayEvent[] = [];
   return await new Promise((resolve) => {
     runner.handlers.send_request({
@@ -210,3 +211,23 @@
   const address = await startUpstream(t, (socket) => socket.destroy());
   t.match(await sendAttempt(t, address), [{ kind: "attempt_failed" }]);
 });
+
+t.test("an engine has ended if nothing listens at its address", async (t) => {
+  const exchanges = new CallerExchanges(codec);
+  const { handlers } = new UpstreamRunner(codec, exchanges, idleCopier);
+  const check = (address: string) =>
+    new Promise<RelayEvent>((resolve) =>
+      handlers.check_engine(
+        { kind: "check_engine", upstream: "e1", address },
+        resolve,
+      )
+    );
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  const result = { kind: "engine_checked", upstream: "e1" };
+  t.match(await check(address), { ...result, ended: false });
+  await new Promise((resolve) => server.close(resolve));
+  t.match(await check(address), { ...result, ended: true });
+});
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -8,12 +8,13 @@
 import { exchangeWithPeers } from "../fleet/exchange_part.ts";
 import { applyUpstreams } from "../fleet/source_part.ts";
 import { evacuate } from "../moves/move_part.ts";
+import { checkEngine } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
-import { releaseBacklogs } from "../requests/place_request.ts";
+import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
-import { dropRequest, expireRequest } from "../requests/request_part.ts";
+import { expireRequest } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
@@ -49,6 +50,9 @@
 /** Milliseconds before the stop deadline at which final answers are sent. */
 const finalAnswerMs = 200;
 
+/** Retry delay for callers whose queued request a stop ends, in milliseconds. */
+const stoppedRetryMs = 50;
+
 const timerHandlers: TimerHandlers<RelayState, RelayTimer, RelayEffect> = {
   exchange: (state, _timer, at) => [
     ...exchangeWithPeers(state, at),
@@ -76,6 +80,7 @@
   evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
   retry_resumption: (state, { exchangeId }, at) =>
     retryResumption(state, exchangeId, at),
+  check_engine: (state, { upstream }, at) => checkEngine(state, upstream, at),
   check_stop: (state, _timer, at) => checkStop(state, at),
 };
 
@@ -148,6 +153,8 @@
     reason: "process_stopped",
     neverRan: "draining",
     mayHaveRun: "upstream_lost",
+    outcome: "cancelled",
+    retryAfterMs: stoppedRetryMs,
     at,
   });
 }
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -10,6 +10,7 @@
   | { readonly kind: "request_deadline"; readonly exchangeId: string }
   | { readonly kind: "evacuate"; readonly exchangeId: string }
   | { readonly kind: "retry_resumption"; readonly exchangeId: string }
+  | { readonly kind: "check_engine"; readonly upstream: string }
   | { readonly kind: "check_stop" };
 
 /** Milliseconds between two runs of the periodic timers. */
--- /dev/null
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -0,0 +1,222 @@
+import { sendDueExchanges } from "@lavenderferry/fleet";
+import type { SuspectBlock } from "@lavenderferry/policy";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { EngineChecked } from "../relay_event.ts";
+import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
+import type { RelayedRequest } from "../requests/relayed_request.ts";
+import type { RelayState } from "../state.ts";
+import { recordDecision } from "../util/effects.ts";
+
+/**
+ * Milliseconds from an attempt's first event within which its loss counts as
+ * early. Engines that a prompt ends do so within a few steps.
+ */
+const earlyLossMs = 1_000;
+
+/**
+ * Milliseconds from an early loss until its engine is checked. An engine that
+ * ended is started again after some seconds.
+ */
+const checkDelayMs = 150;
+
+/**
+ * Connections to several engines that are lost within this time are taken for a
+ * fault of the network on this side, in milliseconds.
+ */
+const networkFaultWindowMs = 100;
+
+/** Milliseconds for which lost connections are remembered. */
+const lossMemoryMs = 2_000;
+
+/** Event handlers that find the prompts under which engines end. */
+export const quarantinePart: EventHandlers<
+  RelayState,
+  EngineChecked,
+  RelayEffect
+> = {
+  engine_checked: (state, event) => handleEngineCheck(state, event),
+};
+
+/** Whether an attempt was lost before or shortly after its first event. */
+export function isEarlyLoss(
+  { firstEventAt }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return firstEventAt === null || at.monotonic - firstEventAt <= earlyLossMs;
+}
+
+/** Whether a block of a request's prompt is not known to be answerable. */
+export function hasUnansweredBlock(
+  { suspects }: RelayState,
+  { sharedBlocks }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return sharedBlocks.some((block) => !suspects.wasAnswered(block, at));
+}
+
+/**
+ * Records an attempt whose connection was lost. If the engine had just begun
+ * it, schedules a check whether the engine has ended.
+ */
+export function recordLoss(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { upstream, sharedBlocks, resumption } = request;
+  const { connectionLostAt, earlyLosses, closeReasons } = state;
+  for (const [id, lostAt] of connectionLostAt) {
+    if (at.monotonic - lostAt > lossMemoryMs) {
+      connectionLostAt.delete(id);
+    }
+  }
+  connectionLostAt.set(upstream, at.monotonic);
+  const address = state.upstreams.get(upstream)?.address;
+  if (
+    sharedBlocks.length === 0 || resumption !== null ||
+    !isEarlyLoss(request, at) || closeReasons.has(upstream) ||
+    address === undefined
+  ) {
+    return [];
+  }
+  const known = earlyLosses.get(upstream);
+  if (known !== undefined) {
+    known.prompts.push(sharedBlocks);
+    return [];
+  }
+  const lostAt = at.monotonic;
+  earlyLosses.set(upstream, { lostAt, address, prompts: [sharedBlocks] });
+  const timer = { kind: "check_engine", upstream } as const;
+  return [{ kind: "set_timer", timer, at: lostAt + checkDelayMs }];
+}
+
+/** Checks an engine after an early loss, unless the network is at fault. */
+export function checkEngine(
+  state: RelayState,
+  upstream: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { earlyLosses, connectionLostAt } = state;
+  const loss = earlyLosses.get(upstream);
+  if (loss === undefined) {
+    return [];
+  }
+  const { address, lostAt, prompts } = loss;
+  const others = [...connectionLostAt].filter(([id, otherLostAt]) =>
+    id !== upstream && Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
+  );
+  if (others.length === 0) {
+    return [{ kind: "check_engine", upstream, address }];
+  }
+  earlyLosses.delete(upstream);
+  const figures = { prompts: prompts.length, others: others.length };
+  return [
+    recordDecision(state, {
+      kind: "member",
+      subject: upstream,
+      reason: "network_fault",
+      figures,
+    }, at),
+  ];
+}
+
+/** Merges a peer's records of suspect blocks. */
+export function mergeSuspects(
+  state: RelayState,
+  records: readonly SuspectBlock[],
+  at: Moment,
+): readonly RelayEffect[] {
+  const changed = records.flatMap((record) => state.suspects.merge(record, at));
+  return publishSuspects(state, changed, at);
+}
+
+/** Records a complete answer, which clears the blocks of its prompt. */
+export function recordAnsweredBlocks(
+  state: RelayState,
+  { sharedBlocks }: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const changed = state.suspects.recordAnswer(sharedBlocks, at);
+  return publishSuspects(state, changed, at);
+}
+
+/** Removes records that are too old, here and from what is sent to peers. */
+export function removeExpiredSuspects(state: RelayState, at: Moment): void {
+  for (const block of state.suspects.takeRemoved(at)) {
+    state.fleet.removeSuspect(block);
+  }
+}
+
+function handleEngineCheck(
+  state: RelayState,
+  { upstream, ended, at }: Timed<EngineChecked>,
+): readonly RelayEffect[] {
+  const loss = state.earlyLosses.get(upstream);
+  state.earlyLosses.delete(upstream);
+  if (loss === undefined || !ended) {
+    return [];
+  }
+  const blocks = [...new Set(loss.prompts.flat())];
+  const changed = state.suspects.recordEnd(upstream, blocks, at);
+  const figures = { prompts: loss.prompts.length, blocks: blocks.length };
+  return [
+    recordDecision(state, {
+      kind: "member",
+      subject: upstream,
+      reason: "ended_early",
+      figures,
+    }, at),
+    ...publishSuspects(state, changed, at),
+  ];
+}
+
+/** Sends changed records to peers and puts the quarantines into effect. */
+function publishSuspects(
+  state: RelayState,
+  changed: readonly SuspectBlock[],
+  at: Moment,
+): readonly RelayEffect[] {
+  if (changed.length === 0) {
+    return [];
+  }
+  const effects: RelayEffect[] = [];
+  for (const record of changed) {
+    state.fleet.setSuspect(record, at);
+    const { block, clearances, engines } = record;
+    effects.push(recordDecision(state, {
+      kind: "configure",
+      subject: block,
+      reason: "suspect_block",
+      figures: { clearances, engines: engines.length },
+    }, at));
+  }
+  for (const request of [...state.requests.values()]) {
+    effects.push(...dropQuarantined(state, request, at));
+  }
+  return [
+    ...effects,
+    ...releaseBacklogs(state, at),
+    ...sendDueExchanges(state, at),
+  ];
+}
+
+/** Drops a request under quarantine whose answer has not begun. */
+function dropQuarantined(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const quarantine = state.suspects.findQuarantine(request.sharedBlocks, at);
+  if (quarantine === undefined || request.phase === "streaming") {
+    return [];
+  }
+  return dropRequest(state, request, {
+    reason: "prompt_quarantined",
+    neverRan: "prompt_quarantined",
+    mayHaveRun: "upstream_lost",
+    outcome: "cancelled",
+    retryAfterMs: quarantine.deadline - at.monotonic,
+    at,
+  });
+}
--- /dev/null
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -0,0 +1,255 @@
+import t from "tap";
+import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { GenerationDemand } from "../requests/relayed_request.ts";
+
+const engines = ["e1", "e22", "e333", "e4444", "e55555", "e666666"];
+
+function createRelay(): RelayFixture {
+  const relay = new RelayFixture();
+  relay.learn(engines.map((id) => upstreamOf(id)));
+  return relay;
+}
+
+function demandOf(...sharedBlocks: readonly string[]): GenerationDemand {
+  return {
+    model: "m",
+    promptTokens: 500,
+    maxTokens: 40,
+    prefix: [],
+    sharedBlocks,
+  };
+}
+
+let nextExchange = 1;
+
+/** Sends a request for a generation; returns its attempt. */
+function start(relay: RelayFixture, ...blocks: readonly string[]) {
+  const exchangeId = `x${nextExchange++}`;
+  const generation = demandOf(...blocks);
+  const effects = relay.generate({ exchangeId, generation });
+  const [sent] = only(effects, "send_request");
+  const attemptId = sent?.attemptId ?? "";
+  return { effects, exchangeId, attemptId, upstream: upstreamIn(sent) };
+}
+
+type Started = ReturnType<typeof start>;
+
+function upstreamIn(sent: { target: { instance: string } } | undefined) {
+  return sent?.target.instance.replace("instance-", "") ?? "";
+}
+
+/** Loses the connection of an attempt. */
+function lose(relay: RelayFixture, { exchangeId, attemptId }: Started) {
+  return relay.reduce({
+    kind: "attempt_failed",
+    exchangeId,
+    attemptId,
+    reason: "connection_lost",
+    connectionLost: true,
+  });
+}
+
+/** Fires the timer that checks an engine; answers with whether it ended. */
+function check(
+  relay: RelayFixture,
+  upstream: string,
+  ended = true,
+): readonly RelayEffect[] {
+  const timer = { kind: "check_engine", upstream } as const;
+  const effects = relay.reduce({ kind: "timer_fired", timer }, 150);
+  return only(effects, "check_engine").length === 0
+    ? effects
+    : relay.reduce({ kind: "engine_checked", upstream, ended });
+}
+
+/** Lets engines end, one after the other, under prompts with the blocks. */
+function endEngines(
+  relay: RelayFixture,
+  count: number,
+  ...blocks: readonly string[]
+): readonly RelayEffect[] {
+  const effects: RelayEffect[] = [];
+  for (let index = 0; index < count; index++) {
+    const started = start(relay, `own-${index}`, ...blocks);
+    lose(relay, started);
+    effects.push(...check(relay, started.upstream));
+    const remaining = engines.filter((id) =>
+      !relay.state.closeReasons.has(id) && id !== started.upstream
+    );
+    relay.reduce({
+      kind: "upstreams_learned",
+      vms: remaining.map((id) => upstreamOf(id)),
+      unreadable: [],
+    });
+    relay.wait(500);
+    relay.reduce({
+      kind: "upstreams_learned",
+      vms: engines.map((id) => upstreamOf(`${id}-${nextExchange}`)),
+      unreadable: [],
+    });
+  }
+  return effects;
+}
+
+function failures(effects: readonly RelayEffect[]) {
+  return only(effects, "send_failure").map(({ error, notRun }) => ({
+    error,
+    notRun,
+  }));
+}
+
+/** Completes a generation. */
+function finish(relay: RelayFixture, { exchangeId, attemptId }: Started) {
+  const attempt = { exchangeId, attemptId, head: { status: 200, headers: [] } };
+  const bytes = Buffer.from("");
+  const events = { bytes, count: 4, lastEventId: "4" };
+  relay.reduce({ kind: "events_received", ...attempt, ...events });
+  return relay.reduce({ kind: "stream_ended", ...attempt, framed: true });
+}
+
+t.test("prompts with a block that ends engines are refused", (t) => {
+  const relay = createRelay();
+  endEngines(relay, 2, "bad");
+  t.equal(only(start(relay, "bad").effects, "send_request").length, 1);
+  endEngines(relay, 1, "bad");
+  const { effects } = start(relay, "other", "bad");
+  t.strictSame(failures(effects), [
+    { error: "prompt_quarantined", notRun: true },
+  ]);
+  t.equal(only(effects, "send_request").length, 0);
+  t.equal(only(start(relay, "other").effects, "send_request").length, 1);
+  t.end();
+});
+
+t.test("a quarantine ends requests that no engine has begun", (t) => {
+  const relay = createRelay();
+  endEngines(relay, 2, "bad");
+  const sent = start(relay, "bad");
+  const begun = start(relay, "bad");
+  const event = {
+    kind: "events_received",
+    exchangeId: begun.exchangeId,
+    attemptId: begun.attemptId,
+    head: { status: 200, headers: [] },
+    bytes: Buffer.from(""),
+    count: 1,
+    lastEventId: "1",
+  } as const;
+  relay.reduce(event);
+  const effects = endEngines(relay, 1, "bad");
+  t.match(only(effects, "drop_attempt"), [{ attemptId: sent.attemptId }]);
+  t.strictSame(failures(effects), [
+    { error: "upstream_lost", notRun: "unknown" },
+  ]);
+  t.ok(relay.state.requests.has(begun.exchangeId));
+  t.end();
+});
+
+t.test("connections that are lost together do not quarantine prompts", (t) => {
+  const relay = createRelay();
+  for (let round = 0; round < 4; round++) {
+    const started = Array.from({ length: 6 }, () => start(relay, "block"));
+    const upstreams = new Set(started.map(({ upstream }) => upstream));
+    t.ok(upstreams.size >= 2);
+    for (const attempt of started) {
+      lose(relay, attempt);
+    }
+    for (const upstream of upstreams) {
+      check(relay, upstream);
+    }
+    relay.wait(3_000);
+  }
+  t.strictSame(relay.state.suspects.quarantines, []);
+  t.equal(only(start(relay, "block").effects, "send_request").length, 1);
+  t.end();
+});
+
+t.test("engines that still accept connections have not ended", (t) => {
+  const relay = createRelay();
+  for (let index = 0; index < 4; index++) {
+    const started = start(relay, "block");
+    lose(relay, started);
+    check(relay, started.upstream, false);
+    relay.wait(3_000);
+  }
+  t.equal(only(start(relay, "block").effects, "send_request").length, 1);
+  t.end();
+});
+
+t.test("engines that end after their notice are not held against prompts", (t) => {
+  const relay = createRelay();
+  const started = start(relay, "block");
+  const vms = engines.map((id) =>
+    upstreamOf(id, id === started.upstream ? { state: "leaving" } : {})
+  );
+  relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] });
+  const effects = lose(relay, started);
+  const timers = only(effects, "set_timer").map(({ timer }) => timer.kind);
+  t.notOk(timers.includes("check_engine"));
+  t.end();
+});
+
+t.test("a complete answer ends the suspicion against its blocks", (t) => {
+  const relay = createRelay();
+  endEngines(relay, 2, "shared");
+  finish(relay, start(relay, "shared"));
+  endEngines(relay, 2, "shared");
+  t.equal(only(start(relay, "shared").effects, "send_request").length, 1);
+  t.end();
+});
+
+t.test("a prompt under which an engine ended is not resumed elsewhere", (t) => {
+  const relay = createRelay();
+  const generation = { ...demandOf("bad"), maxTokens: 1_000 };
+  const effects = relay.generate({ exchangeId: "long", generation });
+  const [sent] = only(effects, "send_request");
+  t.not(sent?.copyTo, null, "another engine keeps a copy");
+  const lost = relay.reduce({
+    kind: "attempt_failed",
+    exchangeId: "long",
+    attemptId: sent?.attemptId ?? "",
+    reason: "connection_lost",
+    connectionLost: true,
+  });
+  t.equal(only(lost, "send_request").length, 0);
+  t.match(failures(lost), [{ error: "upstream_lost" }]);
+  t.end();
+});
+
+t.test("processes learn from their peers which prompts end engines", (t) => {
+  const relay = createRelay();
+  const effects = relay.receiveExchange({
+    suspects: [{ block: "bad", clearances: 0, engines: ["a", "b", "c"] }],
+  });
+  t.match(
+    only(effects, "log_decision").map(({ decision }) => decision),
+    [{ reason: "suspect_block", subject: "bad" }],
+  );
+  t.strictSame(failures(start(relay, "bad").effects), [
+    { error: "prompt_quarantined", notRun: true },
+  ]);
+  const [answered] = only(
+    relay.receiveExchange({ sequence: 2 }),
+    "answer_exchange",
+  );
+  t.match(answered?.message.suspects ?? [], [{ block: "bad" }]);
+  t.end();
+});
+
+t.test("a process corrects a peer that has not seen a block answered", (t) => {
+  const relay = createRelay();
+  finish(relay, start(relay, "shared"));
+  relay.receiveExchange({
+    suspects: [{ block: "shared", clearances: 0, engines: ["a", "b", "c"] }],
+  });
+  t.equal(only(start(relay, "shared").effects, "send_request").length, 1);
+  const [answered] = only(
+    relay.receiveExchange({ sequence: 2 }),
+    "answer_exchange",
+  );
+  t.match(answered?.message.suspects, [
+    { block: "shared", clearances: 1, engines: [] },
+  ]);
+  t.end();
+});
--- a/packages/relay/src/reduce.ts
+++ b/packages/relay/src/reduce.ts
@@ -1,5 +1,6 @@
 import { createReducer } from "@lavenderferry/runtime";
 import { exchangePart } from "./fleet/exchange_part.ts";
+import { quarantinePart } from "./quarantine/quarantine_part.ts";
 import { sourcePart } from "./fleet/source_part.ts";
 import { lifecyclePart } from "./process/lifecycle_part.ts";
 import type { RelayEffect } from "./relay_effect.ts";
@@ -11,6 +12,7 @@
 export const reduceRelay = createReducer<RelayState, RelayEvent, RelayEffect>({
   ...requestPart,
   ...sourcePart,
+  ...quarantinePart,
   ...exchangePart,
   ...lifecyclePart,
 });
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -45,6 +45,12 @@
     readonly exchangeId: string;
     readonly address: string;
   }
+  | {
+    /** Checks whether an engine still accepts connections. */
+    readonly kind: "check_engine";
+    readonly upstream: string;
+    readonly address: string;
+  }
   | {
     /** Fetches the list of generations that a generation's engine runs. */
     readonly kind: "list_runs";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -102,6 +102,8 @@
     readonly attemptId: string;
     readonly exchangeId: string;
     readonly reason: string;
+    /** Whether the connection was lost, other than after an invalid answer. */
+    readonly connectionLost?: boolean;
   }
   | {
     readonly kind: "answer_received";
@@ -150,6 +152,14 @@
     readonly head: AnswerHead;
   };
 
+/** An engine was checked after attempts at it were lost. */
+export interface EngineChecked {
+  readonly kind: "engine_checked";
+  readonly upstream: string;
+  /** Whether the engine refused a connection, as no process listens. */
+  readonly ended: boolean;
+}
+
 /** Error of a failed operation of the store. */
 interface SourceFailure {
   readonly error: ErrorKind;
@@ -194,6 +204,7 @@
 /** Any event that the relay's reducer handles. */
 export type RelayEvent =
   | RequestEvent
+  | EngineChecked
   | SourceEvent
   | ProcessEvent
   | ExchangeEvent;
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -1,6 +1,12 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
+import {
+  hasUnansweredBlock,
+  isEarlyLoss,
+  recordAnsweredBlocks,
+  recordLoss,
+} from "../quarantine/quarantine_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { movePart, resumeFromCopy } from "../moves/move_part.ts";
@@ -189,6 +195,7 @@
     }, at),
     ...effects,
     { kind: "finish_events", exchangeId, head },
+    ...events > 0 ? recordAnsweredBlocks(state, request, at) : [],
     ...releaseBacklogs(state, at),
   ];
 }
@@ -298,9 +305,17 @@
     request.move = { ...request.move, streamEnded: true };
     return [];
   }
-  const resumptionEffects = resumeFromCopy(state, request, { reason, at });
+  const lossEffects = event.connectionLost === true
+    ? recordLoss(state, request, at)
+    : [];
+  // A prompt that ends engines would end the one that keeps the copy as well.
+  const isSuspect = isEarlyLoss(request, at) &&
+    hasUnansweredBlock(state, request, at);
+  const resumptionEffects = isSuspect
+    ? null
+    : resumeFromCopy(state, request, { reason, at });
   if (resumptionEffects !== null) {
-    return resumptionEffects;
+    return [...lossEffects, ...resumptionEffects];
   }
   const canRetry = canRunAgain(state, request, at);
   const { upstream, requestId, events } = request;
@@ -322,6 +337,7 @@
         reason,
         figures,
       }, at),
+      ...lossEffects,
       ...endEffects,
       ...failRequest(request, { error: "upstream_lost", notRun: "unknown" }),
       ...releaseBacklogs(state, at),
@@ -342,6 +358,7 @@
       figures,
     }, at),
     count("retries", reason),
+    ...lossEffects,
     ...endEffects,
     ...placeRequest(state, request, at),
   ];
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -127,6 +127,45 @@
     : sendFailure(exchangeId, failure);
 }
 
+/**
+ * Ends a request with a final answer, or closes an answer that has already
+ * begun. A request that has not run may be retried.
+ */
+export function dropRequest(
+  state: RelayState,
+  request: RelayedRequest,
+  { reason, neverRan, mayHaveRun, outcome, retryAfterMs, at }: {
+    readonly reason: string;
+    /** Error of a request that was never sent to an upstream. */
+    readonly neverRan: ErrorKind;
+    readonly mayHaveRun: ErrorKind;
+    /** How the current attempt ended for its upstream. */
+    readonly outcome: "cancelled" | "failed";
+    /** Retry delay for the caller of a request that has not run. */
+    readonly retryAfterMs: number;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { requestId, phase, runs, events, upstream, demand } = request;
+  const notRun = phase === "waiting" && runs === 0;
+  const ageMs = Math.round(at.monotonic - demand.arrivedAt);
+  return [
+    recordDecision(state, {
+      kind: "drop",
+      subject: requestId,
+      reason,
+      figures: { phase, runs, upstream, events, ageMs },
+    }, at),
+    ...endRequest(state, request, { outcome, at }),
+    ...failRequest(
+      request,
+      notRun
+        ? { error: neverRan, notRun: true, retryAfterMs }
+        : { error: mayHaveRun, notRun: "unknown" },
+    ),
+  ];
+}
+
 /**
  * Refuses a request and states when to retry. A refusal promises that the
  * request has not run, so one that may have run fails with `upstream_lost`.
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -1,4 +1,3 @@
-import type { ErrorKind } from "@lavenderferry/errors";
 import type { Demand } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
@@ -7,8 +6,8 @@
 import type { RelayState } from "../state.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import {
+  dropRequest,
   endRequest,
-  failRequest,
   placeRequest,
   releaseBacklogs,
 } from "./place_request.ts";
@@ -80,45 +79,13 @@
     reason: "deadline_passed",
     neverRan: "no_upstream",
     mayHaveRun: "upstream_timeout",
+    outcome: "failed",
+    retryAfterMs: notReadyRetryMs,
     at,
   });
   return [...effects, ...releaseBacklogs(state, at)];
 }
 
-/**
- * Ends a request with a final answer, or closes an answer that has already
- * begun. A request that has not run may be retried.
- */
-export function dropRequest(
-  state: RelayState,
-  request: RelayedRequest,
-  { reason, neverRan, mayHaveRun, at }: {
-    readonly reason: string;
-    /** Error of a request that was never sent to an upstream. */
-    readonly neverRan: ErrorKind;
-    readonly mayHaveRun: ErrorKind;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { phase, runs, events, upstream, demand } = request;
-  const notRun = phase === "waiting" && runs === 0;
-  const ageMs = Math.round(at.monotonic - demand.arrivedAt);
-  return [
-    recordDecision(state, {
-      kind: "drop",
-      subject: request.requestId,
-      reason,
-      figures: { phase, runs, upstream, events, ageMs },
-    }, at),
-    ...endRequest(state, request, { outcome: "failed", at }),
-    ...failRequest(request, {
-      error: notRun ? neverRan : mayHaveRun,
-      notRun: notRun ? true : "unknown",
-      ...(notRun ? { retryAfterMs: notReadyRetryMs } : {}),
-    }),
-  ];
-}
-
 function receiveRequest(
   state: RelayState,
   event: Timed<RequestReceived>,
@@ -161,6 +128,25 @@
     route,
     workspace: workspace ?? null,
   });
+  const quarantine = state.suspects.findQuarantine(request.sharedBlocks, at);
+  if (quarantine !== undefined) {
+    const retryAfterMs = quarantine.deadline - at.monotonic;
+    const blocks = quarantine.blocks.join(",").slice(0, maxLoggedBlockChars);
+    const figures = { blocks, retryAfterMs: Math.round(retryAfterMs) };
+    return [
+      recordDecision(state, {
+        kind: "refuse",
+        subject: requestId,
+        reason: "prompt_quarantined",
+        figures,
+      }, at),
+      ...sendFailure(exchangeId, {
+        error: "prompt_quarantined",
+        notRun: true,
+        retryAfterMs,
+      }),
+    ];
+  }
   if (state.stopping && !endsBeforeStop(state, request)) {
     return [
       recordDecision(state, {
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -5,10 +5,12 @@
   AdaptiveDispatcher,
   RetryBudget,
   SlotDispatcher,
+  SuspectBlocks,
 } from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
+import type { EarlyLoss } from "./quarantine/early_loss.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { RouteTable } from "./routing/route_table.ts";
 import type { Routing, Service } from "./routing/routing.ts";
@@ -71,6 +73,12 @@
   /** Durations of complete answers, by the name of their route. */
   readonly answerTimes: Map<string, AnswerTimes>;
   readonly copyRate: CopyRate;
+  /** Blocks of prompts under which engines ended. */
+  readonly suspects: SuspectBlocks;
+  /** Losses of attempts that had just begun, by upstream id. */
+  readonly earlyLosses: Map<string, EarlyLoss>;
+  /** Monotonic milliseconds of the last lost connection, by upstream id. */
+  readonly connectionLostAt: Map<string, number>;
   /** Latest decisions, for `explain` requests. */
   readonly decisions: Decisions;
   /** Number of the next id from `nextId()`. */
@@ -133,6 +141,9 @@
     requests: new Map(),
     answerTimes: new Map(),
     copyRate: new CopyRate(),
+    suspects: new SuspectBlocks(),
+    earlyLosses: new Map(),
+    connectionLostAt: new Map(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
     stopping: false,
--- a/tap-snapshots/packages/errors/build/problem_test.js.test.cjs
+++ b/tap-snapshots/packages/errors/build/problem_test.js.test.cjs
@@ -135,6 +135,14 @@
     "title": "The class is over capacity",
     "type": "urn:lavenderferry:error:overloaded",
   },
+  Object {
+    "detail": "Detail",
+    "kind": "prompt_quarantined",
+    "notRun": true,
+    "status": 503,
+    "title": "The prompt ended several engines",
+    "type": "urn:lavenderferry:error:prompt_quarantined",
+  },
   Object {
     "detail": "Detail",
     "kind": "workspace_limit",
