fix(relay): a quarantine outlives all processes, and silent engines count

Cause: quarantines were known to running processes only, so that a restart of all of them would cost three more engines, and an engine whose VM fell silent with it never counted as ended. Change: the blocks under quarantine are one row of the store, read at the start and written by the process that saw the last engine end, or by the first live member for what peers reported. An engine that neither accepts nor refuses a connection counts as ended once the store removes it. Connections lost within 30 ms (before: 100) count as one fault of the network, as engines that end shortly after one another are then told apart.

--- a/packages/policy/src/suspect_blocks.ts
+++ b/packages/policy/src/suspect_blocks.ts
@@ -67,6 +67,15 @@
     return this.#quarantines;
   }
 
+  /** Records of all blocks under quarantine. */
+  get quarantined(): readonly SuspectBlock[] {
+    return this.#quarantines.flatMap(({ blocks }) => blocks)
+      .flatMap((block) => {
+        const suspect = this.#suspects.get(block);
+        return suspect === undefined ? [] : [toRecord(suspect)];
+      });
+  }
+
   /** Whether an answer to a prompt with the block was completed recently. */
   wasAnswered(block: string, at: Moment): boolean {
     return (this.#answered.get(block) ?? 0) > at.monotonic;
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -30,7 +30,7 @@
   state: RelayState,
   at: Moment,
 ): readonly RelayEffect[] {
-  removeExpiredSuspects(state, at);
+  const expiryEffects = removeExpiredSuspects(state, at);
   const pools = [...state.pools.values()];
   const shares = pools.flatMap(({ dispatcher }) =>
     dispatcher.shares()
@@ -40,7 +40,11 @@
   for (const { dispatcher } of pools) {
     state.fleet.setLengths(dispatcher.takeChangedLengths(), at);
   }
-  return [...applyUpdates(state, at), ...sendDueExchanges(state, at)];
+  return [
+    ...expiryEffects,
+    ...applyUpdates(state, at),
+    ...sendDueExchanges(state, at),
+  ];
 }
 
 /**
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -4,6 +4,10 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { SourceEvent } from "../relay_event.ts";
 import { beginEvacuation } from "../moves/move_part.ts";
+import {
+  mergeSuspects,
+  recordEarlyEnd,
+} from "../quarantine/quarantine_part.ts";
 import { releaseBacklogs, releaseCopy } from "../requests/place_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
 import type { Routing } from "../routing/routing.ts";
@@ -30,8 +34,13 @@
   // Members are also learned from peers, so this is less urgent.
   list_members: 800,
   state_member: 800,
+  read_suspects: 800,
+  state_suspects: 800,
 } as const;
 
+/** Mean milliseconds until a write is repeated after a conflict. */
+const conflictDelayMs = 100;
+
 /** Relative jitter of periods and retry delays. */
 const jitterShare = 0.3;
 
@@ -92,6 +101,17 @@
   },
   members_failed: (state, event) =>
     retryOperation(state, "list_members", event),
+  suspects_learned: (state, { records, at }) =>
+    mergeSuspects(state, records, at),
+  suspects_failed: (state, event) =>
+    retryOperation(state, "read_suspects", event),
+  suspects_written: () => [],
+  suspects_conflicted: (state, { records, at }) => [
+    ...mergeSuspects(state, records, at),
+    schedule("state_suspects", state.random.jitter(conflictDelayMs, 1), at),
+  ],
+  suspects_unwritten: (state, event) =>
+    retryOperation(state, "state_suspects", event),
   member_written: () => [],
   member_failed: (state, event) => retryOperation(state, "state_member", event),
 };
@@ -172,7 +192,10 @@
     effects.push({ kind: "set_timer", timer, at: state.keepMissingUntil });
   } else {
     for (const { id } of missing) {
-      effects.push(...drainUpstream(state, id, { reason: missingReason, at }));
+      effects.push(
+        ...drainUpstream(state, id, { reason: missingReason, at }),
+        ...recordEarlyEnd(state, id, at),
+      );
       // Peers that retain missing upstreams after an outage remove this one.
       state.fleet.mark(id, { reason: missingReason, at });
     }
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -1,7 +1,9 @@
 import { toFailure } from "@lavenderferry/errors";
-import type { Vm } from "@lavenderferry/platform";
+import type { Row, Vm } from "@lavenderferry/platform";
 import { RowFollower, vmSchema } from "@lavenderferry/platform";
+import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import { z } from "zod";
 import type { RelayPorts } from "../ports.ts";
 import type { SourceEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
@@ -10,6 +12,18 @@
 /** Prefix of the keys of the fleet's own members. */
 const membersPrefix = "members/";
 
+/** Key of the row with the blocks of prompts under quarantine. */
+const suspectsKey = "quarantine/blocks";
+
+/** Limit on the records in that row, whose size is limited as well. */
+const maxStoredSuspects = 64;
+
+const suspectsSchema = z.array(z.object({
+  block: z.string(),
+  clearances: z.int().min(0),
+  engines: z.array(z.string()),
+}));
+
 /**
  * Milliseconds for which the store may hold a long poll for a newer routing. A
  * dead connection is detected after this time plus the client's time-out.
@@ -32,6 +46,7 @@
   readonly #routings = new RowFollower();
   readonly #upstreams = new RowFollower();
   #memberVersion: number | null = null;
+  #suspectsVersion: number | null = null;
 
   constructor(ports: RelayPorts, settings: RelaySettings) {
     this.#ports = ports;
@@ -62,6 +77,20 @@
     },
     state_member: ({ leaving }, dispatch) =>
       this.#writeMember(leaving, dispatch),
+    read_suspects: (_effect, dispatch) => {
+      this.#readSuspects().then(
+        (records) => dispatch({ kind: "suspects_learned", records }),
+        (error: unknown) =>
+          dispatch({ kind: "suspects_failed", ...toFailureFields(error) }),
+      );
+    },
+    state_suspects: ({ records }, dispatch) => {
+      this.#writeSuspects(records).then(
+        dispatch,
+        (error: unknown) =>
+          dispatch({ kind: "suspects_unwritten", ...toFailureFields(error) }),
+      );
+    },
   };
 
   async #followRouting(): Promise<RelayEvent> {
@@ -117,6 +146,36 @@
     return { kind: "members_learned", vms, unreadable };
   }
 
+  async #readSuspects(): Promise<readonly SuspectBlock[]> {
+    const [row] = await this.#ports.store.read([suspectsKey], "leases");
+    return this.#learnSuspectsRow(row ?? null);
+  }
+
+  async #writeSuspects(
+    records: readonly SuspectBlock[],
+  ): Promise<RelayEvent> {
+    const value = records.slice(0, maxStoredSuspects)
+      .map(({ block, clearances, engines }) => ({
+        block,
+        clearances,
+        engines,
+      }));
+    const ifVersion = this.#suspectsVersion;
+    const write = { key: suspectsKey, ifVersion, value };
+    const result = await this.#ports.store.commit([write], "leases");
+    if (result.kind === "committed") {
+      this.#suspectsVersion = result.versions[0] ?? null;
+      return { kind: "suspects_written" };
+    }
+    const stored = this.#learnSuspectsRow(result.rows[0] ?? null);
+    return { kind: "suspects_conflicted", records: stored };
+  }
+
+  #learnSuspectsRow(row: Row | null): readonly SuspectBlock[] {
+    this.#suspectsVersion = row?.version ?? null;
+    return suspectsSchema.safeParse(row?.value).data ?? [];
+  }
+
   get #memberKey(): string {
     return `${membersPrefix}${this.#settings.vm}`;
   }
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -1,12 +1,23 @@
 import { KnownError } from "@lavenderferry/errors";
-import type { Changes, CommitResult, Write } from "@lavenderferry/platform";
+import type {
+  Changes,
+  CommitResult,
+  Row,
+  Write,
+} from "@lavenderferry/platform";
 import t from "tap";
 import { upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayPorts } from "../ports.ts";
+import type { SourceEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import { RelayFixture } from "../fixtures/relay_fixture.ts";
 import { SourceRunner } from "./source_runner.ts";
 
+type SuspectsEffect = Extract<
+  SourceEffect,
+  { kind: "read_suspects" | "state_suspects" }
+>;
+
 interface ChangesQuery {
   readonly prefix: string;
   readonly after: number | null;
@@ -17,6 +28,7 @@
 function createRunner(answers: {
   readonly changes?: readonly (Changes | Error)[];
   readonly commits?: readonly CommitResult[];
+  readonly reads?: readonly (Row | null)[];
 }) {
   const queries: ChangesQuery[] = [];
   const writes: Write[] = [];
@@ -30,7 +42,7 @@
         ? Promise.reject(next ?? new Error("No answer is left"))
         : Promise.resolve(next);
     },
-    read: () => Promise.resolve([]),
+    read: () => Promise.resolve(answers.reads ?? []),
     scan: () => Promise.resolve([]),
     commit: (batch: readonly Write[]) => {
       writes.push(...batch);
@@ -58,7 +70,15 @@
     new Promise<RelayEvent>((resolve) =>
       handlers.state_member({ kind: "state_member", leaving }, resolve)
     );
-  return { queries, writes, follow, writeMember };
+  const run = (effect: SuspectsEffect) =>
+    new Promise<RelayEvent>((resolve) => {
+      if (effect.kind === "read_suspects") {
+        handlers.read_suspects(effect, resolve);
+      } else {
+        handlers.state_suspects(effect, resolve);
+      }
+    });
+  return { queries, writes, follow, writeMember, run };
 }
 
 const fullRead = {
@@ -123,3 +143,38 @@
     { key, ifVersion: 12, value: { state: "leaving" } },
   ]);
 });
+
+t.test("the quarantine row is read, and written over its latest version", async (t) => {
+  const key = "quarantine/blocks";
+  const records = [{ block: "bad", clearances: 0, engines: ["a"] }];
+  const { writes, run } = createRunner({
+    reads: [{ key, version: 4, value: records }],
+    commits: [
+      { kind: "conflict", rows: [{ key, version: 9, value: [] }] },
+      { kind: "committed", versions: [12] },
+    ],
+  });
+  t.strictSame(await run({ kind: "read_suspects" }), {
+    kind: "suspects_learned",
+    records,
+  });
+  const write = { kind: "state_suspects", records } as const;
+  t.match(await run(write), { kind: "suspects_conflicted", records: [] });
+  t.match(await run(write), { kind: "suspects_written" });
+  t.strictSame(writes, [
+    { key, ifVersion: 4, value: records },
+    { key, ifVersion: 9, value: records },
+  ]);
+});
+
+t.test("a missing or unreadable quarantine row holds no records", async (t) => {
+  const key = "quarantine/blocks";
+  for (const value of [undefined, "text", [{ block: 1 }]]) {
+    const reads = value === undefined ? [null] : [{ key, version: 4, value }];
+    const { run } = createRunner({ reads });
+    t.match(await run({ kind: "read_suspects" }), {
+      kind: "suspects_learned",
+      records: [],
+    });
+  }
+});
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -5,7 +5,7 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
-import type { AnswerHead, RelayEvent } from "../relay_event.ts";
+import type { AnswerHead, EngineChecked, RelayEvent } from "../relay_event.ts";
 import { parseSocketAddress } from "../util/parse_socket_address.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
@@ -84,8 +84,8 @@
     check_copy: (effect, dispatch) =>
       this.#requestReport(effect, "copy_checked", dispatch),
     check_engine: ({ upstream, address }, dispatch) => {
-      void refusesConnections(address).then((ended) =>
-        dispatch({ kind: "engine_checked", upstream, ended })
+      void tryToConnect(address).then((outcome) =>
+        dispatch({ kind: "engine_checked", upstream, outcome })
       );
     },
     list_runs: (effect, dispatch) =>
@@ -164,18 +164,20 @@
   }
 }
 
-/** Whether an address refuses connections at once, as nothing listens there. */
-async function refusesConnections(address: string): Promise<boolean> {
+async function tryToConnect(
+  address: string,
+): Promise<EngineChecked["outcome"]> {
   const { ip: host, port } = parseSocketAddress(address);
   const socket = connect({ host, port });
   try {
     await once(socket, "connect", {
       signal: AbortSignal.timeout(connectTimeoutMs),
     });
-    return false;
+    return "listening";
   } catch (error) {
-    return error instanceof Error && "code" in error &&
+    const isRefused = error instanceof Error && "code" in error &&
       error.code === refusedCode;
+    return isRefused ? "ended" : "silent";
   } finally {
     socket.destroy();
   }
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -227,7 +227,7 @@
   const { port } = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
   const result = { kind: "engine_checked", upstream: "e1" };
-  t.match(await check(address), { ...result, ended: false });
+  t.match(await check(address), { ...result, outcome: "listening" });
   await new Promise((resolve) => server.close(resolve));
-  t.match(await check(address), { ...result, ended: true });
+  t.match(await check(address), { ...result, outcome: "ended" });
 });
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -30,6 +30,7 @@
     { kind: "follow_routing" },
     { kind: "follow_upstreams" },
     { kind: "list_members" },
+    { kind: "read_suspects" },
     { kind: "state_member", leaving: false },
     schedulePeriodic("exchange", at),
     schedulePeriodic("release_backlogs", at),
@@ -68,6 +69,10 @@
   state_member: (state) => [
     { kind: "state_member", leaving: state.stopping },
   ],
+  read_suspects: () => [{ kind: "read_suspects" }],
+  state_suspects: (state) => [
+    { kind: "state_suspects", records: state.suspects.quarantined },
+  ],
   confirm_removals: (state, _timer, at) => {
     const { unconfirmedUpstreams } = state;
     return unconfirmedUpstreams === null ||
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -6,6 +6,8 @@
   | { readonly kind: "follow_routing" }
   | { readonly kind: "list_members" }
   | { readonly kind: "state_member" }
+  | { readonly kind: "read_suspects" }
+  | { readonly kind: "state_suspects" }
   | { readonly kind: "confirm_removals" }
   | { readonly kind: "request_deadline"; readonly exchangeId: string }
   | { readonly kind: "evacuate"; readonly exchangeId: string }
--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -24,11 +24,20 @@
  * Connections to several engines that are lost within this time are taken for a
  * fault of the network on this side, in milliseconds.
  */
-const networkFaultWindowMs = 100;
+const networkFaultWindowMs = 30;
 
 /** Milliseconds for which lost connections are remembered. */
 const lossMemoryMs = 2_000;
 
+/**
+ * Milliseconds for which an early loss at a silent engine is kept. The store
+ * removes the row of an engine that ended after some seconds.
+ */
+const earlyLossMemoryMs = 10_000;
+
+/** Mean milliseconds until a changed quarantine is written to the store. */
+const writeDelayMs = 200;
+
 /** Event handlers that find the prompts under which engines end. */
 export const quarantinePart: EventHandlers<
   RelayState,
@@ -66,6 +75,11 @@
 ): readonly RelayEffect[] {
   const { upstream, sharedBlocks, resumption } = request;
   const { connectionLostAt, earlyLosses, closeReasons } = state;
+  for (const [id, { lostAt }] of earlyLosses) {
+    if (at.monotonic - lostAt > earlyLossMemoryMs) {
+      earlyLosses.delete(id);
+    }
+  }
   for (const [id, lostAt] of connectionLostAt) {
     if (at.monotonic - lostAt > lossMemoryMs) {
       connectionLostAt.delete(id);
@@ -142,19 +156,44 @@
 }
 
 /** Removes records that are too old, here and from what is sent to peers. */
-export function removeExpiredSuspects(state: RelayState, at: Moment): void {
-  for (const block of state.suspects.takeRemoved(at)) {
+export function removeExpiredSuspects(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const removed = state.suspects.takeRemoved(at);
+  for (const block of removed) {
     state.fleet.removeSuspect(block);
   }
+  return removed.length > 0 && isFirstLiveMember(state)
+    ? stateSuspects(state, at)
+    : [];
 }
 
 function handleEngineCheck(
   state: RelayState,
-  { upstream, ended, at }: Timed<EngineChecked>,
+  { upstream, outcome, at }: Timed<EngineChecked>,
+): readonly RelayEffect[] {
+  switch (outcome) {
+    case "ended":
+      return recordEarlyEnd(state, upstream, at);
+    case "listening":
+      state.earlyLosses.delete(upstream);
+      return [];
+    case "silent":
+      // The list of upstreams shows later whether it has ended.
+      return [];
+  }
+}
+
+/** Holds an engine that ended against the prompts that it had just begun. */
+export function recordEarlyEnd(
+  state: RelayState,
+  upstream: string,
+  at: Moment,
 ): readonly RelayEffect[] {
   const loss = state.earlyLosses.get(upstream);
   state.earlyLosses.delete(upstream);
-  if (loss === undefined || !ended) {
+  if (loss === undefined) {
     return [];
   }
   const blocks = [...new Set(loss.prompts.flat())];
@@ -168,6 +207,7 @@
       figures,
     }, at),
     ...publishSuspects(state, changed, at),
+    ...isFirstLiveMember(state) ? [] : stateSuspects(state, at),
   ];
 }
 
@@ -196,11 +236,37 @@
   }
   return [
     ...effects,
+    ...isFirstLiveMember(state) ? stateSuspects(state, at) : [],
     ...releaseBacklogs(state, at),
     ...sendDueExchanges(state, at),
   ];
 }
 
+/**
+ * Schedules a write of the quarantines if they have changed, so that they
+ * outlive a restart of all processes.
+ */
+function stateSuspects(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const blocks = state.suspects.quarantined.map(({ block }) => block)
+    .sort().join(",");
+  if (blocks === state.statedQuarantine) {
+    return [];
+  }
+  state.statedQuarantine = blocks;
+  const dueAt = at.monotonic + state.random.jitter(writeDelayMs, 1);
+  return [{ kind: "set_timer", timer: { kind: "state_suspects" }, at: dueAt }];
+}
+
+/** Whether this process writes what all processes know. */
+function isFirstLiveMember({ fleet, settings }: RelayState): boolean {
+  return fleet.membership.all().every(({ id, state }) =>
+    state !== "live" || id >= settings.vm
+  );
+}
+
 /** Drops a request under quarantine whose answer has not begun. */
 function dropQuarantined(
   state: RelayState,
--- a/packages/relay/src/quarantine/quarantine_part_test.ts
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEffect } from "../relay_effect.ts";
+import type { EngineChecked } from "../relay_event.ts";
 import type { GenerationDemand } from "../requests/relayed_request.ts";
 
 const engines = ["e1", "e22", "e333", "e4444", "e55555", "e666666"];
@@ -54,13 +55,13 @@
 function check(
   relay: RelayFixture,
   upstream: string,
-  ended = true,
+  outcome: EngineChecked["outcome"] = "ended",
 ): readonly RelayEffect[] {
   const timer = { kind: "check_engine", upstream } as const;
   const effects = relay.reduce({ kind: "timer_fired", timer }, 150);
   return only(effects, "check_engine").length === 0
     ? effects
-    : relay.reduce({ kind: "engine_checked", upstream, ended });
+    : relay.reduce({ kind: "engine_checked", upstream, outcome });
 }
 
 /** Lets engines end, one after the other, under prompts with the blocks. */
@@ -170,7 +171,7 @@
   for (let index = 0; index < 4; index++) {
     const started = start(relay, "block");
     lose(relay, started);
-    check(relay, started.upstream, false);
+    check(relay, started.upstream, "listening");
     relay.wait(3_000);
   }
   t.equal(only(start(relay, "block").effects, "send_request").length, 1);
@@ -253,3 +254,63 @@
   ]);
   t.end();
 });
+
+t.test("silent engines count as ended once the store removes them", (t) => {
+  const relay = createRelay();
+  for (let index = 0; index < 3; index++) {
+    const started = start(relay, "bad");
+    lose(relay, started);
+    check(relay, started.upstream, "silent");
+    t.equal(relay.state.suspects.quarantines.length, 0);
+    const vms = engines.filter((id) => id !== started.upstream)
+      .map((id) => upstreamOf(id));
+    relay.reduce({ kind: "upstreams_learned", vms, unreadable: [] }, 3_000);
+    relay.learn(engines.map((id) => upstreamOf(id)));
+  }
+  t.strictSame(failures(start(relay, "bad").effects), [
+    { error: "prompt_quarantined", notRun: true },
+  ]);
+  t.end();
+});
+
+t.test("a quarantine is written to the store", (t) => {
+  const relay = createRelay();
+  const timer = { kind: "state_suspects" } as const;
+  const [scheduled] = only(endEngines(relay, 3, "bad"), "set_timer")
+    .filter(({ timer: { kind } }) => kind === timer.kind);
+  t.match(scheduled, { timer });
+  const [write] = only(
+    relay.reduce({ kind: "timer_fired", timer }),
+    "state_suspects",
+  );
+  t.match(write?.records, [{ block: "bad", clearances: 0 }]);
+  t.end();
+});
+
+t.test("a quarantine outlives a restart of all processes", (t) => {
+  const relay = createRelay();
+  t.equal(only(relay.reduce({ kind: "started" }), "read_suspects").length, 1);
+  const engineIds = ["a", "b", "c"];
+  const records = [{ block: "bad", clearances: 0, engines: engineIds }];
+  relay.reduce({ kind: "suspects_learned", records });
+  t.strictSame(failures(start(relay, "bad").effects), [
+    { error: "prompt_quarantined", notRun: true },
+  ]);
+  t.end();
+});
+
+t.test("a quarantine that another process wrote meanwhile is merged", (t) => {
+  const relay = createRelay();
+  endEngines(relay, 3, "bad");
+  const records = [{ block: "worse", clearances: 0, engines: ["a", "b", "c"] }];
+  const effects = relay.reduce({ kind: "suspects_conflicted", records });
+  const timers = only(effects, "set_timer").map(({ timer }) => timer.kind);
+  t.ok(timers.includes("state_suspects"));
+  const timer = { kind: "state_suspects" } as const;
+  const [write] = only(
+    relay.reduce({ kind: "timer_fired", timer }),
+    "state_suspects",
+  );
+  t.strictSame(write?.records.map(({ block }) => block), ["bad", "worse"]);
+  t.end();
+});
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import type { ExchangeEffect } from "@lavenderferry/fleet";
+import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Decision } from "@lavenderferry/runtime";
 import type { Answer, AnswerHead } from "./relay_event.ts";
 import type { RelayTimer } from "./process/timers.ts";
@@ -108,6 +109,12 @@
     /** Writes this process's own member row. */
     readonly kind: "state_member";
     readonly leaving: boolean;
+  }
+  | { readonly kind: "read_suspects" }
+  | {
+    /** Writes the records of all blocks under quarantine. */
+    readonly kind: "state_suspects";
+    readonly records: readonly SuspectBlock[];
   };
 
 /** Name of a metrics counter that the reducer increments. */
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { ExchangeEvent } from "@lavenderferry/fleet";
+import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Vm } from "@lavenderferry/platform";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
@@ -156,10 +157,19 @@
 export interface EngineChecked {
   readonly kind: "engine_checked";
   readonly upstream: string;
-  /** Whether the engine refused a connection, as no process listens. */
-  readonly ended: boolean;
+  readonly outcome: keyof typeof engineOutcomes;
 }
 
+/** Outcomes of an attempt to connect to an engine. */
+export const engineOutcomes = {
+  /** The engine accepted the connection. */
+  listening: "listening",
+  /** The connection was refused at once, as no process listens. */
+  ended: "ended",
+  /** There was no answer, as if the VM or the network were down. */
+  silent: "silent",
+} as const;
+
 /** Error of a failed operation of the store. */
 interface SourceFailure {
   readonly error: ErrorKind;
@@ -192,6 +202,19 @@
     readonly unreadable: readonly string[];
   }
   | { readonly kind: "members_failed" } & SourceFailure
+  | {
+    /** Records of blocks under quarantine were read. */
+    readonly kind: "suspects_learned";
+    readonly records: readonly SuspectBlock[];
+  }
+  | { readonly kind: "suspects_failed" } & SourceFailure
+  | { readonly kind: "suspects_written" }
+  | {
+    /** Records of blocks under quarantine were written by another process. */
+    readonly kind: "suspects_conflicted";
+    readonly records: readonly SuspectBlock[];
+  }
+  | { readonly kind: "suspects_unwritten" } & SourceFailure
   | { readonly kind: "member_written" }
   | { readonly kind: "member_failed" } & SourceFailure;
 
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -77,6 +77,8 @@
   readonly suspects: SuspectBlocks;
   /** Losses of attempts that had just begun, by upstream id. */
   readonly earlyLosses: Map<string, EarlyLoss>;
+  /** Blocks under quarantine when they were last written to the store. */
+  statedQuarantine: string;
   /** Monotonic milliseconds of the last lost connection, by upstream id. */
   readonly connectionLostAt: Map<string, number>;
   /** Latest decisions, for `explain` requests. */
@@ -143,6 +145,7 @@
     copyRate: new CopyRate(),
     suspects: new SuspectBlocks(),
     earlyLosses: new Map(),
+    statedQuarantine: "",
     connectionLostAt: new Map(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
