fix(entry): answer open requests before the forced exit of a stop

Cause: the timer force_exit ended the process at once. Answers that are read whole, queued generations and calls got no final answer, and no log line or decision said so. Change: 2 s before the forced exit every open request is answered, logged and recorded with the reason process_stopped. What never ran is refused as draining with notRun true; other generations end as generation_lost and are cancelled at their engines; calls that were sent end as upstream_timeout, and their key is marked as unresolved. A call that waits for its claim is not sent any more, and the claim is released. The forced exit counts from the final answers, so that they have 2 s to be written even if timers fire late; otherwise the process exits earlier, by the existing idle exit, which waits for the responses. The bound on the stop is the same, the time to finish 2 s shorter.

--- a/packages/entry/src/calls/call.ts
+++ b/packages/entry/src/calls/call.ts
@@ -8,6 +8,8 @@
 export const callPhases = {
   claiming: "claiming",
   dispatched: "dispatched",
+  /** Refused as not run while the commit of its claim was outstanding. */
+  withdrawn: "withdrawn",
   recording: "recording",
   releasing: "releasing",
 } as const;
--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -162,6 +162,8 @@
       return dispatchCall(state, call, at);
     case "dispatched":
       return [];
+    case "withdrawn":
+      return commitOutcome(state, call, { state: "released", at });
     case "recording":
     case "releasing":
       state.calls.delete(call.callId);
@@ -372,11 +374,17 @@
   ];
 }
 
+/** Returns the call unless its reader was answered without an outcome. */
+function findDispatched(state: EntryState, callId: string): Call | undefined {
+  const call = state.calls.get(callId);
+  return call?.phase === "dispatched" ? call : undefined;
+}
+
 function handleAnswer(
   state: EntryState,
   event: Event<"call_answered">,
 ): readonly EntryEffect[] {
-  const call = state.calls.get(event.callId);
+  const call = findDispatched(state, event.callId);
   if (call === undefined) {
     return [];
   }
@@ -399,7 +407,7 @@
   state: EntryState,
   event: Event<"call_failed">,
 ): readonly EntryEffect[] {
-  const call = state.calls.get(event.callId);
+  const call = findDispatched(state, event.callId);
   if (call === undefined) {
     return [];
   }
@@ -425,7 +433,7 @@
  * Ends a call without a key. For a call with a key, commits the outcome to its
  * record; the call ends when that commit succeeds.
  */
-function commitOutcome(
+export function commitOutcome(
   state: EntryState,
   call: Call,
   outcome: {
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -6,6 +6,7 @@
 } from "@lavenderferry/runtime";
 import { createTimerHandler } from "@lavenderferry/runtime";
 import { retryCommit } from "../calls/call_part.ts";
+import { endOpenCalls } from "../calls/stopped_calls.ts";
 import type { EntryEffect } from "../effects.ts";
 import { exchangeWithPeers, leaveFleet } from "../fleet/exchange_part.ts";
 import { cancelGeneration } from "../generations/generation_part.ts";
@@ -18,6 +19,7 @@
   removeGeneration,
 } from "../generations/generation_start.ts";
 import { retryTakeOver } from "../generations/generation_take_over.ts";
+import { endOpenGenerations } from "../generations/stopped_generations.ts";
 import type { EntryState } from "../state.ts";
 import { count } from "../util/effects.ts";
 import { otherAddresses } from "../util/refuse_draining.ts";
@@ -55,6 +57,12 @@
  */
 const finalGraceMs = 10_000;
 
+/**
+ * Milliseconds before the forced exit in which the final answers are written
+ * and the outcomes of calls recorded.
+ */
+const finalAnswersMs = 2_000;
+
 const timerHandlers: TimerHandlers<EntryState, Timer, EntryEffect> = {
   list_vms: () => [{ kind: "list_vms" }],
   poll_configuration: (state) => [
@@ -100,6 +108,7 @@
   },
   retry_commit: (state, timer) => retryCommit(state, timer.callId),
   hand_over_streams: (state, _timer, at) => handOverStreams(state, at),
+  end_open_requests: (state, _timer, at) => endOpenRequests(state, at),
   force_exit: () => [{ kind: "exit", immediate: true }],
 };
 
@@ -134,7 +143,7 @@
   state.stopping = true;
   const { stopMs } = state.settings;
   const handOverAt = event.at.monotonic + stopMs;
-  const forcedExitAt = handOverAt + stopMs + finalGraceMs;
+  const finalAnswersAt = handOverAt + stopMs + finalGraceMs - finalAnswersMs;
   return [
     {
       kind: "log",
@@ -143,7 +152,11 @@
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
     { kind: "set_timer", timer: { kind: "hand_over_streams" }, at: handOverAt },
-    { kind: "set_timer", timer: { kind: "force_exit" }, at: forcedExitAt },
+    {
+      kind: "set_timer",
+      timer: { kind: "end_open_requests" },
+      at: finalAnswersAt,
+    },
     ...leaveFleet(state, event.at),
     ...flushUsage(state, event.at),
   ];
@@ -174,6 +187,20 @@
   return effects;
 }
 
+/** Sends the final answers of all open requests and schedules the exit. */
+function endOpenRequests(
+  state: EntryState,
+  at: Moment,
+): readonly EntryEffect[] {
+  const forcedExitAt = at.monotonic + finalAnswersMs;
+  return [
+    ...handOverStreams(state, at),
+    ...endOpenGenerations(state, at),
+    ...endOpenCalls(state, at),
+    { kind: "set_timer", timer: { kind: "force_exit" }, at: forcedExitAt },
+  ];
+}
+
 function exitWhenIdle(state: EntryState): readonly EntryEffect[] {
   const isIdle = state.generations.size === 0 && state.calls.size === 0 &&
     state.cancelled.size === 0 && state.usage.settled;
--- a/packages/entry/src/process/timers.ts
+++ b/packages/entry/src/process/timers.ts
@@ -11,6 +11,7 @@
   | { readonly kind: "cancel_orphan"; readonly generationId: string }
   | { readonly kind: "retry_take_over"; readonly generationId: string }
   | { readonly kind: "check_progress" }
+  | { readonly kind: "end_open_requests" }
   | { readonly kind: "force_exit" }
   | { readonly kind: "retry_commit"; readonly callId: string }
   | { readonly kind: "hand_over_streams" };
--- a/packages/proof/src/integration/stream_faults_test.ts
+++ b/packages/proof/src/integration/stream_faults_test.ts
@@ -50,6 +50,13 @@
   await eventually(() => reader.tokens, (tokens) => tokens >= 20);
 }
 
+/** Returns the number of generations in progress at an entry. */
+async function readGenerations(entry: string): Promise<number> {
+  const response = await request(`${system.url(entry)}/metrics`);
+  const line = /^lavenderferry_entry_generations (\d+)$/m;
+  return Number(line.exec(await response.body.text())?.[1] ?? 0);
+}
+
 /** Waits until a stopped entry no longer advertises itself. */
 async function waitUntilDraining(entry: string): Promise<void> {
   const url = system.url(entry);
@@ -244,6 +251,29 @@
   },
 );
 
+scenario(
+  "the forced exit of an entry answers a document that is not finished",
+  async (t) => {
+    const answer = new Caller(key).generate(system.url("entry-0"), {
+      class: "summary",
+      prompt: "Survey [out:4000]",
+      stream: false,
+    });
+    await eventually(
+      () => readGenerations("entry-0"),
+      (generations) => generations === 1,
+    );
+    const entry = system.program("entry-0");
+    entry.signal("SIGTERM");
+    const { problem, connectionError } = await answer;
+    t.equal(connectionError, null);
+    t.match(problem, { kind: "generation_lost", notRun: false });
+    t.equal(await entry.waitForExit(), 0);
+    await system.startEntry("entry-0");
+    await system.waitUntilReady();
+  },
+);
+
 scenario(
   "a stream resumes at another entry if its entry is killed",
   async (t) => {
