fix(entry): only a second signal ends a planned stop at once

Cause: the peers' Drain and the signals were the same event, and its second occurrence ended the process. An operator's Drain followed by the platform's SIGTERM, or by another Drain, cut the open answers. Evidence, on the former code: lifecycle_part_test.js, "a second Drain leaves the planned stop as it is", failed with an exit; stream_faults_test.js, "a SIGTERM after a Drain cuts no answer", run alone: the answer was broken, 0 of 300 tokens. Change: signals have their own event. Drain only starts a stop; a signal starts one unless it is in progress, and ends the process if it is the second signal. Result: unit tests of entry and steward pass (178 checks), the new scenario passes alone. In the run of all integration tests call_faults and ledger passed; fleet, path and stream_faults failed before their first test, as a program did not start within 20 s at a load above 13.

--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -1,7 +1,6 @@
 import type {
   EventHandlers,
   Moment,
-  Timed,
   TimerHandlers,
 } from "@lavenderferry/runtime";
 import { createTimerHandler } from "@lavenderferry/runtime";
@@ -48,7 +47,14 @@
     ];
   },
   timer_fired: (state, event) => handleTimer(state, event.timer, event.at),
-  stop_requested: startDraining,
+  stop_requested: (state, { at }) => startDraining(state, at),
+  stop_signalled: (state, { at }) => {
+    if (state.stopSignalled) {
+      return [{ kind: "exit", immediate: true }];
+    }
+    state.stopSignalled = true;
+    return startDraining(state, at);
+  },
 };
 
 /**
@@ -132,17 +138,17 @@
     .map(({ id, address }) => ({ kind, engine: id, address }));
 }
 
-/** Starts a planned stop; a second request ends the process at once. */
+/** Starts a planned stop unless one is in progress. */
 function startDraining(
   state: EntryState,
-  event: Timed<Extract<ProcessEvent, { kind: "stop_requested" }>>,
+  at: Moment,
 ): readonly EntryEffect[] {
   if (state.stopping) {
-    return [{ kind: "exit", immediate: true }];
+    return [];
   }
   state.stopping = true;
   const { stopMs } = state.settings;
-  const handOverAt = event.at.monotonic + stopMs;
+  const handOverAt = at.monotonic + stopMs;
   const finalAnswersAt = handOverAt + stopMs + finalGraceMs - finalAnswersMs;
   return [
     {
@@ -157,8 +163,8 @@
       timer: { kind: "end_open_requests" },
       at: finalAnswersAt,
     },
-    ...leaveFleet(state, event.at),
-    ...flushUsage(state, event.at),
+    ...leaveFleet(state, at),
+    ...flushUsage(state, at),
   ];
 }
 
--- a/packages/entry/src/process/lifecycle_part_test.ts
+++ b/packages/entry/src/process/lifecycle_part_test.ts
@@ -216,3 +216,24 @@
   t.equal(times["exit"], exitMs);
   t.end();
 });
+
+t.test("a second Drain leaves the planned stop as it is", (t) => {
+  const state = createFixture("a", at(startMs));
+  requestGeneration(state, "sent", { stream: false });
+  reduceEvent(state, { kind: "stop_requested" }, at(startMs));
+  const effects = reduceEvent(state, { kind: "stop_requested" }, at(startMs));
+  t.strictSame(effects, []);
+  t.end();
+});
+
+t.test("only the second signal ends the process at once", (t) => {
+  const state = createFixture("a", at(startMs));
+  requestGeneration(state, "sent", { stream: false });
+  const exits =
+    (["stop_requested", "stop_signalled", "stop_signalled"] as const)
+      .map((kind) =>
+        effectsOf(reduceEvent(state, { kind }, at(startMs)), "exit")
+      );
+  t.strictSame(exits, [[], [], [{ kind: "exit", immediate: true }]]);
+  t.end();
+});
--- a/packages/entry/src/process/process_event.ts
+++ b/packages/entry/src/process/process_event.ts
@@ -4,4 +4,11 @@
 export type ProcessEvent =
   | { readonly kind: "started"; readonly peerAddress: string }
   | { readonly kind: "timer_fired"; readonly timer: Timer }
-  | { readonly kind: "stop_requested" };
+  | {
+    /** A peer asked for a planned stop. */
+    readonly kind: "stop_requested";
+  }
+  | {
+    /** A signal asked for a planned stop, or for its end if it is the second. */
+    readonly kind: "stop_signalled";
+  };
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -47,6 +47,8 @@
   /** Sequence number of the next id that `nextId` returns. */
   nextId: number;
   stopping: boolean;
+  /** Whether a signal has asked for the planned stop. */
+  stopSignalled: boolean;
 }
 
 const decisionCapacity = 4_096;
@@ -86,6 +88,7 @@
     cancelled: new Map(),
     nextId: 1,
     stopping: false,
+    stopSignalled: false,
   };
 }
 
--- a/packages/proof/src/harness/operator.ts
+++ b/packages/proof/src/harness/operator.ts
@@ -19,6 +19,16 @@
     return await response.body.json() as Record<string, unknown>;
   }
 
+  /** Asks a process for a planned stop and returns the HTTP status. */
+  async drain(vm: string): Promise<number> {
+    const response = await request(`${this.#url}/drain/${vm}`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${this.#key}` },
+    });
+    await response.body.dump();
+    return response.statusCode;
+  }
+
   /** Applies a configuration if `ifVersion` is still the current version. */
   async apply(
     statement: Statement,
--- a/packages/proof/src/integration/stream_faults_test.ts
+++ b/packages/proof/src/integration/stream_faults_test.ts
@@ -286,6 +286,26 @@
   },
 );
 
+scenario("a SIGTERM after a Drain cuts no answer", async (t) => {
+  const { end } = startReader({ class: "summary", tokens: 300, stream: false });
+  await eventually(
+    () => readGenerations("entry-0"),
+    (generations) => generations === 1,
+  );
+  const entry = system.program("entry-0");
+  const status = await eventually(
+    () => system.operator().drain("entry-0"),
+    (observed) => observed === 200,
+  );
+  t.equal(status, 200);
+  await waitUntilDraining("entry-0");
+  entry.signal("SIGTERM");
+  t.match(await end, { outcome: "whole", tokens: 300, reconnects: 0 });
+  t.equal(await entry.waitForExit(), 0);
+  await system.startEntry("entry-0");
+  await system.waitUntilReady();
+});
+
 scenario("a second SIGTERM stops an entry at once", async (t) => {
   const { reader, end } = startReader({ tokens: 400 });
   await waitUntilReading(reader);
