--- a/packages/steward/src/process/process_event.ts
+++ b/packages/steward/src/process/process_event.ts
@@ -10,4 +10,11 @@
 export type ProcessEvent =
   | { readonly kind: "started" }
   | { readonly kind: "timer_fired"; readonly timer: TimerName }
-  | { readonly kind: "stop_requested" };
+  | {
+    /** A peer asked for a planned stop. */
+    readonly kind: "stop_requested";
+  }
+  | {
+    /** A signal asked for a planned stop, or for its end if it is the second. */
+    readonly kind: "stop_signalled";
+  };
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -62,21 +62,31 @@
     scheduleTimer("settle", at),
   ],
   timer_fired: (state, { timer, at }) => timerHandlers[timer](state, at),
-  stop_requested: (state, { at }) => {
-    if (state.stopping) {
+  stop_requested: (state, { at }) => startStop(state, at),
+  stop_signalled: (state, { at }) => {
+    if (state.stopSignalled) {
       return [{ kind: "exit" }];
     }
-    state.stopping = true;
-    const forcedExitAt = at.monotonic + stopTimeoutMs;
-    return [
-      { kind: "set_timer", timer: "force_exit", at: forcedExitAt },
-      ...leaveFleet(state, at),
-      ...releaseDuties(state, at),
-      ...settlePending(state, at),
-    ];
+    state.stopSignalled = true;
+    return startStop(state, at);
   },
 };
 
+/** Starts a planned stop unless one is in progress. */
+function startStop(state: StewardState, at: Moment): readonly StewardEffect[] {
+  if (state.stopping) {
+    return [];
+  }
+  state.stopping = true;
+  const forcedExitAt = at.monotonic + stopTimeoutMs;
+  return [
+    { kind: "set_timer", timer: "force_exit", at: forcedExitAt },
+    ...leaveFleet(state, at),
+    ...releaseDuties(state, at),
+    ...settlePending(state, at),
+  ];
+}
+
 /** Exits once a stopping process has neither duties nor unsettled usage. */
 function exitWhenIdle(
   state: StewardState,
--- /dev/null
+++ b/packages/steward/src/process/process_part_test.ts
@@ -0,0 +1,49 @@
+import t from "tap";
+import type { StewardEffect } from "../effects.ts";
+import type { StewardEvent } from "../events.ts";
+import { reduceSteward } from "../reduce.ts";
+import { stewardSettingsSchema } from "../settings.ts";
+import type { StewardState } from "../state.ts";
+import { createStewardState } from "../state.ts";
+
+const settings = stewardSettingsSchema.parse({
+  vm: "steward-0",
+  dataCentre: "krakow",
+  region: "centre",
+  peers: { ip: "127.0.0.1", port: 1 },
+  operators: { ip: "127.0.0.1", port: 2 },
+  platform: "http://127.0.0.1:3",
+  operatorKeys: { operator: "key-of-the-operator-in-the-tests" },
+});
+
+function createState(): StewardState {
+  return createStewardState(settings, "000000000005");
+}
+
+function reduce(
+  state: StewardState,
+  event: StewardEvent,
+  monotonic = 0,
+): readonly StewardEffect[] {
+  return reduceSteward(state, { ...event, at: { monotonic, wall: 0 } });
+}
+
+function exitsOf(effects: readonly StewardEffect[]) {
+  return effects.filter(({ kind }) => kind === "exit");
+}
+
+t.test("a second Drain leaves the planned stop as it is", (t) => {
+  const state = createState();
+  reduce(state, { kind: "stop_requested" });
+  t.strictSame(reduce(state, { kind: "stop_requested" }), []);
+  t.end();
+});
+
+t.test("only the second signal ends the process at once", (t) => {
+  const state = createState();
+  const exits =
+    (["stop_requested", "stop_signalled", "stop_signalled"] as const)
+      .map((kind) => exitsOf(reduce(state, { kind })).length);
+  t.strictSame(exits, [0, 0, 1]);
+  t.end();
+});
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -26,6 +26,8 @@
   readonly settlement: SettlementState;
   /** Whether a planned stop was requested. */
   stopping: boolean;
+  /** Whether a signal has asked for the planned stop. */
+  stopSignalled: boolean;
   /** Members, duties and configurations exchanged with peers. */
   readonly fleet: FleetNode;
   /** The duties of this process and their leases. */
@@ -66,6 +68,7 @@
     vms: [],
     settlement: createSettlementState(),
     stopping: false,
+    stopSignalled: false,
     fleet: new FleetNode({
       id: settings.vm,
       epoch,
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -78,7 +78,7 @@
   const peerAddress = `${settings.peers.ip}:${peerPort}`;
   dispatch({ kind: "listening", address, peers: peerAddress });
   announce("listening", { address, peers: peerAddress, epoch });
-  process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
-  process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
+  process.on("SIGTERM", () => dispatch({ kind: "stop_signalled" }));
+  process.on("SIGINT", () => dispatch({ kind: "stop_signalled" }));
   dispatch({ kind: "started" });
 }
