fix(entry): hand over streams that begin after the stop deadline

Cause: streams were handed over once, at the stop deadline. One that had delivered no token by then ran on and was cut by the forced exit, and its reader was never told where to resume it. Change: after the stop deadline a stream is handed over as soon as it has delivered tokens.

--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -18,6 +18,7 @@
 import { isReady } from "../util/is_ready.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
 import { progressTimeoutMs } from "./generation.ts";
+import { handOverStream } from "./hand_over.ts";
 import { cancelAtEngine, recoverGeneration } from "./generation_recovery.ts";
 import {
   continueTakenOver,
@@ -305,6 +306,7 @@
   chargeOutput(state, stream, { amount, wall: at.wall });
   effects.push(count("tokens", stream.workClass, newTokens.length));
   effects.push(...deliver(generation, newTokens));
+  effects.push(...handOverStream(state, generation, at));
   return effects;
 }
 
--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -13,15 +13,11 @@
   replaceSilentConnections,
   resumeGeneration,
 } from "../generations/generation_recovery.ts";
-import {
-  releaseBacklog,
-  removeGeneration,
-} from "../generations/generation_start.ts";
+import { releaseBacklog } from "../generations/generation_start.ts";
 import { retryTakeOver } from "../generations/generation_take_over.ts";
+import { handOverStreams } from "../generations/hand_over.ts";
 import { endOpenGenerations } from "../generations/stopped_generations.ts";
 import type { EntryState } from "../state.ts";
-import { count } from "../util/effects.ts";
-import { otherAddresses } from "../util/refuse_draining.ts";
 import { flushUsage } from "../usage/usage_part.ts";
 import type { ProcessEvent } from "./process_event.ts";
 import type { Timer } from "./timers.ts";
@@ -168,31 +164,6 @@
   ];
 }
 
-/**
- * Ends the streams that have delivered tokens; their readers can resume them at
- * another entry.
- */
-function handOverStreams(
-  state: EntryState,
-  at: Moment,
-): readonly EntryEffect[] {
-  const addresses = otherAddresses(state, at);
-  const effects: EntryEffect[] = [];
-  for (const generation of [...state.generations.values()]) {
-    const { readerId, attemptId, deliveredIndex, deliverAtEnd } = generation;
-    if (deliverAtEnd || deliveredIndex === 0) {
-      continue;
-    }
-    removeGeneration(state, generation);
-    effects.push(count("resumes", "handed_over"));
-    effects.push({ kind: "drop_attempt", attemptId });
-    if (readerId !== null) {
-      effects.push({ kind: "move_reader", readerId, addresses });
-    }
-  }
-  return effects;
-}
-
 /** Sends the final answers of all open requests and schedules the exit. */
 function endOpenRequests(
   state: EntryState,
--- a/packages/entry/src/process/lifecycle_part_test.ts
+++ b/packages/entry/src/process/lifecycle_part_test.ts
@@ -237,3 +237,21 @@
   t.strictSame(exits, [[], [], [{ kind: "exit", immediate: true }]]);
   t.end();
 });
+
+t.test("a stream whose first token follows the hand-over is moved", (t) => {
+  const state = createFixture("a", at(startMs));
+  const attempt = requestGeneration(state, "late");
+  reduceEvent(state, { kind: "stop_requested" }, at(startMs));
+  const timer = { kind: "hand_over_streams" } as const;
+  reduceEvent(state, { kind: "timer_fired", timer }, at(startMs));
+  const tokens = [{ index: 0, text: "a" }];
+  const received = { kind: "tokens_received", ...attempt, tokens } as const;
+  const effects = reduceEvent(state, received, at(startMs));
+  const readerId = "reader of late";
+  t.match(effects.filter((effect) => "readerId" in effect), [
+    { kind: "send_tokens", readerId },
+    { kind: "move_reader", readerId },
+  ]);
+  t.equal(state.generations.size, 0);
+  t.end();
+});
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -47,6 +47,8 @@
   /** Sequence number of the next id that `nextId` returns. */
   nextId: number;
   stopping: boolean;
+  /** Whether the stop deadline has passed and streams are handed over. */
+  handingOver: boolean;
   /** Whether a signal has asked for the planned stop. */
   stopSignalled: boolean;
 }
@@ -88,6 +90,7 @@
     cancelled: new Map(),
     nextId: 1,
     stopping: false,
+    handingOver: false,
     stopSignalled: false,
   };
 }
