fix(steward): a stopping steward refuses changes and answers before its exit

Cause: a stopping steward accepted an operator's change, and its exit looked at duties and usage only, so that the operator could be left without the answer to a change that had taken effect. Change: changes are refused as draining during a stop. The idle exit waits for the open requests of operators and then up to 2 s for their responses to be written; the forced exit after 15 s bounds both.

--- a/packages/steward/src/operators/operator_part.ts
+++ b/packages/steward/src/operators/operator_part.ts
@@ -14,15 +14,16 @@
   StewardEffect
 > = {
   operator_requested: (state, event) => {
-    const { operation } = event;
+    const { operation, replyId } = event;
     const handler = operations[operation.kind] as OperationHandler<Operation>;
-    return handler(state, operation, event);
+    state.openReplies.add(replyId);
+    return closeReplies(state, handler(state, operation, event));
   },
   change_accepted: (state, { replyId, configuration, at }) => {
     state.timeline.add(configuration);
     state.fleet.applyConfiguration(configuration);
     const { version, effectiveAt } = configuration;
-    return [
+    return closeReplies(state, [
       ...sendDueExchanges(state, at),
       {
         kind: "log",
@@ -36,16 +37,31 @@
         body: { version, effectiveAt: new Date(effectiveAt).toISOString() },
         version,
       },
-    ];
+    ]);
   },
-  operation_done: (_state, { replyId, body }) => [
-    { kind: "answer_operator", replyId, body },
-  ],
-  operation_failed: (_state, { replyId, failure, details }) => [
-    { kind: "refuse_operator", replyId, failure, details },
-  ],
+  operation_done: (state, { replyId, body }) =>
+    closeReplies(state, [{ kind: "answer_operator", replyId, body }]),
+  operation_failed: (state, { replyId, failure, details }) =>
+    closeReplies(state, [
+      { kind: "refuse_operator", replyId, failure, details },
+    ]),
 };
 
+/** Marks the requests that the effects answer as answered. */
+function closeReplies(
+  state: StewardState,
+  effects: readonly StewardEffect[],
+): readonly StewardEffect[] {
+  for (const effect of effects) {
+    if (
+      effect.kind === "answer_operator" || effect.kind === "refuse_operator"
+    ) {
+      state.openReplies.delete(effect.replyId);
+    }
+  }
+  return effects;
+}
+
 function summarize({ version, effectiveAt, author }: Configuration): object {
   return { version, effectiveAt, author };
 }
@@ -75,6 +91,12 @@
     return [{ kind: "answer_operator", replyId, body, version }];
   },
   apply: (state, operation, { replyId, operator, at }) => {
+    if (state.stopping) {
+      const failure = new KnownError("The steward is draining", {
+        kind: "draining",
+      });
+      return [{ kind: "refuse_operator", replyId, failure }];
+    }
     const { ifVersion, statement } = operation;
     const acceptedAt = at.wall;
     const earliest = acceptedAt + state.settings.effectiveAfterMs;
--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -17,6 +17,8 @@
 import type { Answer, Refusal } from "./send_answer.ts";
 import { sendAnswer, sendRefusal } from "./send_answer.ts";
 
+const finishTimeoutMs = 2_000;
+
 /** Dependencies of the operators' server. */
 export interface OperatorServerOptions {
   readonly settings: StewardSettings;
@@ -108,6 +110,21 @@
     });
   }
 
+  /**
+   * Accepts no more connections; resolves once all open connections have closed
+   * or `finishTimeoutMs` has passed.
+   */
+  async finish(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeIdleConnections();
+    const timeout = new Promise<void>((resolve) =>
+      setTimeout(resolve, finishTimeoutMs)
+    );
+    await Promise.race([closed, timeout]);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#server.closeAllConnections();
--- a/packages/steward/src/process/process_effect.ts
+++ b/packages/steward/src/process/process_effect.ts
@@ -15,4 +15,8 @@
     readonly sentence: string;
     readonly fields: Readonly<Record<string, string | number>>;
   }
-  | { readonly kind: "exit" };
+  | {
+    readonly kind: "exit";
+    /** Whether to exit without waiting for responses being written. */
+    readonly immediate: boolean;
+  };
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -23,7 +23,7 @@
   settle: 2_000,
 } as const satisfies Partial<Record<TimerName, number>>;
 
-/** Milliseconds that a planned stop waits for usage to be settled. */
+/** Milliseconds that a planned stop waits for usage and operators' replies. */
 const stopTimeoutMs = 15_000;
 
 type TimerHandler = (
@@ -46,7 +46,7 @@
     ...settlePending(state, at),
     scheduleTimer("settle", at),
   ],
-  force_exit: () => [{ kind: "exit" }],
+  force_exit: () => [{ kind: "exit", immediate: true }],
 };
 
 /** Handles the start, the timers and the stop of the process. */
@@ -65,7 +65,7 @@
   stop_requested: (state, { at }) => startStop(state, at),
   stop_signalled: (state, { at }) => {
     if (state.stopSignalled) {
-      return [{ kind: "exit" }];
+      return [{ kind: "exit", immediate: true }];
     }
     state.stopSignalled = true;
     return startStop(state, at);
@@ -87,14 +87,17 @@
   ];
 }
 
-/** Exits once a stopping process has neither duties nor unsettled usage. */
+/**
+ * Exits once a stopping process has no duties, unsettled usage or unanswered
+ * requests of operators.
+ */
 function exitWhenIdle(
   state: StewardState,
   at: Moment,
 ): readonly StewardEffect[] {
   const idle = state.stopping && dutiesReleased(state, at) &&
-    allBatchesSettled(state);
-  return idle ? [{ kind: "exit" }] : [];
+    allBatchesSettled(state) && state.openReplies.size === 0;
+  return idle ? [{ kind: "exit", immediate: false }] : [];
 }
 
 function scheduleTimer(
--- a/packages/steward/src/process/process_part_test.ts
+++ b/packages/steward/src/process/process_part_test.ts
@@ -1,3 +1,4 @@
+import { KnownError } from "@lavenderferry/errors";
 import t from "tap";
 import type { StewardEffect } from "../effects.ts";
 import type { StewardEvent } from "../events.ts";
@@ -47,3 +48,48 @@
   t.strictSame(exits, [0, 0, 1]);
   t.end();
 });
+
+const apply = {
+  kind: "operator_requested",
+  replyId: "reply",
+  operator: "ida",
+  operation: {
+    kind: "apply",
+    ifVersion: 0,
+    statement: { partners: {}, splits: {}, classes: {} },
+  },
+} as const;
+
+t.test("a stopping steward refuses a change", (t) => {
+  const state = createState();
+  reduce(state, { kind: "stop_requested" });
+  t.match(reduce(state, apply), [
+    {
+      kind: "refuse_operator",
+      replyId: "reply",
+      failure: { kind: "draining" },
+    },
+  ]);
+  t.end();
+});
+
+t.test("the exit waits until an accepted change is answered", (t) => {
+  const state = createState();
+  reduce(state, apply);
+  reduce(state, { kind: "stop_requested" });
+  const timer = { kind: "timer_fired", timer: "exchange" } as const;
+  t.equal(exitsOf(reduce(state, timer, 5_000)).length, 0);
+  const failure = new KnownError("Down", { kind: "store_unavailable" });
+  reduce(state, { kind: "operation_failed", replyId: "reply", failure }, 5_000);
+  t.match(exitsOf(reduce(state, timer, 5_100)), [{ immediate: false }]);
+  t.end();
+});
+
+t.test("an unanswered change does not hold up the forced exit", (t) => {
+  const state = createState();
+  reduce(state, apply);
+  reduce(state, { kind: "stop_requested" });
+  const timer = { kind: "timer_fired", timer: "force_exit" } as const;
+  t.match(exitsOf(reduce(state, timer, 15_000)), [{ immediate: true }]);
+  t.end();
+});
--- a/packages/steward/src/process/process_runner.ts
+++ b/packages/steward/src/process/process_runner.ts
@@ -6,8 +6,8 @@
 /** Dependencies of the handlers of process effects. */
 export interface ProcessRunnerOptions {
   readonly clock: Clock;
-  /** Ends the process. */
-  readonly exit: () => void;
+  /** Ends the process, at once or when the responses are written. */
+  readonly exit: (immediate: boolean) => void;
 }
 
 /** Creates the handlers of timers, log lines and the exit. */
@@ -21,6 +21,6 @@
       setTimeout(() => dispatch({ kind: "timer_fired", timer }), delayMs);
     },
     log: ({ part, sentence, fields }) => log(part, sentence, fields),
-    exit,
+    exit: ({ immediate }) => exit(immediate),
   };
 }
--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -26,6 +26,8 @@
   readonly settlement: SettlementState;
   /** Whether a planned stop was requested. */
   stopping: boolean;
+  /** Ids of the operators' requests that are not answered. */
+  readonly openReplies: Set<string>;
   /** Whether a signal has asked for the planned stop. */
   stopSignalled: boolean;
   /** Members, duties and configurations exchanged with peers. */
@@ -68,6 +70,7 @@
     vms: [],
     settlement: createSettlementState(),
     stopping: false,
+    openReplies: new Set(),
     stopSignalled: false,
     fleet: new FleetNode({
       id: settings.vm,
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -58,7 +58,11 @@
       ...createPlacementHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
-        exit: () => process.exit(0),
+        exit: (immediate) => {
+          void (immediate ? Promise.resolve() : operatorServer.finish()).then(
+            () => process.exit(0),
+          );
+        },
       }),
     },
   });
