--- a/packages/steward/src/state.ts
+++ b/packages/steward/src/state.ts
@@ -26,6 +26,10 @@
   readonly settlement: SettlementState;
   /** Whether a planned stop was requested. */
   stopping: boolean;
+  /** Ids of the operators' requests that are not answered. */
+  readonly openReplies: Set<string>;
+  /** Whether a signal has asked for the planned stop. */
+  stopSignalled: boolean;
   /** Members, duties and configurations exchanged with peers. */
   readonly fleet: FleetNode;
   /** The duties of this process and their leases. */
@@ -66,6 +70,8 @@
     vms: [],
     settlement: createSettlementState(),
     stopping: false,
+    openReplies: new Set(),
+    stopSignalled: false,
     fleet: new FleetNode({
       id: settings.vm,
       epoch,
