fix(relay): quarantines converge, end sooner and take in pairs of ends

Change: records keep the lowest ids of their ends with the time of the last, so that they merge in any order, over any number of engines, and expire together. Ends name the attempt, so that only blocks of the same prompts are quarantined together. Only three engines or more lost at once are a fault of the network. The first quarantine holds for two minutes, each further engine doubles it. An unframed answer without an event was lost. A stopping relay admits what ends before its final answers, not before its exit.

--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -62,8 +62,12 @@
 /** A peer's record of a block of prompts under which engines ended. */
 export interface SuspectRecord {
   readonly block: string;
+  /** Number of times that complete answers have cleared the block. */
   readonly clearances: number;
-  readonly engines: readonly string[];
+  /** Attempts under which engines ended, as `engine/attempt`. */
+  readonly ends: readonly string[];
+  /** Milliseconds since the Unix epoch of the last end or clearance. */
+  readonly changedAt: number;
 }
 
 /** Work that one process has in flight at one engine. */
@@ -230,12 +234,9 @@
   }
 
   /** Publishes a changed record of a suspect block. */
-  setSuspect({ block, clearances, engines }: SuspectRecord, at: Moment): void {
-    const value: SuspectBlockRecord = {
-      block,
-      clearances,
-      engines: [...engines],
-    };
+  setSuspect(record: SuspectRecord, at: Moment): void {
+    const { block, ends } = record;
+    const value: SuspectBlockRecord = { ...record, ends: [...ends] };
     this.#exchange.publish("suspects", { key: block, value }, {
       at,
       urgent: true,
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -204,6 +204,30 @@
     t.end();
   });
 
+  t.test(`${name} disseminate a suspect block within a second`, (t) => {
+    const fleet = new Simulation(size, dataCentres);
+    fleet.run(8_000);
+    const ends = ["engine-1/attempt-1"];
+    const record = { block: "x", clearances: 0, ends, changedAt: wallStart };
+    fleet.node("p0").setSuspect(record, fleet.at);
+    const knownBy = new Set(["p0"]);
+    // As in a relay, a process sends on what is new to it.
+    const known = () => {
+      for (const node of fleet.liveNodes()) {
+        const { id } = node.membership.self;
+        const [received] = node.takeUpdates().suspects;
+        if (received !== undefined && !knownBy.has(id)) {
+          t.match(received, record);
+          knownBy.add(id);
+          node.setSuspect(received, fleet.at);
+        }
+      }
+      return knownBy.size === size;
+    };
+    t.ok(fleet.runUntil(known, 1_000) < 1_000);
+    t.end();
+  });
+
   t.test(`${name} disseminate a configuration`, (t) => {
     const fleet = new Simulation(size, dataCentres);
     fleet.run(8_000);
--- a/packages/fleet/src/item.ts
+++ b/packages/fleet/src/item.ts
@@ -10,8 +10,8 @@
 /** The types of the items in messages, by kind, the most urgent first. */
 export interface ItemValues {
   readonly marks: DrainingMark;
-  readonly suspects: SuspectBlockRecord;
   readonly members: MemberRecord;
+  readonly suspects: SuspectBlockRecord;
   readonly duties: DutyRecord;
   readonly shares: EngineShare;
   readonly lengths: LengthSketch;
@@ -23,8 +23,8 @@
 /** The kinds in the order in which a message is filled. */
 export const itemKinds: readonly ItemKind[] = [
   "marks",
-  "suspects",
   "members",
+  "suspects",
   "duties",
   "shares",
   "lengths",
@@ -59,11 +59,8 @@
 const sizeEstimators: SizeEstimators = {
   marks: (value) => textBytes(value) + 7,
   suspects: (value) =>
-    textBytes(value) + 2 +
-    (value.engines ?? []).reduce(
-      (sum, engine) => sum + fieldBytes + engine.length,
-      0,
-    ),
+    textBytes(value) + 9 +
+    (value.ends ?? []).reduce((sum, end) => sum + fieldBytes + end.length, 0),
   members: (value) => textBytes(value) + 7,
   duties: (value) => textBytes(value) + 4,
   shares: (value) => textBytes(value) + 8,
--- a/packages/policy/src/suspect_blocks.ts
+++ b/packages/policy/src/suspect_blocks.ts
@@ -7,10 +7,20 @@
   /** Number of times that complete answers have cleared the block. */
   readonly clearances: number;
   /**
-   * Ids of the engines that ended as they began to answer a prompt with the
-   * block, since it was last cleared.
+   * Attempts at prompts with the block that engines had just begun when they
+   * ended, as `engine/attempt`, since the block was last cleared.
    */
-  readonly engines: readonly string[];
+  readonly ends: readonly string[];
+  /** Milliseconds since the Unix epoch of the last end or clearance. */
+  readonly changedAt: number;
+}
+
+/** A prompt that an engine had just begun to answer when it ended. */
+export interface BegunPrompt {
+  /** Id of the attempt; unique across processes. */
+  readonly attemptId: string;
+  /** Ids of the prompt's blocks. */
+  readonly blocks: readonly string[];
 }
 
 /** Blocks that together identify the prompts that end engines. */
@@ -21,14 +31,6 @@
   readonly deadline: number;
 }
 
-interface Suspect {
-  readonly block: string;
-  clearances: number;
-  readonly engines: Set<string>;
-  /** Monotonic milliseconds until which the record is kept. */
-  deadline: number;
-}
-
 /** Engines that end before a block that was never answered is quarantined. */
 const minEngines = 3;
 
@@ -38,6 +40,23 @@
  */
 const minEnginesOnceAnswered = 8;
 
+/** Limit on the engines, and on the attempts at each, in one record. */
+const maxEngines = minEnginesOnceAnswered;
+const maxAttemptsPerEngine = 3;
+
+/**
+ * Share of a block's ended engines that another block must have ended together
+ * with it, in the same prompts, for either to be the possible cause.
+ */
+const minSharedFraction = 0.75;
+
+/**
+ * Milliseconds for which the first engines quarantine a block. Each further
+ * engine doubles it, so that a wrong quarantine ends soon and a right one costs
+ * few engines.
+ */
+const firstHoldMs = 120_000;
+
 /** Milliseconds for which records and complete answers are remembered. */
 const retentionMs = 600_000;
 
@@ -51,18 +70,18 @@
  * Finds the blocks of prompts that end the engines which begin to answer them.
  * Each engine that ends is held against all blocks of the prompts that it had
  * just begun, and complete answers clear their blocks. Records of several
- * processes merge in any order: more clearances win, otherwise their engines
- * are united.
+ * processes merge in any order: more clearances win, otherwise their ends are
+ * united.
  */
 export class SuspectBlocks {
-  readonly #suspects = new Map<string, Suspect>();
+  readonly #suspects = new Map<string, SuspectBlock>();
   /** Monotonic deadlines until which blocks are remembered as answered. */
   readonly #answered = new Map<string, number>();
   /** Blocks whose records were removed since the last call of `takeRemoved`. */
   #removed: string[] = [];
   #quarantines: readonly Quarantine[] = [];
 
-  /** Quarantines in force or expired, the one with most engines first. */
+  /** Quarantines, also expired ones, that with most engines first. */
   get quarantines(): readonly Quarantine[] {
     return this.#quarantines;
   }
@@ -70,10 +89,7 @@
   /** Records of all blocks under quarantine. */
   get quarantined(): readonly SuspectBlock[] {
     return this.#quarantines.flatMap(({ blocks }) => blocks)
-      .flatMap((block) => {
-        const suspect = this.#suspects.get(block);
-        return suspect === undefined ? [] : [toRecord(suspect)];
-      });
+      .flatMap((block) => this.#suspects.get(block) ?? []);
   }
 
   /** Whether an answer to a prompt with the block was completed recently. */
@@ -93,19 +109,27 @@
   }
 
   /**
-   * Records an engine that ended as it began to answer a prompt with the
-   * blocks. Returns the changed records.
+   * Records an engine that ended as it began to answer the prompts. Returns the
+   * changed records.
    */
   recordEnd(
     engine: string,
-    blocks: readonly string[],
+    prompts: readonly BegunPrompt[],
     at: Moment,
   ): readonly SuspectBlock[] {
-    return blocks.flatMap((block) => {
-      const clearances = this.#suspects.get(block)?.clearances ??
-        this.#initialClearances(block, at);
-      return this.merge({ block, clearances, engines: [engine] }, at);
-    });
+    const changed = new Map<string, SuspectBlock>();
+    for (const { attemptId, blocks } of prompts) {
+      for (const block of blocks) {
+        const clearances = this.#suspects.get(block)?.clearances ??
+          this.#initialClearances(block, at);
+        const ends = [`${engine}${endSeparator}${attemptId}`];
+        const record = { block, clearances, ends, changedAt: at.wall };
+        for (const merged of this.merge(record, at)) {
+          changed.set(block, merged);
+        }
+      }
+    }
+    return [...changed.values()];
   }
 
   /**
@@ -120,15 +144,15 @@
     for (const block of blocks) {
       this.#rememberAnswer(block, at);
       const suspect = this.#suspects.get(block);
-      if (suspect !== undefined && suspect.engines.size > 0) {
-        suspect.clearances += 1;
-        suspect.engines.clear();
-        suspect.deadline = at.monotonic + retentionMs;
-        changed.push(toRecord(suspect));
+      if (suspect !== undefined && suspect.ends.length > 0) {
+        const clearances = suspect.clearances + 1;
+        const cleared = { block, clearances, ends: [], changedAt: at.wall };
+        this.#suspects.set(block, cleared);
+        changed.push(cleared);
       }
     }
     if (changed.length > 0) {
-      this.#updateQuarantines();
+      this.#updateQuarantines(at);
     }
     return changed;
   }
@@ -138,26 +162,21 @@
    * process lacked a part of it.
    */
   merge(record: SuspectBlock, at: Moment): readonly SuspectBlock[] {
-    const { block } = record;
-    const suspect = this.#suspects.get(block) ?? this.#addSuspect(block, at);
-    const previous = toRecord(suspect);
-    if (record.clearances > suspect.clearances) {
-      suspect.clearances = record.clearances;
-      suspect.engines.clear();
-    }
-    if (record.clearances === suspect.clearances) {
-      for (const engine of record.engines) {
-        if (suspect.engines.size < minEnginesOnceAnswered) {
-          suspect.engines.add(engine);
-        }
-      }
-    }
-    const merged = toRecord(suspect);
-    if (isSame(merged, previous) && isSame(merged, record)) {
+    const known = this.#suspects.get(record.block) ?? {
+      block: record.block,
+      clearances: this.#initialClearances(record.block, at),
+      ends: [],
+      changedAt: record.changedAt,
+    };
+    const merged = mergeRecords(known, record);
+    if (isSame(merged, known) && isSame(merged, record)) {
       return [];
     }
-    suspect.deadline = at.monotonic + retentionMs;
-    this.#updateQuarantines();
+    if (!this.#suspects.has(record.block)) {
+      this.#makeRoom();
+    }
+    this.#suspects.set(record.block, merged);
+    this.#updateQuarantines(at);
     return [merged];
   }
 
@@ -166,8 +185,8 @@
    * were removed since the last call.
    */
   takeRemoved(at: Moment): readonly string[] {
-    for (const [block, { deadline }] of this.#suspects) {
-      if (deadline <= at.monotonic) {
+    for (const [block, { changedAt }] of this.#suspects) {
+      if (at.wall - changedAt >= retentionMs) {
         this.#suspects.delete(block);
         this.#removed.push(block);
       }
@@ -175,30 +194,19 @@
     const removed = this.#removed;
     if (removed.length > 0) {
       this.#removed = [];
-      this.#updateQuarantines();
+      this.#updateQuarantines(at);
     }
     return removed;
   }
 
-  #addSuspect(block: string, at: Moment): Suspect {
-    if (this.#suspects.size >= maxSuspects) {
-      this.#removeLeastSuspect();
+  /** Removes the record with fewest ends, the oldest of them, if it is full. */
+  #makeRoom(): void {
+    if (this.#suspects.size < maxSuspects) {
+      return;
     }
-    const suspect: Suspect = {
-      block,
-      clearances: this.#initialClearances(block, at),
-      engines: new Set(),
-      deadline: at.monotonic + retentionMs,
-    };
-    this.#suspects.set(block, suspect);
-    return suspect;
-  }
-
-  /** Removes the record with fewest engines, the oldest of them. */
-  #removeLeastSuspect(): void {
-    let least: Suspect | undefined;
+    let least: SuspectBlock | undefined;
     for (const suspect of this.#suspects.values()) {
-      if (least === undefined || suspect.engines.size < least.engines.size) {
+      if (least === undefined || suspect.ends.length < least.ends.length) {
         least = suspect;
       }
     }
@@ -223,10 +231,11 @@
 
   /**
    * Attributes ended engines to blocks, the block with most of them first. The
-   * blocks that share its engines are quarantined together, as each of them may
-   * be the cause; those that were never answered are the more likely ones.
+   * blocks that came with it in the same prompts are quarantined together with
+   * it, as each of them may be the cause; those that were never answered are
+   * the more likely ones.
    */
-  #updateQuarantines(): void {
+  #updateQuarantines(at: Moment): void {
     const quarantines: Quarantine[] = [];
     const explained = new Set<string>();
     for (;;) {
@@ -234,17 +243,20 @@
       if (top === undefined) {
         break;
       }
-      const equal = [...this.#suspects.values()].filter(({ engines }) =>
-        engines.size === top.engines.size &&
-        [...engines].every((engine) => top.engines.has(engine))
+      const engines = enginesOf(top.ends);
+      const companions = [...this.#suspects.values()].filter((other) =>
+        other === top ||
+        countSharedEngines(top, other) >= minSharedFraction * engines.size
+      );
+      const unanswered = companions.filter(({ clearances }) =>
+        clearances === 0
       );
-      const unanswered = equal.filter(({ clearances }) => clearances === 0);
-      const group = unanswered.length > 0 ? unanswered : equal;
+      const group = unanswered.length > 0 ? unanswered : companions;
       quarantines.push({
-        blocks: group.map(({ block }) => block),
-        deadline: Math.min(...group.map(({ deadline }) => deadline)),
+        blocks: group.map(({ block }) => block).sort(),
+        deadline: holdDeadline(top, engines.size, at),
       });
-      for (const engine of top.engines) {
+      for (const engine of engines) {
         explained.add(engine);
       }
     }
@@ -252,16 +264,17 @@
   }
 
   /** Returns the suspect with most unexplained engines, if they suffice. */
-  #findTop(explained: ReadonlySet<string>): Suspect | undefined {
-    let top: Suspect | undefined;
+  #findTop(explained: ReadonlySet<string>): SuspectBlock | undefined {
+    let top: SuspectBlock | undefined;
     let topCount = 0;
     for (const suspect of this.#suspects.values()) {
-      const count = [...suspect.engines]
+      const count = [...enginesOf(suspect.ends)]
         .filter((engine) => !explained.has(engine)).length;
-      const required = suspect.clearances === 0
-        ? minEngines
-        : minEnginesOnceAnswered;
-      if (count >= required && count > topCount) {
+      if (
+        count >= requiredEngines(suspect) &&
+        (count > topCount ||
+          (count === topCount && suspect.block < (top?.block ?? "")))
+      ) {
         top = suspect;
         topCount = count;
       }
@@ -270,12 +283,71 @@
   }
 }
 
-function toRecord({ block, clearances, engines }: Suspect): SuspectBlock {
-  return { block, clearances, engines: [...engines] };
+/** Separates the ids of engine and attempt; attempt ids do not contain it. */
+const endSeparator = "/";
+
+function engineOf(end: string): string {
+  return end.slice(0, end.lastIndexOf(endSeparator));
+}
+
+function enginesOf(ends: readonly string[]): ReadonlySet<string> {
+  return new Set(ends.map(engineOf));
+}
+
+function requiredEngines({ clearances }: SuspectBlock): number {
+  return clearances === 0 ? minEngines : minEnginesOnceAnswered;
+}
+
+/** Counts the engines that ended under prompts with both blocks. */
+function countSharedEngines(a: SuspectBlock, b: SuspectBlock): number {
+  return enginesOf(a.ends.filter((end) => b.ends.includes(end))).size;
+}
+
+function holdDeadline(
+  suspect: SuspectBlock,
+  engineCount: number,
+  at: Moment,
+): number {
+  const doublings = engineCount - requiredEngines(suspect);
+  const holdMs = Math.min(retentionMs, firstHoldMs * 2 ** doublings);
+  // Clocks of processes may differ, so the last end may seem to be ahead.
+  const ageMs = Math.max(0, at.wall - suspect.changedAt);
+  return at.monotonic + holdMs - ageMs;
+}
+
+function mergeRecords(a: SuspectBlock, b: SuspectBlock): SuspectBlock {
+  if (a.clearances !== b.clearances) {
+    const newer = a.clearances > b.clearances ? a : b;
+    return { ...newer, ends: limitEnds(newer.ends) };
+  }
+  return {
+    ...a,
+    ends: limitEnds([...a.ends, ...b.ends]),
+    changedAt: Math.max(a.changedAt, b.changedAt),
+  };
+}
+
+/**
+ * Keeps the lowest ids, so that processes keep the same ends whatever the order
+ * in which they learn of them.
+ */
+function limitEnds(ends: readonly string[]): readonly string[] {
+  const attemptsByEngine = new Map<string, number>();
+  return [...new Set(ends)].sort().filter((end) => {
+    const engine = engineOf(end);
+    const attempts = attemptsByEngine.get(engine);
+    const isFull = attempts === undefined
+      ? attemptsByEngine.size >= maxEngines
+      : attempts >= maxAttemptsPerEngine;
+    if (!isFull) {
+      attemptsByEngine.set(engine, (attempts ?? 0) + 1);
+    }
+    return !isFull;
+  });
 }
 
 function isSame(a: SuspectBlock, b: SuspectBlock): boolean {
-  return a.clearances === b.clearances &&
-    a.engines.length === b.engines.length &&
-    a.engines.every((engine) => b.engines.includes(engine));
+  return a.clearances === b.clearances && a.changedAt === b.changedAt &&
+    a.ends.length === b.ends.length &&
+    a.ends.every((end) => b.ends.includes(end));
 }
--- a/packages/policy/src/suspect_blocks_test.ts
+++ b/packages/policy/src/suspect_blocks_test.ts
@@ -3,22 +3,44 @@
 import type { SuspectBlock } from "./suspect_blocks.ts";
 import { SuspectBlocks } from "./suspect_blocks.ts";
 
-const atMs = (monotonic: number) => ({ monotonic, wall: 0 });
+const atMs = (monotonic: number) => ({
+  monotonic,
+  wall: 1_800_000_000_000 + monotonic,
+});
 const start = atMs(1_000);
 
-/** Records the ends of engines e1, e2 and so on under prompts with blocks. */
+let nextAttempt = 1;
+
+/** Records that an engine ended as it began prompts with these blocks. */
+function end(
+  suspects: SuspectBlocks,
+  engine: string,
+  ...prompts: readonly (readonly string[])[]
+): readonly SuspectBlock[] {
+  const begun = prompts.map((blocks) => ({
+    attemptId: `a${nextAttempt++}`,
+    blocks,
+  }));
+  return suspects.recordEnd(engine, begun, start);
+}
+
+/** Records the ends of engines e1, e2 and so on, each under one prompt. */
 function createSuspects(...prompts: readonly (readonly string[])[]) {
   const suspects = new SuspectBlocks();
   for (const [index, blocks] of prompts.entries()) {
-    suspects.recordEnd(`e${index + 1}`, blocks, start);
+    end(suspects, `e${index + 1}`, blocks);
   }
   return suspects;
 }
 
+function quarantinedBlocks({ quarantines }: SuspectBlocks) {
+  return quarantines.map(({ blocks }) => blocks);
+}
+
 t.test("a block under which three engines ended is quarantined", (t) => {
   const suspects = createSuspects(["a", "x"], ["b", "x"]);
   t.equal(suspects.findQuarantine(["c", "x"], start), undefined);
-  suspects.recordEnd("e3", ["c", "x"], start);
+  end(suspects, "e3", ["c", "x"]);
   t.strictSame(suspects.findQuarantine(["d", "x"], start)?.blocks, ["x"]);
   t.equal(suspects.findQuarantine(["a", "b", "c"], start), undefined);
   t.end();
@@ -27,7 +49,7 @@
 t.test("one engine counts once for a block", (t) => {
   const suspects = new SuspectBlocks();
   for (let index = 0; index < 5; index++) {
-    suspects.recordEnd("e1", ["x"], start);
+    end(suspects, "e1", ["x"], ["x"]);
   }
   t.strictSame(suspects.quarantines, []);
   t.end();
@@ -38,15 +60,39 @@
   t.ok(suspects.findQuarantine(["a", "x"], start));
   t.equal(suspects.findQuarantine(["a", "y"], start), undefined);
   t.equal(suspects.findQuarantine(["b", "x"], start), undefined);
-  suspects.recordEnd("e4", ["b", "x"], start);
-  t.strictSame(suspects.findQuarantine(["c", "x"], start)?.blocks, ["x"]);
+  end(suspects, "e4", ["b", "x"]);
+  end(suspects, "e5", ["c", "x"]);
+  t.strictSame(suspects.findQuarantine(["d", "x"], start)?.blocks, ["x"]);
+  t.end();
+});
+
+t.test("a shared block is not blamed alone for an unrelated end", (t) => {
+  const suspects = createSuspects(["a", "q"], ["a", "x"], ["a", "x"], [
+    "a",
+    "x",
+  ]);
+  t.strictSame(quarantinedBlocks(suspects), [["a", "x"]]);
+  t.equal(suspects.findQuarantine(["a", "z"], start), undefined);
+  suspects.recordAnswer(["a"], start);
+  t.strictSame(quarantinedBlocks(suspects), [["x"]]);
+  t.end();
+});
+
+t.test("prompts that an engine began at the same time are told apart", (t) => {
+  const suspects = new SuspectBlocks();
+  for (const engine of ["e1", "e2", "e3"]) {
+    end(suspects, engine, ["x"], ["s"]);
+  }
+  t.equal(suspects.quarantines.length, 1, "either may be the cause");
+  end(suspects, "e4", ["x"]);
+  t.strictSame(quarantinedBlocks(suspects), [["x"]]);
   t.end();
 });
 
 t.test("a complete answer clears the blocks of its prompt", (t) => {
   const suspects = createSuspects(["a", "x"], ["a", "x"], ["a", "x"]);
   t.match(suspects.recordAnswer(["a", "y"], start), [
-    { block: "a", clearances: 1, engines: [] },
+    { block: "a", clearances: 1, ends: [] },
   ]);
   t.strictSame(suspects.findQuarantine(["b", "x"], start)?.blocks, ["x"]);
   t.end();
@@ -56,9 +102,9 @@
   const suspects = new SuspectBlocks();
   suspects.recordAnswer(["a"], start);
   for (const engine of ["e1", "e2", "e3", "e4"]) {
-    suspects.recordEnd(engine, ["a", "x"], start);
+    end(suspects, engine, ["a", "x"]);
   }
-  t.strictSame(suspects.quarantines.map(({ blocks }) => blocks), [["x"]]);
+  t.strictSame(quarantinedBlocks(suspects), [["x"]]);
   t.equal(suspects.findQuarantine(["a", "y"], start), undefined);
   t.end();
 });
@@ -67,41 +113,55 @@
   const suspects = new SuspectBlocks();
   suspects.recordAnswer(["x"], start);
   for (let index = 0; index < 7; index++) {
-    suspects.recordEnd(`e${index}`, ["x"], start);
+    end(suspects, `e${index}`, ["x"]);
   }
   t.equal(suspects.findQuarantine(["x"], start), undefined);
-  suspects.recordEnd("e7", ["x"], start);
+  end(suspects, "e7", ["x"]);
   t.ok(suspects.findQuarantine(["x"], start));
   t.end();
 });
 
 t.test("two causes are quarantined separately", (t) => {
   const suspects = createSuspects(["x"], ["x"], ["x"], ["y"], ["y"], ["y"]);
-  t.strictSame(suspects.quarantines.map(({ blocks }) => blocks), [
-    ["x"],
-    ["y"],
-  ]);
+  t.strictSame(quarantinedBlocks(suspects), [["x"], ["y"]]);
   t.end();
 });
 
-t.test("a quarantine ends when its records are too old", (t) => {
+t.test("each engine that ends prolongs the quarantine", (t) => {
+  const suspects = createSuspects(["x"], ["x"], ["x"]);
+  const after = (milliseconds: number) => atMs(start.monotonic + milliseconds);
+  t.ok(suspects.findQuarantine(["x"], after(119_999)));
+  t.equal(suspects.findQuarantine(["x"], after(120_000)), undefined);
+  end(suspects, "e4", ["x"]);
+  t.ok(suspects.findQuarantine(["x"], after(239_999)));
+  t.equal(suspects.findQuarantine(["x"], after(240_000)), undefined);
+  t.end();
+});
+
+t.test("records that are too old are removed", (t) => {
   const suspects = createSuspects(["x"], ["x"], ["x"]);
   const later = atMs(start.monotonic + 600_000);
-  t.equal(suspects.findQuarantine(["x"], later), undefined);
   t.strictSame(suspects.takeRemoved(later), ["x"]);
   t.strictSame(suspects.quarantines, []);
   t.end();
 });
 
+t.test("a quarantine does not last longer for a process that learns it late", (t) => {
+  const [record] = createSuspects(["x"], ["x"], ["x"]).quarantined;
+  const late = new SuspectBlocks();
+  late.merge(record as SuspectBlock, atMs(start.monotonic + 100_000));
+  const end = atMs(start.monotonic + 120_000);
+  t.equal(late.findQuarantine(["x"], end), undefined);
+  t.end();
+});
+
 t.test("a peer that answered a block clears it for the reporter", (t) => {
-  const reporter = createSuspects(["a"], ["a"]);
+  const reporter = createSuspects(["a"]);
+  const [record] = end(reporter, "e2", ["a"]);
   const peer = new SuspectBlocks();
   peer.recordAnswer(["a"], start);
-  const [correction] = peer.merge(
-    { block: "a", clearances: 0, engines: ["e1", "e2"] },
-    start,
-  );
-  t.strictSame(correction, { block: "a", clearances: 1, engines: [] });
+  const [correction] = peer.merge(record as SuspectBlock, start);
+  t.match(correction, { block: "a", clearances: 1, ends: [] });
   t.match(reporter.merge(correction as SuspectBlock, start), [correction]);
   t.end();
 });
@@ -109,7 +169,7 @@
 t.test("the number of records is limited, the weakest are removed", (t) => {
   const suspects = createSuspects(["x"], ["x"], ["x"]);
   for (let index = 0; index < 300; index++) {
-    suspects.recordEnd("e1", [`b${index}`], start);
+    end(suspects, "e1", [`b${index}`]);
   }
   t.ok(suspects.findQuarantine(["x"], start));
   const removed = suspects.takeRemoved(start);
@@ -119,35 +179,72 @@
   t.end();
 });
 
-t.test("processes agree whatever the order of their records", (t) => {
-  const record = fc.record({
+t.test("the blocks remembered as answered are limited", (t) => {
+  const suspects = new SuspectBlocks();
+  for (let index = 0; index <= 8_192; index++) {
+    suspects.recordAnswer([`b${index}`], start);
+  }
+  t.notOk(suspects.wasAnswered("b0", start));
+  t.ok(suspects.wasAnswered("b1", start));
+  t.notOk(suspects.wasAnswered("b1", atMs(start.monotonic + 600_000)));
+  t.end();
+});
+
+const engineIds = Array.from({ length: 12 }, (_value, index) => `e${index}`);
+
+const records = fc.array(
+  fc.record({
     block: fc.constantFrom("a", "b"),
     clearances: fc.nat({ max: 2 }),
-    engines: fc.uniqueArray(fc.constantFrom("e1", "e2", "e3", "e4")),
-  });
+    ends: fc.uniqueArray(
+      fc.tuple(fc.constantFrom(...engineIds), fc.nat({ max: 4 }))
+        .map(([engine, attempt]) => `${engine}/a${attempt}`),
+      { selector: (value) => value, maxLength: 14 },
+    ),
+    changedAt: fc.nat({ max: 3 }).map((value) => start.wall - value),
+  }),
+  { maxLength: 12 },
+);
+
+t.test("processes agree whatever the order of their records", (t) => {
   fc.assert(fc.property(
-    fc.array(record, { maxLength: 12 }),
+    records,
     fc.infiniteStream(fc.nat()),
-    (records, order) => {
+    (values, order) => {
       const [first, second] = [new SuspectBlocks(), new SuspectBlocks()];
-      const keyed = records.map((value) => ({
-        value,
-        key: order.next().value as number,
-      }));
-      const shuffled = keyed.sort((a, b) => a.key - b.key)
+      const shuffled = values
+        .map((value) => ({ value, key: order.next().value as number }))
+        .sort((a, b) => a.key - b.key)
         .map(({ value }) => value);
-      for (const value of records) {
+      for (const value of values) {
         first.merge(value, start);
       }
       for (const value of [...shuffled, ...shuffled]) {
         second.merge(value, start);
       }
-      const blocksOf = ({ quarantines }: SuspectBlocks) =>
-        quarantines.map(({ blocks }) => [...blocks].sort().join())
-          .sort();
-      return JSON.stringify(blocksOf(first)) ===
-        JSON.stringify(blocksOf(second));
+      return JSON.stringify(first.quarantines.map(({ blocks }) => blocks)) ===
+        JSON.stringify(second.quarantines.map(({ blocks }) => blocks));
     },
   ));
   t.end();
 });
+
+t.test("processes stop exchanging records once they agree", (t) => {
+  fc.assert(fc.property(records, (values) => {
+    const processes = Array.from({ length: 4 }, () => new SuspectBlocks());
+    let messages = values.map((record: SuspectBlock, index) => ({
+      record,
+      to: index % processes.length,
+    }));
+    for (let round = 0; round < 20 && messages.length > 0; round++) {
+      messages = messages.flatMap(({ record, to }) =>
+        (processes[to]?.merge(record, start) ?? []).flatMap((changed) =>
+          processes.map((_process, peer) => ({ record: changed, to: peer }))
+            .filter((message) => message.to !== to)
+        )
+      );
+    }
+    return messages.length === 0;
+  }));
+  t.end();
+});
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -21,7 +21,8 @@
 const suspectsSchema = z.array(z.object({
   block: z.string(),
   clearances: z.int().min(0),
-  engines: z.array(z.string()),
+  ends: z.array(z.string()),
+  changedAt: z.number(),
 }));
 
 /**
@@ -155,10 +156,11 @@
     records: readonly SuspectBlock[],
   ): Promise<RelayEvent> {
     const value = records.slice(0, maxStoredSuspects)
-      .map(({ block, clearances, engines }) => ({
+      .map(({ block, clearances, ends, changedAt }) => ({
         block,
         clearances,
-        engines,
+        ends,
+        changedAt,
       }));
     const ifVersion = this.#suspectsVersion;
     const write = { key: suspectsKey, ifVersion, value };
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -146,7 +146,9 @@
 
 t.test("the quarantine row is read, and written over its latest version", async (t) => {
   const key = "quarantine/blocks";
-  const records = [{ block: "bad", clearances: 0, engines: ["a"] }];
+  const records = [
+    { block: "bad", clearances: 0, ends: ["a/1"], changedAt: 5 },
+  ];
   const { writes, run } = createRunner({
     reads: [{ key, version: 4, value: records }],
     commits: [
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -137,6 +137,7 @@
       attemptId,
       exchangeId,
       streaming,
+      isResumption: effect.resumption !== null,
       requestId: exchange.requestId,
       codec: this.#codec,
       attempt,
@@ -188,6 +189,8 @@
   readonly exchangeId: string;
   readonly requestId: string;
   readonly streaming: boolean;
+  /** Whether all events may have been received by an earlier attempt. */
+  readonly isResumption: boolean;
   readonly codec: HeaderCodec;
   readonly attempt: Attempt;
   readonly dispatch: Dispatch<RelayEvent>;
@@ -201,6 +204,7 @@
   readonly #chunks: Buffer[] = [];
   #length = 0;
   #connected = false;
+  #hasEvents = false;
   #ended = false;
 
   constructor(options: AnswerReaderOptions) {
@@ -287,6 +291,7 @@
       }
     });
     const framed = isFramed(response);
+    const { isResumption } = this.#options;
     let wasReset = false;
     if (!framed) {
       // Node reports a reset that arrives together with data as a regular end.
@@ -302,6 +307,9 @@
       } else if (!isEventStream) {
         const body = Buffer.concat(this.#chunks);
         this.#end({ kind: "answer_received", answer: { ...head, body } });
+      } else if (!framed && !this.#hasEvents && !isResumption) {
+        // A lost connection can look like the end of an unframed answer.
+        this.#endDisconnected("empty_stream");
       } else if (this.#splitter.partialEvent.length > 0) {
         this.#endDisconnected("partial_event");
       } else {
@@ -313,6 +321,7 @@
   #dispatchEvents(head: AnswerHead, chunk: Buffer): void {
     const batch = this.#splitter.push(chunk);
     if (batch !== null) {
+      this.#hasEvents = true;
       const { attemptId, exchangeId, dispatch } = this.#options;
       dispatch({
         kind: "events_received",
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -231,3 +231,13 @@
   await new Promise((resolve) => server.close(resolve));
   t.match(await check(address), { ...result, outcome: "ended" });
 });
+
+t.test("an unframed stream without an event was lost", async (t) => {
+  const address = await startUpstream(
+    t,
+    (socket) => socket.end(`${signed}\r\n`),
+  );
+  t.match(await sendAttempt(t, address, true), [
+    { kind: "attempt_failed", reason: "empty_stream", connectionLost: true },
+  ]);
+});
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -14,7 +14,7 @@
 import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
-import { expireRequest } from "../requests/request_part.ts";
+import { expireRequest, finalAnswerMs } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
@@ -48,9 +48,6 @@
 /** Minimum milliseconds for which a stopping process accepts requests. */
 const minStopMs = 3_000;
 
-/** Milliseconds before the stop deadline at which final answers are sent. */
-const finalAnswerMs = 200;
-
 /** Retry delay for callers whose queued request a stop ends, in milliseconds. */
 const stoppedRetryMs = 50;
 
@@ -156,8 +153,8 @@
 ): readonly RelayEffect[] {
   return dropRequest(state, request, {
     reason: "process_stopped",
-    neverRan: "draining",
-    mayHaveRun: "upstream_lost",
+    errorIfNotRun: "draining",
+    errorIfUnknown: "upstream_lost",
     outcome: "cancelled",
     retryAfterMs: stoppedRetryMs,
     at,
--- a/packages/relay/src/process/lifecycle_part_test.ts
+++ b/packages/relay/src/process/lifecycle_part_test.ts
@@ -158,3 +158,21 @@
   t.match(only(late, "send_failure"), [{ error: "draining", notRun: true }]);
   t.end();
 });
+
+t.test("a queued repeat is not refused as not run when a relay exits", (t) => {
+  const relay = new RelayFixture();
+  const desk = (id: string) => upstreamOf(id, { pool: "desk", slots: 1 });
+  relay.learn([desk("d1"), desk("d2")]);
+  const [sent] = only(relay.request({ path: "/look/1" }), "send_request");
+  relay.request({ exchangeId: "x2", path: "/look/2" });
+  const attemptId = sent?.attemptId ?? "";
+  const reason = "ECONNRESET";
+  relay.reduce({ kind: "attempt_failed", attemptId, exchangeId: "x1", reason });
+  t.match(relay.state.requests.get("x1"), { phase: "waiting", runs: 1 });
+  relay.reduce({ kind: "stop_requested" });
+  const failures = only(relay.reduce(checkStop, 7_850), "send_failure");
+  t.match(failures.filter(({ exchangeId }) => exchangeId === "x1"), [
+    { error: "upstream_lost", notRun: "unknown" },
+  ]);
+  t.end();
+});
--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -12,7 +12,7 @@
  * Milliseconds from an attempt's first event within which its loss counts as
  * early. Engines that a prompt ends do so within a few steps.
  */
-const earlyLossMs = 1_000;
+const earlyLossMs = 500;
 
 /**
  * Milliseconds from an early loss until its engine is checked. An engine that
@@ -21,9 +21,10 @@
 const checkDelayMs = 150;
 
 /**
- * Connections to several engines that are lost within this time are taken for a
- * fault of the network on this side, in milliseconds.
+ * Losses at this many engines within `networkFaultWindowMs` are taken for a
+ * fault of the network on this side.
  */
+const minNetworkFaultEngines = 3;
 const networkFaultWindowMs = 30;
 
 /** Milliseconds for which lost connections are remembered. */
@@ -73,7 +74,7 @@
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { upstream, sharedBlocks, resumption } = request;
+  const { upstream, attemptId, sharedBlocks, resumption } = request;
   const { connectionLostAt, earlyLosses, closeReasons } = state;
   for (const [id, { lostAt }] of earlyLosses) {
     if (at.monotonic - lostAt > earlyLossMemoryMs) {
@@ -94,13 +95,14 @@
   ) {
     return [];
   }
+  const prompt = { attemptId, blocks: sharedBlocks };
   const known = earlyLosses.get(upstream);
   if (known !== undefined) {
-    known.prompts.push(sharedBlocks);
+    known.prompts.push(prompt);
     return [];
   }
   const lostAt = at.monotonic;
-  earlyLosses.set(upstream, { lostAt, address, prompts: [sharedBlocks] });
+  earlyLosses.set(upstream, { lostAt, address, prompts: [prompt] });
   const timer = { kind: "check_engine", upstream } as const;
   return [{ kind: "set_timer", timer, at: lostAt + checkDelayMs }];
 }
@@ -117,14 +119,14 @@
     return [];
   }
   const { address, lostAt, prompts } = loss;
-  const others = [...connectionLostAt].filter(([id, otherLostAt]) =>
-    id !== upstream && Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
+  const lostTogether = [...connectionLostAt].filter(([id, otherLostAt]) =>
+    id === upstream || Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
   );
-  if (others.length === 0) {
+  if (lostTogether.length < minNetworkFaultEngines) {
     return [{ kind: "check_engine", upstream, address }];
   }
   earlyLosses.delete(upstream);
-  const figures = { prompts: prompts.length, others: others.length };
+  const figures = { prompts: prompts.length, engines: lostTogether.length };
   return [
     recordDecision(state, {
       kind: "member",
@@ -196,9 +198,9 @@
   if (loss === undefined) {
     return [];
   }
-  const blocks = [...new Set(loss.prompts.flat())];
-  const changed = state.suspects.recordEnd(upstream, blocks, at);
-  const figures = { prompts: loss.prompts.length, blocks: blocks.length };
+  const { prompts } = loss;
+  const changed = state.suspects.recordEnd(upstream, prompts, at);
+  const figures = { prompts: prompts.length, blocks: changed.length };
   return [
     recordDecision(state, {
       kind: "member",
@@ -220,15 +222,17 @@
   if (changed.length === 0) {
     return [];
   }
+  // Records that gave way make room for the changed ones.
+  const expiryEffects = removeExpiredSuspects(state, at);
   const effects: RelayEffect[] = [];
   for (const record of changed) {
     state.fleet.setSuspect(record, at);
-    const { block, clearances, engines } = record;
+    const { block, clearances, ends } = record;
     effects.push(recordDecision(state, {
       kind: "configure",
       subject: block,
       reason: "suspect_block",
-      figures: { clearances, engines: engines.length },
+      figures: { clearances, ends: ends.length },
     }, at));
   }
   for (const request of [...state.requests.values()]) {
@@ -236,6 +240,7 @@
   }
   return [
     ...effects,
+    ...expiryEffects,
     ...isFirstLiveMember(state) ? stateSuspects(state, at) : [],
     ...releaseBacklogs(state, at),
     ...sendDueExchanges(state, at),
@@ -279,8 +284,8 @@
   }
   return dropRequest(state, request, {
     reason: "prompt_quarantined",
-    neverRan: "prompt_quarantined",
-    mayHaveRun: "upstream_lost",
+    errorIfNotRun: "prompt_quarantined",
+    errorIfUnknown: "upstream_lost",
     outcome: "cancelled",
     retryAfterMs: quarantine.deadline - at.monotonic,
     at,
--- a/packages/relay/src/quarantine/quarantine_part_test.ts
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -22,6 +22,13 @@
   };
 }
 
+const ends = ["a/1", "b/1", "c/1"];
+
+/** Returns a peer's record of a block under which three engines ended. */
+function recordOf(block: string) {
+  return { block, clearances: 0, ends, changedAt: 1_700_000_000_000 };
+}
+
 let nextExchange = 1;
 
 /** Sends a request for a generation; returns its attempt. */
@@ -152,7 +159,7 @@
   for (let round = 0; round < 4; round++) {
     const started = Array.from({ length: 6 }, () => start(relay, "block"));
     const upstreams = new Set(started.map(({ upstream }) => upstream));
-    t.ok(upstreams.size >= 2);
+    t.ok(upstreams.size >= 3);
     for (const attempt of started) {
       lose(relay, attempt);
     }
@@ -221,7 +228,7 @@
 t.test("processes learn from their peers which prompts end engines", (t) => {
   const relay = createRelay();
   const effects = relay.receiveExchange({
-    suspects: [{ block: "bad", clearances: 0, engines: ["a", "b", "c"] }],
+    suspects: [recordOf("bad")],
   });
   t.match(
     only(effects, "log_decision").map(({ decision }) => decision),
@@ -242,7 +249,7 @@
   const relay = createRelay();
   finish(relay, start(relay, "shared"));
   relay.receiveExchange({
-    suspects: [{ block: "shared", clearances: 0, engines: ["a", "b", "c"] }],
+    suspects: [recordOf("shared")],
   });
   t.equal(only(start(relay, "shared").effects, "send_request").length, 1);
   const [answered] = only(
@@ -250,7 +257,7 @@
     "answer_exchange",
   );
   t.match(answered?.message.suspects, [
-    { block: "shared", clearances: 1, engines: [] },
+    { block: "shared", clearances: 1, ends: [] },
   ]);
   t.end();
 });
@@ -290,8 +297,7 @@
 t.test("a quarantine outlives a restart of all processes", (t) => {
   const relay = createRelay();
   t.equal(only(relay.reduce({ kind: "started" }), "read_suspects").length, 1);
-  const engineIds = ["a", "b", "c"];
-  const records = [{ block: "bad", clearances: 0, engines: engineIds }];
+  const records = [recordOf("bad")];
   relay.reduce({ kind: "suspects_learned", records });
   t.strictSame(failures(start(relay, "bad").effects), [
     { error: "prompt_quarantined", notRun: true },
@@ -302,7 +308,7 @@
 t.test("a quarantine that another process wrote meanwhile is merged", (t) => {
   const relay = createRelay();
   endEngines(relay, 3, "bad");
-  const records = [{ block: "worse", clearances: 0, engines: ["a", "b", "c"] }];
+  const records = [recordOf("worse")];
   const effects = relay.reduce({ kind: "suspects_conflicted", records });
   const timers = only(effects, "set_timer").map(({ timer }) => timer.kind);
   t.ok(timers.includes("state_suspects"));
@@ -314,3 +320,47 @@
   t.strictSame(write?.records.map(({ block }) => block), ["bad", "worse"]);
   t.end();
 });
+
+t.test("an unframed stream that ends early does not clear its blocks", (t) => {
+  const relay = createRelay();
+  endEngines(relay, 2, "bad");
+  const { exchangeId, attemptId } = start(relay, "bad");
+  const attempt = { exchangeId, attemptId, head: { status: 200, headers: [] } };
+  const events = { bytes: Buffer.from(""), count: 1, lastEventId: "1" };
+  relay.reduce({ kind: "events_received", ...attempt, ...events });
+  relay.reduce({ kind: "stream_ended", ...attempt, framed: false });
+  endEngines(relay, 1, "bad");
+  t.match(failures(start(relay, "bad").effects), [
+    { error: "prompt_quarantined" },
+  ]);
+  t.end();
+});
+
+t.test("two engines that end together are both held against prompts", (t) => {
+  const relay = createRelay();
+  for (let round = 0; round < 4; round++) {
+    const started = [start(relay, "bad")];
+    for (let count = 0; count < 8 && started.length < 2; count++) {
+      const other = start(relay, "bad");
+      if (other.upstream !== started[0]?.upstream) {
+        started.push(other);
+      }
+    }
+    for (const attempt of started) {
+      lose(relay, attempt);
+    }
+    for (const { upstream } of started) {
+      check(relay, upstream);
+    }
+    relay.wait(3_000);
+    relay.reduce({
+      kind: "upstreams_learned",
+      vms: engines.map((id) => upstreamOf(`${id}-${round}`)),
+      unreadable: [],
+    });
+  }
+  t.match(failures(start(relay, "bad").effects), [
+    { error: "prompt_quarantined" },
+  ]);
+  t.end();
+});
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -171,6 +171,8 @@
     return [];
   }
   const { upstream, events, sends, firstEventMs } = request;
+  // An engine that ends looks like the end of an unframed stream.
+  const provesComplete = events > 0 && (framed || !isEarlyLoss(request, at));
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const pool = state.pools.get(request.service);
   if (pool !== undefined) {
@@ -195,7 +197,7 @@
     }, at),
     ...effects,
     { kind: "finish_events", exchangeId, head },
-    ...events > 0 ? recordAnsweredBlocks(state, request, at) : [],
+    ...provesComplete ? recordAnsweredBlocks(state, request, at) : [],
     ...releaseBacklogs(state, at),
   ];
 }
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -134,11 +134,12 @@
 export function dropRequest(
   state: RelayState,
   request: RelayedRequest,
-  { reason, neverRan, mayHaveRun, outcome, retryAfterMs, at }: {
+  { reason, errorIfNotRun, errorIfUnknown, outcome, retryAfterMs, at }: {
     readonly reason: string;
     /** Error of a request that was never sent to an upstream. */
-    readonly neverRan: ErrorKind;
-    readonly mayHaveRun: ErrorKind;
+    readonly errorIfNotRun: ErrorKind;
+    /** Error of a request that may have run. */
+    readonly errorIfUnknown: ErrorKind;
     /** How the current attempt ended for its upstream. */
     readonly outcome: "cancelled" | "failed";
     /** Retry delay for the caller of a request that has not run. */
@@ -160,8 +161,8 @@
     ...failRequest(
       request,
       notRun
-        ? { error: neverRan, notRun: true, retryAfterMs }
-        : { error: mayHaveRun, notRun: "unknown" },
+        ? { error: errorIfNotRun, notRun: true, retryAfterMs }
+        : { error: errorIfUnknown, notRun: "unknown" },
     ),
   ];
 }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -27,6 +27,9 @@
  */
 const drainingRetryMs = 50;
 
+/** Milliseconds before the stop deadline at which final answers are sent. */
+export const finalAnswerMs = 200;
+
 /** Relative jitter of retry delays, so that callers do not retry together. */
 const retryJitterShare = 0.5;
 
@@ -77,8 +80,8 @@
   }
   const effects = dropRequest(state, request, {
     reason: "deadline_passed",
-    neverRan: "no_upstream",
-    mayHaveRun: "upstream_timeout",
+    errorIfNotRun: "no_upstream",
+    errorIfUnknown: "upstream_timeout",
     outcome: "failed",
     retryAfterMs: notReadyRetryMs,
     at,
@@ -195,7 +198,8 @@
 ): boolean {
   const boundMs = answerTimes.get(route.name)?.boundMs(demand.maxTokens) ??
     Infinity;
-  return Math.min(deadline, demand.arrivedAt + boundMs) <= stopDeadline;
+  const lastAnswerAt = stopDeadline - finalAnswerMs;
+  return Math.min(deadline, demand.arrivedAt + boundMs) <= lastAnswerAt;
 }
 
 /** Milliseconds until the process exits; -1 if no stop is planned. */
