--- a/packages/standins/src/rows/rows_server.ts
+++ b/packages/standins/src/rows/rows_server.ts
@@ -82,6 +82,11 @@
     this.#wakeFeeds();
   }
 
+  /** Whether a row with an empty part exists. */
+  has(table: string, key: string): boolean {
+    return this.#rows.has(rowId({ table, part: "", key }));
+  }
+
   #writeRow(row: Omit<StoredRow, "ver">, ver: number): void {
     this.#rows.set(rowId(row), { ...row, ver });
     this.#changes.push({ ...row, ver });
