fix(entry): prompts that end engines are kept from further engines

Cause: a generation whose engine was lost before its first token was started again at up to eight others, so that one prompt ended one engine after the other. Nothing held these losses against the prompt, and new ones went on. Evidence: quarantine_part_test.js on the former code, "prompts with a block that ends engines stop reaching engines": 12 of 12 engines ended in place of 3, and the last prompts got no_upstream in place of prompt_quarantined. Change: as the relay does, the entry holds engines that refuse connections after an early loss against the digests of the prompt's blocks except the last one, shares this with peers, refuses quarantined prompts as not run and ends their generations without a token; complete answers clear blocks. A generation is started at two engines at most after losses before its first token, also if its prompt has no shared block, and elsewhere only once its engine was checked. Checks run with the exchange timer. EarlyLosses and isEarlyLoss move from the relay to policy, the check of engines and socket addresses to fleet; relay's mod.ts exports parseSocketAddress again for the platform. New: a loss of an attempt that was sent after another loss is no sign of a network fault; the relay does not state sentAt, so it decides as before. Result: the test passes, 3 engines end. 26,377 checks of entry, fleet, policy and relay pass. Without the detection of network faults, the limit, the check or the clearing, a test fails each time. No existing test was changed.

--- a/packages/entry/src/effects.ts
+++ b/packages/entry/src/effects.ts
@@ -1,3 +1,4 @@
+import type { EngineCheck } from "@lavenderferry/fleet";
 import type { CallEffect } from "./calls/call_effect.ts";
 import type { FleetEffect } from "./fleet/fleet_effect.ts";
 import type {
@@ -11,6 +12,7 @@
 /** Every effect that the entry's reducer returns. */
 export type EntryEffect =
   | EngineEffect
+  | EngineCheck
   | ReaderEffect
   | TakeOverEffect
   | CallEffect
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,5 @@
 import { randomBytes } from "node:crypto";
-import { ExchangeRunner } from "@lavenderferry/fleet";
+import { engineCheckHandlers, ExchangeRunner } from "@lavenderferry/fleet";
 import { PlatformClient } from "@lavenderferry/platform";
 import {
   createPeerCredentials,
@@ -52,6 +52,7 @@
     reduce: reduceEntry,
     handlers: {
       ...new EngineRunner().handlers,
+      ...engineCheckHandlers,
       ...new ServiceRunner(platform).handlers,
       ...createFleetHandlers(platform),
       ...exchanges.handlers,
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -1,3 +1,4 @@
+import type { EngineChecked } from "@lavenderferry/fleet";
 import type { CallEvent } from "./calls/call_event.ts";
 import type { FleetEvent } from "./fleet/fleet_event.ts";
 import type { GenerationEvent } from "./generations/generation_event.ts";
@@ -9,5 +10,6 @@
   | GenerationEvent
   | CallEvent
   | FleetEvent
+  | EngineChecked
   | UsageEvent
   | ProcessEvent;
--- a/packages/entry/src/fleet/exchange_part.ts
+++ b/packages/entry/src/fleet/exchange_part.ts
@@ -3,6 +3,11 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { EntryEffect } from "../effects.ts";
 import { releaseBacklog } from "../generations/generation_start.ts";
+import {
+  checkLostEngines,
+  mergeSuspects,
+  removeExpiredSuspects,
+} from "../quarantine/quarantine_part.ts";
 import type { EntryState } from "../state.ts";
 import { recordDecision } from "../util/record_decision.ts";
 import { count } from "../util/effects.ts";
@@ -23,15 +28,20 @@
   onFailure: (error) => [count("retries", error)],
 });
 
-/** Publishes the entry's load and output lengths and sends due messages. */
+/**
+ * Publishes the entry's load and output lengths and sends due messages. Keeps
+ * the suspect blocks up to date.
+ */
 export function exchangeWithPeers(
   state: EntryState,
   at: Moment,
 ): readonly EntryEffect[] {
+  removeExpiredSuspects(state, at);
+  const checks = checkLostEngines(state, at);
   state.fleet.setShares(state.dispatcher.shares(), at);
   state.fleet.setLengths(state.dispatcher.takeChangedLengths(), at);
   const sends = sendDueExchanges(state, at);
-  return [...applyUpdates(state, at), ...sends];
+  return [...checks, ...applyUpdates(state, at), ...sends];
 }
 
 /** Marks an engine as taking no new work and sends the mark to the peers. */
@@ -76,7 +86,10 @@
     state.timeline.add(configuration);
   }
   acceptPeerConfiguration(state);
-  return updates.marks.length > 0 ? releaseBacklog(state, at) : [];
+  return [
+    ...mergeSuspects(state, updates.suspects, at),
+    ...updates.marks.length > 0 ? releaseBacklog(state, at) : [],
+  ];
 }
 
 /**
--- a/packages/entry/src/generations/engine_stream.ts
+++ b/packages/entry/src/generations/engine_stream.ts
@@ -7,6 +7,7 @@
 import { neverSent } from "../util/never_sent.ts";
 import { engineUsageSchema } from "./engine_usage.ts";
 import type { EngineFailure, EngineUsage, Token } from "./generation_event.ts";
+import { lostConnection } from "./generation_event.ts";
 
 /** One connection of a generation to its engine. */
 export interface Attempt {
@@ -134,7 +135,7 @@
     if (this.#generationMismatch) {
       this.#fail({ kind: "lost", reason: "other_generation" });
     } else if (!neverSent(error)) {
-      this.#fail({ kind: "lost", reason: "connection" });
+      this.#fail({ kind: "lost", reason: lostConnection });
     } else if (this.#attempt.isResume) {
       this.#fail({ kind: "lost", reason: "unreachable" });
     } else {
--- a/packages/entry/src/generations/generation.ts
+++ b/packages/entry/src/generations/generation.ts
@@ -26,6 +26,8 @@
   readerId: string | null;
   readonly demand: Demand;
   readonly prompt: string;
+  /** Ids of the prompt's blocks that other requests may share. */
+  readonly sharedBlocks: readonly string[];
   readonly traceParent: string | undefined;
   /** The output is buffered and delivered in one piece at the end. */
   readonly deliverAtEnd: boolean;
@@ -51,6 +53,14 @@
   tries: number;
   /** Restarts because an engine lost the generation. */
   restarts: number;
+  /** Monotonic milliseconds of the start at the engine; 0 before it. */
+  sentAt: number;
+  /** Monotonic milliseconds of the engine's first token; `null` before it. */
+  firstTokenAt: number | null;
+  /** The connection was lost before the engine's first token. */
+  lostBeforeToken: boolean;
+  /** Number of engines that were lost before their first token. */
+  lossesBeforeToken: number;
   /** Last known address of the engine. */
   address: string | null;
   /** The engine accepted the current attempt. */
--- a/packages/entry/src/generations/generation_event.ts
+++ b/packages/entry/src/generations/generation_event.ts
@@ -35,6 +35,9 @@
   readonly traceParent: string | undefined;
 }
 
+/** Reason of a loss after the request was sent, other than its answer. */
+export const lostConnection = "connection";
+
 /** How an attempt at an engine failed. */
 export type EngineFailure =
   /** The engine reported that it did not start, or no byte was sent. */
--- a/packages/entry/src/generations/generation_part.ts
+++ b/packages/entry/src/generations/generation_part.ts
@@ -17,6 +17,10 @@
 import { count, failRequest } from "../util/effects.ts";
 import { isReady } from "../util/is_ready.ts";
 import { refuseDraining } from "../util/refuse_draining.ts";
+import {
+  recordAnsweredBlocks,
+  refuseQuarantined,
+} from "../quarantine/quarantine_part.ts";
 import { progressTimeoutMs } from "./generation.ts";
 import { cancelAtEngine, recoverGeneration } from "./generation_recovery.ts";
 import {
@@ -79,7 +83,21 @@
     const error = refusal ?? "unknown_class";
     return failRequest({ readerId, requestId, error, notRun: true });
   }
-  const generation = createGeneration(state, event, workClass);
+  const prefix = prefixDigests(event.prompt);
+  const sharedBlocks = prefix.slice(0, -1);
+  const quarantined = refuseQuarantined(
+    state,
+    { readerId, requestId, sharedBlocks },
+    event.at,
+  );
+  if (quarantined !== null) {
+    return quarantined;
+  }
+  const generation = createGeneration(state, event, {
+    workClass,
+    prefix,
+    sharedBlocks,
+  });
   state.generations.set(generation.stream.generationId, generation);
   state.generationIdByReader.set(readerId, generation.stream.generationId);
   return placeGeneration(state, generation, event.at);
@@ -105,7 +123,11 @@
 function createGeneration(
   state: EntryState,
   event: Timed<GenerationRequested>,
-  workClass: WorkClass,
+  { workClass, prefix, sharedBlocks }: {
+    readonly workClass: WorkClass;
+    readonly prefix: readonly string[];
+    readonly sharedBlocks: readonly string[];
+  },
 ): Generation {
   const { requestId, workspace, model, prompt, maxTokens, at } = event;
   return {
@@ -126,11 +148,12 @@
       model,
       promptTokens: estimateTokens(prompt),
       maxTokens,
-      prefix: prefixDigests(prompt),
+      prefix,
       targets: workClass.targets,
       arrivedAt: at.monotonic,
     },
     prompt,
+    sharedBlocks,
     traceParent: event.traceParent,
     deliverAtEnd: !event.stream || workClass.delivery === "whole",
     asJson: !event.stream,
@@ -150,6 +173,10 @@
 const initialAttemptState = {
   tries: 0,
   restarts: 0,
+  sentAt: 0,
+  firstTokenAt: null,
+  lostBeforeToken: false,
+  lossesBeforeToken: 0,
   address: null,
   attemptAccepted: false,
   progressDeadline: null,
@@ -214,6 +241,7 @@
   const generation = findByAttempt(state, event);
   if (generation !== undefined) {
     generation.attemptAccepted = true;
+    generation.lostBeforeToken = false;
     generation.progressDeadline = event.at.monotonic + progressTimeoutMs;
   }
   return [];
@@ -296,6 +324,8 @@
   effects.push(...observeProgress(generation, newTokens.length, at));
   generation.phase = "streaming";
   generation.tries = 0;
+  generation.lostBeforeToken = false;
+  generation.firstTokenAt ??= at.monotonic;
   generation.attemptAccepted = true;
   generation.progressDeadline = at.monotonic + progressTimeoutMs;
   generation.nextIndex += newTokens.length;
@@ -407,6 +437,9 @@
       createFinalEffect(generation, readerId, { finishReason, usage }),
     );
   }
+  if (usage.outputTokens > 0) {
+    effects.push(...recordAnsweredBlocks(state, generation, at));
+  }
   effects.push(...releaseBacklog(state, at));
   return effects;
 }
--- a/packages/entry/src/generations/generation_recovery.ts
+++ b/packages/entry/src/generations/generation_recovery.ts
@@ -3,9 +3,11 @@
 import type { EntryState } from "../state.ts";
 import type { Generation } from "./generation.ts";
 import type { GenerationEvent } from "./generation_event.ts";
+import { lostConnection } from "./generation_event.ts";
 import { nextId } from "../state.ts";
 import { recordDecision } from "../util/record_decision.ts";
 import { count } from "../util/effects.ts";
+import { mayStartAgain, recordLoss } from "../quarantine/record_loss.ts";
 import { progressTimeoutMs } from "./generation.ts";
 import {
   failGeneration,
@@ -46,6 +48,9 @@
     case "gone":
       return restartGone(state, generation, event);
     case "lost":
+      if (event.failure.reason === lostConnection) {
+        recordLoss(state, generation, event.at);
+      }
       return scheduleResume(state, generation, event);
   }
 }
@@ -217,7 +222,9 @@
   const reason = "generation_gone";
   const delivered = generation.deliveredIndex > 0;
   generation.restarts += 1;
-  if (delivered || generation.restarts > maxRestarts) {
+  const canRestart = mayStartAgain(generation) &&
+    generation.restarts <= maxRestarts;
+  if (delivered || !canRestart) {
     removeGeneration(state, generation);
     recordDecision(
       state,
@@ -256,7 +263,9 @@
   const limit = generation.deliveredIndex > 0
     ? maxResumes
     : maxUndeliveredResumes;
-  if (generation.tries > limit) {
+  // Another engine is tried only once it is known whether this one has ended.
+  const isPending = state.earlyLosses.isPending(generation.stream.upstream);
+  if (generation.tries > limit && !isPending) {
     return abandonEngine(state, generation, event);
   }
   const { requestId, generationId, upstream } = generation.stream;
--- a/packages/entry/src/generations/generation_start.ts
+++ b/packages/entry/src/generations/generation_start.ts
@@ -115,6 +115,7 @@
   generation.stream = { ...generation.stream, generationId: nextId(state) };
   generation.phase = "waiting";
   generation.progressDeadline = null;
+  generation.firstTokenAt = null;
   generation.chargedIndex = 0;
   generation.nextIndex = 0;
   generation.buffer = [];
@@ -139,6 +140,7 @@
   const { generationId } = generation.stream;
   generation.stream = { ...generation.stream, upstream: engine };
   generation.phase = "sent";
+  generation.sentAt = at.monotonic;
   generation.address = vm.address;
   generation.attemptAccepted = false;
   generation.progressDeadline = at.monotonic + progressTimeoutMs;
--- a/packages/entry/src/reduce.ts
+++ b/packages/entry/src/reduce.ts
@@ -5,6 +5,7 @@
 import { fleetPart } from "./fleet/fleet_part.ts";
 import { generationPart } from "./generations/generation_part.ts";
 import { lifecyclePart } from "./process/lifecycle_part.ts";
+import { quarantinePart } from "./quarantine/quarantine_part.ts";
 import type { EntryState } from "./state.ts";
 import { usagePart } from "./usage/usage_part.ts";
 
@@ -14,5 +15,6 @@
   ...callPart,
   ...fleetPart,
   ...usagePart,
+  ...quarantinePart,
   ...lifecyclePart,
 });
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -3,7 +3,11 @@
 import { UsageMeter } from "@lavenderferry/ledger";
 import type { Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
-import { dispatcherFactories } from "@lavenderferry/policy";
+import {
+  dispatcherFactories,
+  EarlyLosses,
+  SuspectBlocks,
+} from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import type { Call } from "./calls/call.ts";
 import type {
@@ -37,6 +41,10 @@
   readonly generationIdByReader: Map<string, string>;
   /** Generations in the dispatcher's backlog, by request id. */
   readonly waiting: Map<string, Generation>;
+  /** Blocks of prompts under which engines ended. */
+  readonly suspects: SuspectBlocks;
+  /** Losses of attempts that had just begun. */
+  readonly earlyLosses: EarlyLosses;
   /** Service calls in progress, by call id. */
   readonly calls: Map<string, Call>;
   readonly usage: UsageMeter;
@@ -79,6 +87,8 @@
     generations: new Map(),
     generationIdByReader: new Map(),
     waiting: new Map(),
+    suspects: new SuspectBlocks(),
+    earlyLosses: new EarlyLosses(),
     calls: new Map(),
     usage: new UsageMeter(epoch),
     usageHandover: createUsageHandover(),
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./address_book.ts";
 export * from "./duties.ts";
 export * from "./duty_directory.ts";
+export * from "./engine_check.ts";
 export * from "./exchange_budget.ts";
 export * from "./exchange_effect.ts";
 export * from "./exchange_event.ts";
@@ -13,3 +14,4 @@
 export * from "./member.ts";
 export * from "./membership.ts";
 export * from "./peer_selection.ts";
+export * from "./socket_address.ts";
--- a/packages/relay/src/util/parse_socket_address.ts
+++ b/packages/fleet/src/socket_address.ts
@@ -1,4 +1,8 @@
-import type { SocketAddress } from "../settings.ts";
+/** Address of a TCP socket. */
+export interface SocketAddress {
+  readonly ip: string;
+  readonly port: number;
+}
 
 /** Parses an address of the form `ip:port`, split at its last colon. */
 export function parseSocketAddress(address: string): SocketAddress {
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./adaptive_options.ts";
 export * from "./dispatcher.ts";
 export * from "./dispatchers.ts";
+export * from "./early_losses.ts";
 export * from "./least_load.ts";
 export * from "./prefix_digests.ts";
 export * from "./retry_budget.ts";
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -4,7 +4,7 @@
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
-import type { SocketAddress } from "../settings.ts";
+import type { SocketAddress } from "@lavenderferry/fleet";
 import { listen } from "../util/listen.ts";
 import type { CallerExchanges } from "./caller_exchanges.ts";
 
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -1,12 +1,10 @@
-import { once } from "node:events";
-import { connect } from "node:net";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { Agent, request as sendRequest } from "node:http";
+import { engineCheckHandlers, parseSocketAddress } from "@lavenderferry/fleet";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
-import { parseSocketAddress } from "../util/parse_socket_address.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 
@@ -19,9 +17,6 @@
 /** Idle connections that one process keeps to one upstream. */
 const maxIdleConnections = 8;
 
-/** Error code of a connection to a port on which no process listens. */
-const refusedCode = "ECONNREFUSED";
-
 /** Largest answer that is not an event stream. */
 const maxAnswerBytes = 8_388_608;
 
@@ -83,11 +78,7 @@
     },
     check_copy: (effect, dispatch) =>
       this.#requestReport(effect, "copy_checked", dispatch),
-    check_engine: ({ upstream, address }, dispatch) => {
-      void refusesConnections(address).then((ended) =>
-        dispatch({ kind: "engine_checked", upstream, ended })
-      );
-    },
+    ...engineCheckHandlers,
     list_runs: (effect, dispatch) =>
       this.#requestReport(effect, "runs_listed", dispatch),
     copy_generation: (effect, dispatch) => {
@@ -164,23 +155,6 @@
   }
 }
 
-/** Whether an address refuses connections at once, as nothing listens there. */
-async function refusesConnections(address: string): Promise<boolean> {
-  const { ip: host, port } = parseSocketAddress(address);
-  const socket = connect({ host, port });
-  try {
-    await once(socket, "connect", {
-      signal: AbortSignal.timeout(connectTimeoutMs),
-    });
-    return false;
-  } catch (error) {
-    return error instanceof Error && "code" in error &&
-      error.code === refusedCode;
-  } finally {
-    socket.destroy();
-  }
-}
-
 interface AnswerReaderOptions {
   readonly attemptId: string;
   readonly exchangeId: string;
--- a/packages/relay/src/mod.ts
+++ b/packages/relay/src/mod.ts
@@ -7,4 +7,4 @@
 export * from "./routing/route_table.ts";
 export * from "./routing/routing.ts";
 export * from "./settings.ts";
-export * from "./util/parse_socket_address.ts";
+export { parseSocketAddress } from "@lavenderferry/fleet";
--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -1,34 +1,14 @@
+import type { EngineChecked } from "@lavenderferry/fleet";
 import { sendDueExchanges } from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
+import { isEarlyLoss } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
-import type { EngineChecked } from "../relay_event.ts";
 import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 
-/**
- * Milliseconds from an attempt's first event within which its loss counts as
- * early. Engines that a prompt ends do so within a few steps.
- */
-const earlyLossMs = 1_000;
-
-/**
- * Milliseconds from an early loss until its engine is checked. An engine that
- * ended is started again after some seconds.
- */
-const checkDelayMs = 150;
-
-/**
- * Connections to several engines that are lost within this time are taken for a
- * fault of the network on this side, in milliseconds.
- */
-const networkFaultWindowMs = 100;
-
-/** Milliseconds for which lost connections are remembered. */
-const lossMemoryMs = 2_000;
-
 /** Event handlers that find the prompts under which engines end. */
 export const quarantinePart: EventHandlers<
   RelayState,
@@ -38,14 +18,6 @@
   engine_checked: (state, event) => handleEngineCheck(state, event),
 };
 
-/** Whether an attempt was lost before or shortly after its first event. */
-export function isEarlyLoss(
-  { firstEventAt }: RelayedRequest,
-  at: Moment,
-): boolean {
-  return firstEventAt === null || at.monotonic - firstEventAt <= earlyLossMs;
-}
-
 /** Whether a block of a request's prompt is not known to be answerable. */
 export function hasUnansweredBlock(
   { suspects }: RelayState,
@@ -64,31 +36,23 @@
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { upstream, sharedBlocks, resumption } = request;
-  const { connectionLostAt, earlyLosses, closeReasons } = state;
-  for (const [id, lostAt] of connectionLostAt) {
-    if (at.monotonic - lostAt > lossMemoryMs) {
-      connectionLostAt.delete(id);
-    }
-  }
-  connectionLostAt.set(upstream, at.monotonic);
+  const { upstream, sharedBlocks: blocks, resumption, firstEventAt } = request;
+  const { earlyLosses, closeReasons } = state;
+  earlyLosses.recordConnection(upstream, at);
   const address = state.upstreams.get(upstream)?.address;
   if (
-    sharedBlocks.length === 0 || resumption !== null ||
-    !isEarlyLoss(request, at) || closeReasons.has(upstream) ||
+    blocks.length === 0 || resumption !== null ||
+    !isEarlyLoss(firstEventAt, at) || closeReasons.has(upstream) ||
     address === undefined
   ) {
     return [];
   }
-  const known = earlyLosses.get(upstream);
-  if (known !== undefined) {
-    known.prompts.push(sharedBlocks);
+  const checkAt = earlyLosses.record(upstream, { address, blocks }, at);
+  if (checkAt === null) {
     return [];
   }
-  const lostAt = at.monotonic;
-  earlyLosses.set(upstream, { lostAt, address, prompts: [sharedBlocks] });
   const timer = { kind: "check_engine", upstream } as const;
-  return [{ kind: "set_timer", timer, at: lostAt + checkDelayMs }];
+  return [{ kind: "set_timer", timer, at: checkAt }];
 }
 
 /** Checks an engine after an early loss, unless the network is at fault. */
@@ -97,28 +61,22 @@
   upstream: string,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { earlyLosses, connectionLostAt } = state;
-  const loss = earlyLosses.get(upstream);
-  if (loss === undefined) {
-    return [];
-  }
-  const { address, lostAt, prompts } = loss;
-  const others = [...connectionLostAt].filter(([id, otherLostAt]) =>
-    id !== upstream && Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
-  );
-  if (others.length === 0) {
-    return [{ kind: "check_engine", upstream, address }];
+  const finding = state.earlyLosses.assess(upstream);
+  switch (finding?.kind) {
+    case undefined:
+      return [];
+    case "check_engine":
+      return [{ kind: "check_engine", upstream, address: finding.address }];
+    case "network_fault":
+      return [
+        recordDecision(state, {
+          kind: "member",
+          subject: upstream,
+          reason: "network_fault",
+          figures: finding.figures,
+        }, at),
+      ];
   }
-  earlyLosses.delete(upstream);
-  const figures = { prompts: prompts.length, others: others.length };
-  return [
-    recordDecision(state, {
-      kind: "member",
-      subject: upstream,
-      reason: "network_fault",
-      figures,
-    }, at),
-  ];
 }
 
 /** Merges a peer's records of suspect blocks. */
@@ -152,8 +110,7 @@
   state: RelayState,
   { upstream, ended, at }: Timed<EngineChecked>,
 ): readonly RelayEffect[] {
-  const loss = state.earlyLosses.get(upstream);
-  state.earlyLosses.delete(upstream);
+  const loss = state.earlyLosses.take(upstream);
   if (loss === undefined || !ended) {
     return [];
   }
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
-import type { ExchangeEffect } from "@lavenderferry/fleet";
+import type { EngineCheck, ExchangeEffect } from "@lavenderferry/fleet";
 import type { Decision } from "@lavenderferry/runtime";
 import type { Answer, AnswerHead } from "./relay_event.ts";
 import type { RelayTimer } from "./process/timers.ts";
@@ -45,12 +45,7 @@
     readonly exchangeId: string;
     readonly address: string;
   }
-  | {
-    /** Checks whether an engine still accepts connections. */
-    readonly kind: "check_engine";
-    readonly upstream: string;
-    readonly address: string;
-  }
+  | EngineCheck
   | {
     /** Fetches the list of generations that a generation's engine runs. */
     readonly kind: "list_runs";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind } from "@lavenderferry/errors";
-import type { ExchangeEvent } from "@lavenderferry/fleet";
+import type { EngineChecked, ExchangeEvent } from "@lavenderferry/fleet";
 import type { Vm } from "@lavenderferry/platform";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
@@ -152,14 +152,6 @@
     readonly head: AnswerHead;
   };
 
-/** An engine was checked after attempts at it were lost. */
-export interface EngineChecked {
-  readonly kind: "engine_checked";
-  readonly upstream: string;
-  /** Whether the engine refused a connection, as no process listens. */
-  readonly ended: boolean;
-}
-
 /** Error of a failed operation of the store. */
 interface SourceFailure {
   readonly error: ErrorKind;
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -1,9 +1,9 @@
+import { isEarlyLoss } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import {
   hasUnansweredBlock,
-  isEarlyLoss,
   recordAnsweredBlocks,
   recordLoss,
 } from "../quarantine/quarantine_part.ts";
@@ -309,7 +309,7 @@
     ? recordLoss(state, request, at)
     : [];
   // A prompt that ends engines would end the one that keeps the copy as well.
-  const isSuspect = isEarlyLoss(request, at) &&
+  const isSuspect = isEarlyLoss(request.firstEventAt, at) &&
     hasUnansweredBlock(state, request, at);
   const resumptionEffects = isSuspect
     ? null
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,8 +1,4 @@
-/** Address of a TCP socket. */
-export interface SocketAddress {
-  readonly ip: string;
-  readonly port: number;
-}
+import type { SocketAddress } from "@lavenderferry/fleet";
 
 /** Settings of one relay process. */
 export interface RelaySettings {
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "@lavenderferry/policy";
 import {
   AdaptiveDispatcher,
+  EarlyLosses,
   RetryBudget,
   SlotDispatcher,
   SuspectBlocks,
@@ -10,7 +11,6 @@
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
-import type { EarlyLoss } from "./quarantine/early_loss.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { RouteTable } from "./routing/route_table.ts";
 import type { Routing, Service } from "./routing/routing.ts";
@@ -75,10 +75,8 @@
   readonly copyRate: CopyRate;
   /** Blocks of prompts under which engines ended. */
   readonly suspects: SuspectBlocks;
-  /** Losses of attempts that had just begun, by upstream id. */
-  readonly earlyLosses: Map<string, EarlyLoss>;
-  /** Monotonic milliseconds of the last lost connection, by upstream id. */
-  readonly connectionLostAt: Map<string, number>;
+  /** Losses of attempts that had just begun. */
+  readonly earlyLosses: EarlyLosses;
   /** Latest decisions, for `explain` requests. */
   readonly decisions: Decisions;
   /** Number of the next id from `nextId()`. */
@@ -142,8 +140,7 @@
     answerTimes: new Map(),
     copyRate: new CopyRate(),
     suspects: new SuspectBlocks(),
-    earlyLosses: new Map(),
-    connectionLostAt: new Map(),
+    earlyLosses: new EarlyLosses(),
     decisions: new Decisions(decisionCapacity),
     nextId: 1,
     stopping: false,
--- a/packages/relay/src/util/listen.ts
+++ b/packages/relay/src/util/listen.ts
@@ -1,5 +1,5 @@
 import type { Server } from "node:http";
-import type { SocketAddress } from "../settings.ts";
+import type { SocketAddress } from "@lavenderferry/fleet";
 
 /** Starts to listen; rejects if the address is not available. */
 export function listen(
