--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -23,6 +23,7 @@
 import { Membership } from "./membership.ts";
 import type { FanOut } from "./peer_selection.ts";
 import { choosePeers } from "./peer_selection.ts";
+import type { SuspectRecord } from "./suspect_record.ts";
 
 /** A document that is distributed to every process, by version. */
 export interface Versioned {
@@ -59,17 +60,6 @@
   readonly suspects: readonly SuspectRecord[];
 }
 
-/** A peer's record of a block of prompts under which engines ended. */
-export interface SuspectRecord {
-  readonly block: string;
-  /** Number of times that complete answers have cleared the block. */
-  readonly clearances: number;
-  /** Attempts under which engines ended, as `engine/attempt`. */
-  readonly ends: readonly string[];
-  /** Milliseconds since the Unix epoch of the last end or clearance. */
-  readonly changedAt: number;
-}
-
 /** Work that one process has in flight at one engine. */
 export interface PeerWork {
   readonly engine: string;
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -15,3 +15,4 @@
 export * from "./membership.ts";
 export * from "./peer_selection.ts";
 export * from "./socket_address.ts";
+export * from "./suspect_record.ts";
