--- a/packages/entry/src/process/lifecycle_part.ts
+++ b/packages/entry/src/process/lifecycle_part.ts
@@ -1,11 +1,11 @@
 import type {
   EventHandlers,
   Moment,
-  Timed,
   TimerHandlers,
 } from "@lavenderferry/runtime";
 import { createTimerHandler } from "@lavenderferry/runtime";
 import { retryCommit } from "../calls/call_part.ts";
+import { endOpenCalls } from "../calls/stopped_calls.ts";
 import type { EntryEffect } from "../effects.ts";
 import { exchangeWithPeers, leaveFleet } from "../fleet/exchange_part.ts";
 import { cancelGeneration } from "../generations/generation_part.ts";
@@ -13,14 +13,11 @@
   replaceSilentConnections,
   resumeGeneration,
 } from "../generations/generation_recovery.ts";
-import {
-  releaseBacklog,
-  removeGeneration,
-} from "../generations/generation_start.ts";
+import { releaseBacklog } from "../generations/generation_start.ts";
 import { retryTakeOver } from "../generations/generation_take_over.ts";
+import { handOverStreams } from "../generations/hand_over.ts";
+import { endOpenGenerations } from "../generations/stopped_generations.ts";
 import type { EntryState } from "../state.ts";
-import { count } from "../util/effects.ts";
-import { otherAddresses } from "../util/refuse_draining.ts";
 import { flushUsage } from "../usage/usage_part.ts";
 import type { ProcessEvent } from "./process_event.ts";
 import type { Timer } from "./timers.ts";
@@ -46,7 +43,14 @@
     ];
   },
   timer_fired: (state, event) => handleTimer(state, event.timer, event.at),
-  stop_requested: startDraining,
+  stop_requested: (state, { at }) => startDraining(state, at),
+  stop_signalled: (state, { at }) => {
+    if (state.stopSignalled) {
+      return [{ kind: "exit", immediate: true }];
+    }
+    state.stopSignalled = true;
+    return startDraining(state, at);
+  },
 };
 
 /**
@@ -55,6 +59,12 @@
  */
 const finalGraceMs = 10_000;
 
+/**
+ * Milliseconds before the forced exit in which the final answers are written
+ * and the outcomes of calls recorded.
+ */
+const finalAnswersMs = 2_000;
+
 const timerHandlers: TimerHandlers<EntryState, Timer, EntryEffect> = {
   list_vms: () => [{ kind: "list_vms" }],
   poll_configuration: (state) => [
@@ -100,6 +110,7 @@
   },
   retry_commit: (state, timer) => retryCommit(state, timer.callId),
   hand_over_streams: (state, _timer, at) => handOverStreams(state, at),
+  end_open_requests: (state, _timer, at) => endOpenRequests(state, at),
   force_exit: () => [{ kind: "exit", immediate: true }],
 };
 
@@ -123,18 +134,18 @@
     .map(({ id, address }) => ({ kind, engine: id, address }));
 }
 
-/** Starts a planned stop; a second request ends the process at once. */
+/** Starts a planned stop unless one is in progress. */
 function startDraining(
   state: EntryState,
-  event: Timed<Extract<ProcessEvent, { kind: "stop_requested" }>>,
+  at: Moment,
 ): readonly EntryEffect[] {
   if (state.stopping) {
-    return [{ kind: "exit", immediate: true }];
+    return [];
   }
   state.stopping = true;
   const { stopMs } = state.settings;
-  const handOverAt = event.at.monotonic + stopMs;
-  const forcedExitAt = handOverAt + stopMs + finalGraceMs;
+  const handOverAt = at.monotonic + stopMs;
+  const finalAnswersAt = handOverAt + stopMs + finalGraceMs - finalAnswersMs;
   return [
     {
       kind: "log",
@@ -143,35 +154,28 @@
       fields: { generations: state.generations.size, calls: state.calls.size },
     },
     { kind: "set_timer", timer: { kind: "hand_over_streams" }, at: handOverAt },
-    { kind: "set_timer", timer: { kind: "force_exit" }, at: forcedExitAt },
-    ...leaveFleet(state, event.at),
-    ...flushUsage(state, event.at),
+    {
+      kind: "set_timer",
+      timer: { kind: "end_open_requests" },
+      at: finalAnswersAt,
+    },
+    ...leaveFleet(state, at),
+    ...flushUsage(state, at),
   ];
 }
 
-/**
- * Ends the streams that have delivered tokens; their readers can resume them at
- * another entry.
- */
-function handOverStreams(
+/** Sends the final answers of all open requests and schedules the exit. */
+function endOpenRequests(
   state: EntryState,
   at: Moment,
 ): readonly EntryEffect[] {
-  const addresses = otherAddresses(state, at);
-  const effects: EntryEffect[] = [];
-  for (const generation of [...state.generations.values()]) {
-    const { readerId, attemptId, deliveredIndex, deliverAtEnd } = generation;
-    if (deliverAtEnd || deliveredIndex === 0) {
-      continue;
-    }
-    removeGeneration(state, generation);
-    effects.push(count("resumes", "handed_over"));
-    effects.push({ kind: "drop_attempt", attemptId });
-    if (readerId !== null) {
-      effects.push({ kind: "move_reader", readerId, addresses });
-    }
-  }
-  return effects;
+  const forcedExitAt = at.monotonic + finalAnswersMs;
+  return [
+    ...handOverStreams(state, at),
+    ...endOpenGenerations(state, at),
+    ...endOpenCalls(state, at),
+    { kind: "set_timer", timer: { kind: "force_exit" }, at: forcedExitAt },
+  ];
 }
 
 function exitWhenIdle(state: EntryState): readonly EntryEffect[] {
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -7,6 +7,7 @@
   ExchangeMessage,
   ExchangeMessage__Output,
   LengthSketch,
+  SuspectBlockRecord,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
@@ -54,6 +55,19 @@
   readonly lengths: ReadonlyMap<string, readonly LengthCounts[]>;
   /** Members whose records changed. */
   readonly members: readonly Member[];
+  /** Records of blocks under which engines ended, as peers know them. */
+  readonly suspects: readonly SuspectRecord[];
+}
+
+/** A peer's record of a block of prompts under which engines ended. */
+export interface SuspectRecord {
+  readonly block: string;
+  /** Number of times that complete answers have cleared the block. */
+  readonly clearances: number;
+  /** Attempts under which engines ended, as `engine/attempt`. */
+  readonly ends: readonly string[];
+  /** Milliseconds since the Unix epoch of the last end or clearance. */
+  readonly changedAt: number;
 }
 
 /** Work that one process has in flight at one engine. */
@@ -219,6 +233,21 @@
     }
   }
 
+  /** Publishes a changed record of a suspect block. */
+  setSuspect(record: SuspectRecord, at: Moment): void {
+    const { block, ends } = record;
+    const value: SuspectBlockRecord = { ...record, ends: [...ends] };
+    this.#exchange.publish("suspects", { key: block, value }, {
+      at,
+      urgent: true,
+    });
+  }
+
+  /** Stops sending the record of a suspect block. */
+  removeSuspect(block: string): void {
+    this.#exchange.store.delete("suspects", block);
+  }
+
   /** Publishes the holder of a duty. */
   setDuty(record: DutyHolder, at: Moment): void {
     this.#applyDuty(record, { at });
@@ -354,6 +383,7 @@
     for (const record of message.duties) {
       this.#applyDuty(record, { at, from });
     }
+    this.#updates.suspects.push(...message.suspects);
     if (!stale) {
       this.#applyShares(from, message.shares);
     }
@@ -551,6 +581,7 @@
   readonly shares: Map<string, readonly PeerWork[]>;
   readonly lengths: Map<string, readonly LengthCounts[]>;
   readonly members: Member[];
+  readonly suspects: SuspectRecord[];
 }
 
 function createUpdates<Document>(): MutableUpdates<Document> {
@@ -560,6 +591,7 @@
     shares: new Map(),
     lengths: new Map(),
     members: [],
+    suspects: [],
   };
 }
 
--- /dev/null
+++ b/packages/policy/src/suspect_blocks.ts
@@ -0,0 +1,353 @@
+import type { Moment } from "@lavenderferry/runtime";
+
+/** What processes know about a block of prompts under which engines ended. */
+export interface SuspectBlock {
+  /** Id of the block. */
+  readonly block: string;
+  /** Number of times that complete answers have cleared the block. */
+  readonly clearances: number;
+  /**
+   * Attempts at prompts with the block that engines had just begun when they
+   * ended, as `engine/attempt`, since the block was last cleared.
+   */
+  readonly ends: readonly string[];
+  /** Milliseconds since the Unix epoch of the last end or clearance. */
+  readonly changedAt: number;
+}
+
+/** A prompt that an engine had just begun to answer when it ended. */
+export interface BegunPrompt {
+  /** Id of the attempt; unique across processes. */
+  readonly attemptId: string;
+  /** Ids of the prompt's blocks. */
+  readonly blocks: readonly string[];
+}
+
+/** Blocks that together identify the prompts that end engines. */
+export interface Quarantine {
+  /** Prompts that contain all of these blocks are refused. */
+  readonly blocks: readonly string[];
+  /** Monotonic milliseconds until which the quarantine holds. */
+  readonly deadline: number;
+}
+
+/** Engines that end before a block that was never answered is quarantined. */
+const minEngines = 3;
+
+/**
+ * Engines that end before a block is quarantined that was answered earlier. It
+ * is part of many prompts, of which another block may be the cause.
+ */
+const minEnginesOnceAnswered = 8;
+
+/** Limit on the engines, and on the attempts at each, in one record. */
+const maxEngines = minEnginesOnceAnswered;
+const maxAttemptsPerEngine = 3;
+
+/**
+ * Share of a block's ended engines that another block must have ended together
+ * with it, in the same prompts, for either to be the possible cause.
+ */
+const minSharedFraction = 0.75;
+
+/**
+ * Milliseconds for which the first engines quarantine a block. Each further
+ * engine doubles it, so that a wrong quarantine ends soon and a right one costs
+ * few engines.
+ */
+const firstHoldMs = 120_000;
+
+/** Milliseconds for which records and complete answers are remembered. */
+const retentionMs = 600_000;
+
+/** Limit on the records, and so on the bytes that peers exchange. */
+const maxSuspects = 256;
+
+/** Limit on the blocks that are remembered as answered. */
+const maxAnswered = 8_192;
+
+/**
+ * Finds the blocks of prompts that end the engines which begin to answer them.
+ * Each engine that ends is held against all blocks of the prompts that it had
+ * just begun, and complete answers clear their blocks. Records of several
+ * processes merge in any order: more clearances win, otherwise their ends are
+ * united.
+ */
+export class SuspectBlocks {
+  readonly #suspects = new Map<string, SuspectBlock>();
+  /** Monotonic deadlines until which blocks are remembered as answered. */
+  readonly #answered = new Map<string, number>();
+  /** Blocks whose records were removed since the last call of `takeRemoved`. */
+  #removed: string[] = [];
+  #quarantines: readonly Quarantine[] = [];
+
+  /** Quarantines, also expired ones, that with most engines first. */
+  get quarantines(): readonly Quarantine[] {
+    return this.#quarantines;
+  }
+
+  /** Records of all blocks under quarantine. */
+  get quarantined(): readonly SuspectBlock[] {
+    return this.#quarantines.flatMap(({ blocks }) => blocks)
+      .flatMap((block) => this.#suspects.get(block) ?? []);
+  }
+
+  /** Whether an answer to a prompt with the block was completed recently. */
+  wasAnswered(block: string, at: Moment): boolean {
+    return (this.#answered.get(block) ?? 0) > at.monotonic;
+  }
+
+  /** Returns the quarantine that a prompt falls under, if there is one. */
+  findQuarantine(
+    blocks: readonly string[],
+    at: Moment,
+  ): Quarantine | undefined {
+    return this.#quarantines.find((quarantine) =>
+      quarantine.deadline > at.monotonic &&
+      quarantine.blocks.every((block) => blocks.includes(block))
+    );
+  }
+
+  /**
+   * Records an engine that ended as it began to answer the prompts. Returns the
+   * changed records.
+   */
+  recordEnd(
+    engine: string,
+    prompts: readonly BegunPrompt[],
+    at: Moment,
+  ): readonly SuspectBlock[] {
+    const changed = new Map<string, SuspectBlock>();
+    for (const { attemptId, blocks } of prompts) {
+      for (const block of blocks) {
+        const clearances = this.#suspects.get(block)?.clearances ??
+          this.#initialClearances(block, at);
+        const ends = [`${engine}${endSeparator}${attemptId}`];
+        const record = { block, clearances, ends, changedAt: at.wall };
+        for (const merged of this.merge(record, at)) {
+          changed.set(block, merged);
+        }
+      }
+    }
+    return [...changed.values()];
+  }
+
+  /**
+   * Records a complete answer to a prompt with the blocks. Returns the changed
+   * records.
+   */
+  recordAnswer(
+    blocks: readonly string[],
+    at: Moment,
+  ): readonly SuspectBlock[] {
+    const changed: SuspectBlock[] = [];
+    for (const block of blocks) {
+      this.#rememberAnswer(block, at);
+      const suspect = this.#suspects.get(block);
+      if (suspect !== undefined && suspect.ends.length > 0) {
+        const clearances = suspect.clearances + 1;
+        const cleared = { block, clearances, ends: [], changedAt: at.wall };
+        this.#suspects.set(block, cleared);
+        changed.push(cleared);
+      }
+    }
+    if (changed.length > 0) {
+      this.#updateQuarantines(at);
+    }
+    return changed;
+  }
+
+  /**
+   * Merges a record of another process. Returns the resulting record if either
+   * process lacked a part of it.
+   */
+  merge(record: SuspectBlock, at: Moment): readonly SuspectBlock[] {
+    const known = this.#suspects.get(record.block) ?? {
+      block: record.block,
+      clearances: this.#initialClearances(record.block, at),
+      ends: [],
+      changedAt: record.changedAt,
+    };
+    const merged = mergeRecords(known, record);
+    if (isSame(merged, known) && isSame(merged, record)) {
+      return [];
+    }
+    if (!this.#suspects.has(record.block)) {
+      this.#makeRoom();
+    }
+    this.#suspects.set(record.block, merged);
+    this.#updateQuarantines(at);
+    return [merged];
+  }
+
+  /**
+   * Removes records that are too old. Returns the blocks of all records that
+   * were removed since the last call.
+   */
+  takeRemoved(at: Moment): readonly string[] {
+    for (const [block, { changedAt }] of this.#suspects) {
+      if (at.wall - changedAt >= retentionMs) {
+        this.#suspects.delete(block);
+        this.#removed.push(block);
+      }
+    }
+    const removed = this.#removed;
+    if (removed.length > 0) {
+      this.#removed = [];
+      this.#updateQuarantines(at);
+    }
+    return removed;
+  }
+
+  /** Removes the record with fewest ends, the oldest of them, if it is full. */
+  #makeRoom(): void {
+    if (this.#suspects.size < maxSuspects) {
+      return;
+    }
+    let least: SuspectBlock | undefined;
+    for (const suspect of this.#suspects.values()) {
+      if (least === undefined || suspect.ends.length < least.ends.length) {
+        least = suspect;
+      }
+    }
+    if (least !== undefined) {
+      this.#suspects.delete(least.block);
+      this.#removed.push(least.block);
+    }
+  }
+
+  #initialClearances(block: string, at: Moment): number {
+    return this.wasAnswered(block, at) ? 1 : 0;
+  }
+
+  #rememberAnswer(block: string, at: Moment): void {
+    this.#answered.delete(block);
+    const [oldest] = this.#answered.keys();
+    if (this.#answered.size >= maxAnswered && oldest !== undefined) {
+      this.#answered.delete(oldest);
+    }
+    this.#answered.set(block, at.monotonic + retentionMs);
+  }
+
+  /**
+   * Attributes ended engines to blocks, the block with most of them first. The
+   * blocks that came with it in the same prompts are quarantined together with
+   * it, as each of them may be the cause; those that were never answered are
+   * the more likely ones.
+   */
+  #updateQuarantines(at: Moment): void {
+    const quarantines: Quarantine[] = [];
+    const explained = new Set<string>();
+    for (;;) {
+      const top = this.#findTop(explained);
+      if (top === undefined) {
+        break;
+      }
+      const engines = enginesOf(top.ends);
+      const companions = [...this.#suspects.values()].filter((other) =>
+        other === top ||
+        countSharedEngines(top, other) >= minSharedFraction * engines.size
+      );
+      const unanswered = companions.filter(({ clearances }) =>
+        clearances === 0
+      );
+      const group = unanswered.length > 0 ? unanswered : companions;
+      quarantines.push({
+        blocks: group.map(({ block }) => block).sort(),
+        deadline: holdDeadline(top, engines.size, at),
+      });
+      for (const engine of engines) {
+        explained.add(engine);
+      }
+    }
+    this.#quarantines = quarantines;
+  }
+
+  /** Returns the suspect with most unexplained engines, if they suffice. */
+  #findTop(explained: ReadonlySet<string>): SuspectBlock | undefined {
+    let top: SuspectBlock | undefined;
+    let topCount = 0;
+    for (const suspect of this.#suspects.values()) {
+      const count = [...enginesOf(suspect.ends)]
+        .filter((engine) => !explained.has(engine)).length;
+      if (
+        count >= requiredEngines(suspect) &&
+        (count > topCount ||
+          (count === topCount && suspect.block < (top?.block ?? "")))
+      ) {
+        top = suspect;
+        topCount = count;
+      }
+    }
+    return top;
+  }
+}
+
+/** Separates the ids of engine and attempt; attempt ids do not contain it. */
+const endSeparator = "/";
+
+function engineOf(end: string): string {
+  return end.slice(0, end.lastIndexOf(endSeparator));
+}
+
+function enginesOf(ends: readonly string[]): ReadonlySet<string> {
+  return new Set(ends.map(engineOf));
+}
+
+function requiredEngines({ clearances }: SuspectBlock): number {
+  return clearances === 0 ? minEngines : minEnginesOnceAnswered;
+}
+
+/** Counts the engines that ended under prompts with both blocks. */
+function countSharedEngines(a: SuspectBlock, b: SuspectBlock): number {
+  return enginesOf(a.ends.filter((end) => b.ends.includes(end))).size;
+}
+
+function holdDeadline(
+  suspect: SuspectBlock,
+  engineCount: number,
+  at: Moment,
+): number {
+  const doublings = engineCount - requiredEngines(suspect);
+  const holdMs = Math.min(retentionMs, firstHoldMs * 2 ** doublings);
+  // Clocks of processes may differ, so the last end may seem to be ahead.
+  const ageMs = Math.max(0, at.wall - suspect.changedAt);
+  return at.monotonic + holdMs - ageMs;
+}
+
+function mergeRecords(a: SuspectBlock, b: SuspectBlock): SuspectBlock {
+  if (a.clearances !== b.clearances) {
+    const newer = a.clearances > b.clearances ? a : b;
+    return { ...newer, ends: limitEnds(newer.ends) };
+  }
+  return {
+    ...a,
+    ends: limitEnds([...a.ends, ...b.ends]),
+    changedAt: Math.max(a.changedAt, b.changedAt),
+  };
+}
+
+/**
+ * Keeps the lowest ids, so that processes keep the same ends whatever the order
+ * in which they learn of them.
+ */
+function limitEnds(ends: readonly string[]): readonly string[] {
+  const attemptsByEngine = new Map<string, number>();
+  return [...new Set(ends)].sort().filter((end) => {
+    const engine = engineOf(end);
+    const attempts = attemptsByEngine.get(engine);
+    const isFull = attempts === undefined
+      ? attemptsByEngine.size >= maxEngines
+      : attempts >= maxAttemptsPerEngine;
+    if (!isFull) {
+      attemptsByEngine.set(engine, (attempts ?? 0) + 1);
+    }
+    return !isFull;
+  });
+}
+
+function isSame(a: SuspectBlock, b: SuspectBlock): boolean {
+  return a.clearances === b.clearances && a.changedAt === b.changedAt &&
+    a.ends.length === b.ends.length &&
+    a.ends.every((end) => b.ends.includes(end));
+}
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -1,9 +1,11 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { Agent, request as sendRequest } from "node:http";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
-import type { AnswerHead, RelayEvent } from "../relay_event.ts";
+import type { AnswerHead, EngineChecked, RelayEvent } from "../relay_event.ts";
 import { parseSocketAddress } from "../util/parse_socket_address.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
@@ -17,6 +19,9 @@
 /** Idle connections that one process keeps to one upstream. */
 const maxIdleConnections = 8;
 
+/** Error code of a connection to a port on which no process listens. */
+const refusedCode = "ECONNREFUSED";
+
 /** Largest answer that is not an event stream. */
 const maxAnswerBytes = 8_388_608;
 
@@ -78,6 +83,11 @@
     },
     check_copy: (effect, dispatch) =>
       this.#requestReport(effect, "copy_checked", dispatch),
+    check_engine: ({ upstream, address }, dispatch) => {
+      void tryToConnect(address).then((outcome) =>
+        dispatch({ kind: "engine_checked", upstream, outcome })
+      );
+    },
     list_runs: (effect, dispatch) =>
       this.#requestReport(effect, "runs_listed", dispatch),
     copy_generation: (effect, dispatch) => {
@@ -127,6 +137,7 @@
       attemptId,
       exchangeId,
       streaming,
+      isResumption: effect.resumption !== null,
       requestId: exchange.requestId,
       codec: this.#codec,
       attempt,
@@ -154,11 +165,32 @@
   }
 }
 
+async function tryToConnect(
+  address: string,
+): Promise<EngineChecked["outcome"]> {
+  const { ip: host, port } = parseSocketAddress(address);
+  const socket = connect({ host, port });
+  try {
+    await once(socket, "connect", {
+      signal: AbortSignal.timeout(connectTimeoutMs),
+    });
+    return "listening";
+  } catch (error) {
+    const isRefused = error instanceof Error && "code" in error &&
+      error.code === refusedCode;
+    return isRefused ? "ended" : "silent";
+  } finally {
+    socket.destroy();
+  }
+}
+
 interface AnswerReaderOptions {
   readonly attemptId: string;
   readonly exchangeId: string;
   readonly requestId: string;
   readonly streaming: boolean;
+  /** Whether all events may have been received by an earlier attempt. */
+  readonly isResumption: boolean;
   readonly codec: HeaderCodec;
   readonly attempt: Attempt;
   readonly dispatch: Dispatch<RelayEvent>;
@@ -172,6 +204,7 @@
   readonly #chunks: Buffer[] = [];
   #length = 0;
   #connected = false;
+  #hasEvents = false;
   #ended = false;
 
   constructor(options: AnswerReaderOptions) {
@@ -258,6 +291,7 @@
       }
     });
     const framed = isFramed(response);
+    const { isResumption } = this.#options;
     let wasReset = false;
     if (!framed) {
       // Node reports a reset that arrives together with data as a regular end.
@@ -273,6 +307,9 @@
       } else if (!isEventStream) {
         const body = Buffer.concat(this.#chunks);
         this.#end({ kind: "answer_received", answer: { ...head, body } });
+      } else if (!framed && !this.#hasEvents && !isResumption) {
+        // A lost connection can look like the end of an unframed answer.
+        this.#endDisconnected("empty_stream");
       } else if (this.#splitter.partialEvent.length > 0) {
         this.#endDisconnected("partial_event");
       } else {
@@ -284,6 +321,7 @@
   #dispatchEvents(head: AnswerHead, chunk: Buffer): void {
     const batch = this.#splitter.push(chunk);
     if (batch !== null) {
+      this.#hasEvents = true;
       const { attemptId, exchangeId, dispatch } = this.#options;
       dispatch({
         kind: "events_received",
@@ -299,7 +337,7 @@
   #endDisconnected(reason: string): void {
     this.#end(
       this.#connected
-        ? { kind: "attempt_failed", reason }
+        ? { kind: "attempt_failed", reason, connectionLost: true }
         : { kind: "attempt_refused", reason: "unreachable" },
     );
   }
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -8,12 +8,13 @@
 import { exchangeWithPeers } from "../fleet/exchange_part.ts";
 import { applyUpstreams } from "../fleet/source_part.ts";
 import { evacuate } from "../moves/move_part.ts";
+import { checkEngine } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
-import { releaseBacklogs } from "../requests/place_request.ts";
+import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
-import { dropRequest, expireRequest } from "../requests/request_part.ts";
+import { expireRequest, finalAnswerMs } from "../requests/request_part.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
@@ -29,6 +30,7 @@
     { kind: "follow_routing" },
     { kind: "follow_upstreams" },
     { kind: "list_members" },
+    { kind: "read_suspects" },
     { kind: "state_member", leaving: false },
     schedulePeriodic("exchange", at),
     schedulePeriodic("release_backlogs", at),
@@ -46,8 +48,8 @@
 /** Minimum milliseconds for which a stopping process accepts requests. */
 const minStopMs = 3_000;
 
-/** Milliseconds before the stop deadline at which final answers are sent. */
-const finalAnswerMs = 200;
+/** Retry delay for callers whose queued request a stop ends, in milliseconds. */
+const stoppedRetryMs = 50;
 
 const timerHandlers: TimerHandlers<RelayState, RelayTimer, RelayEffect> = {
   exchange: (state, _timer, at) => [
@@ -64,6 +66,10 @@
   state_member: (state) => [
     { kind: "state_member", leaving: state.stopping },
   ],
+  read_suspects: () => [{ kind: "read_suspects" }],
+  state_suspects: (state) => [
+    { kind: "state_suspects", records: state.suspects.quarantined },
+  ],
   confirm_removals: (state, _timer, at) => {
     const { unconfirmedUpstreams } = state;
     return unconfirmedUpstreams === null ||
@@ -76,6 +82,7 @@
   evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
   retry_resumption: (state, { exchangeId }, at) =>
     retryResumption(state, exchangeId, at),
+  check_engine: (state, { upstream }, at) => checkEngine(state, upstream, at),
   check_stop: (state, _timer, at) => checkStop(state, at),
 };
 
@@ -146,8 +153,10 @@
 ): readonly RelayEffect[] {
   return dropRequest(state, request, {
     reason: "process_stopped",
-    neverRan: "draining",
-    mayHaveRun: "upstream_lost",
+    errorIfNotRun: "draining",
+    errorIfUnknown: "upstream_lost",
+    outcome: "cancelled",
+    retryAfterMs: stoppedRetryMs,
     at,
   });
 }
--- /dev/null
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -0,0 +1,293 @@
+import { sendDueExchanges } from "@lavenderferry/fleet";
+import type { SuspectBlock } from "@lavenderferry/policy";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { EngineChecked } from "../relay_event.ts";
+import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
+import type { RelayedRequest } from "../requests/relayed_request.ts";
+import type { RelayState } from "../state.ts";
+import { recordDecision } from "../util/effects.ts";
+
+/**
+ * Milliseconds from an attempt's first event within which its loss counts as
+ * early. Engines that a prompt ends do so within a few steps.
+ */
+const earlyLossMs = 500;
+
+/**
+ * Milliseconds from an early loss until its engine is checked. An engine that
+ * ended is started again after some seconds.
+ */
+const checkDelayMs = 150;
+
+/**
+ * Losses at this many engines within `networkFaultWindowMs` are taken for a
+ * fault of the network on this side.
+ */
+const minNetworkFaultEngines = 3;
+const networkFaultWindowMs = 30;
+
+/** Milliseconds for which lost connections are remembered. */
+const lossMemoryMs = 2_000;
+
+/**
+ * Milliseconds for which an early loss at a silent engine is kept. The store
+ * removes the row of an engine that ended after some seconds.
+ */
+const earlyLossMemoryMs = 10_000;
+
+/** Mean milliseconds until a changed quarantine is written to the store. */
+const writeDelayMs = 200;
+
+/** Event handlers that find the prompts under which engines end. */
+export const quarantinePart: EventHandlers<
+  RelayState,
+  EngineChecked,
+  RelayEffect
+> = {
+  engine_checked: (state, event) => handleEngineCheck(state, event),
+};
+
+/** Whether an attempt was lost before or shortly after its first event. */
+export function isEarlyLoss(
+  { firstEventAt }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return firstEventAt === null || at.monotonic - firstEventAt <= earlyLossMs;
+}
+
+/** Whether a block of a request's prompt is not known to be answerable. */
+export function hasUnansweredBlock(
+  { suspects }: RelayState,
+  { sharedBlocks }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return sharedBlocks.some((block) => !suspects.wasAnswered(block, at));
+}
+
+/**
+ * Records an attempt whose connection was lost. If the engine had just begun
+ * it, schedules a check whether the engine has ended.
+ */
+export function recordLoss(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { upstream, attemptId, sharedBlocks, resumption } = request;
+  const { connectionLostAt, earlyLosses, closeReasons } = state;
+  for (const [id, { lostAt }] of earlyLosses) {
+    if (at.monotonic - lostAt > earlyLossMemoryMs) {
+      earlyLosses.delete(id);
+    }
+  }
+  for (const [id, lostAt] of connectionLostAt) {
+    if (at.monotonic - lostAt > lossMemoryMs) {
+      connectionLostAt.delete(id);
+    }
+  }
+  connectionLostAt.set(upstream, at.monotonic);
+  const address = state.upstreams.get(upstream)?.address;
+  if (
+    sharedBlocks.length === 0 || resumption !== null ||
+    !isEarlyLoss(request, at) || closeReasons.has(upstream) ||
+    address === undefined
+  ) {
+    return [];
+  }
+  const prompt = { attemptId, blocks: sharedBlocks };
+  const known = earlyLosses.get(upstream);
+  if (known !== undefined) {
+    known.prompts.push(prompt);
+    return [];
+  }
+  const lostAt = at.monotonic;
+  earlyLosses.set(upstream, { lostAt, address, prompts: [prompt] });
+  const timer = { kind: "check_engine", upstream } as const;
+  return [{ kind: "set_timer", timer, at: lostAt + checkDelayMs }];
+}
+
+/** Checks an engine after an early loss, unless the network is at fault. */
+export function checkEngine(
+  state: RelayState,
+  upstream: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { earlyLosses, connectionLostAt } = state;
+  const loss = earlyLosses.get(upstream);
+  if (loss === undefined) {
+    return [];
+  }
+  const { address, lostAt, prompts } = loss;
+  const lostTogether = [...connectionLostAt].filter(([id, otherLostAt]) =>
+    id === upstream || Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
+  );
+  if (lostTogether.length < minNetworkFaultEngines) {
+    return [{ kind: "check_engine", upstream, address }];
+  }
+  earlyLosses.delete(upstream);
+  const figures = { prompts: prompts.length, engines: lostTogether.length };
+  return [
+    recordDecision(state, {
+      kind: "member",
+      subject: upstream,
+      reason: "network_fault",
+      figures,
+    }, at),
+  ];
+}
+
+/** Merges a peer's records of suspect blocks. */
+export function mergeSuspects(
+  state: RelayState,
+  records: readonly SuspectBlock[],
+  at: Moment,
+): readonly RelayEffect[] {
+  const changed = records.flatMap((record) => state.suspects.merge(record, at));
+  return publishSuspects(state, changed, at);
+}
+
+/** Records a complete answer, which clears the blocks of its prompt. */
+export function recordAnsweredBlocks(
+  state: RelayState,
+  { sharedBlocks }: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const changed = state.suspects.recordAnswer(sharedBlocks, at);
+  return publishSuspects(state, changed, at);
+}
+
+/** Removes records that are too old, here and from what is sent to peers. */
+export function removeExpiredSuspects(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const removed = state.suspects.takeRemoved(at);
+  for (const block of removed) {
+    state.fleet.removeSuspect(block);
+  }
+  return removed.length > 0 && isFirstLiveMember(state)
+    ? stateSuspects(state, at)
+    : [];
+}
+
+function handleEngineCheck(
+  state: RelayState,
+  { upstream, outcome, at }: Timed<EngineChecked>,
+): readonly RelayEffect[] {
+  switch (outcome) {
+    case "ended":
+      return recordEarlyEnd(state, upstream, at);
+    case "listening":
+      state.earlyLosses.delete(upstream);
+      return [];
+    case "silent":
+      // The list of upstreams shows later whether it has ended.
+      return [];
+  }
+}
+
+/** Holds an engine that ended against the prompts that it had just begun. */
+export function recordEarlyEnd(
+  state: RelayState,
+  upstream: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const loss = state.earlyLosses.get(upstream);
+  state.earlyLosses.delete(upstream);
+  if (loss === undefined) {
+    return [];
+  }
+  const { prompts } = loss;
+  const changed = state.suspects.recordEnd(upstream, prompts, at);
+  const figures = { prompts: prompts.length, blocks: changed.length };
+  return [
+    recordDecision(state, {
+      kind: "member",
+      subject: upstream,
+      reason: "ended_early",
+      figures,
+    }, at),
+    ...publishSuspects(state, changed, at),
+    ...isFirstLiveMember(state) ? [] : stateSuspects(state, at),
+  ];
+}
+
+/** Sends changed records to peers and puts the quarantines into effect. */
+function publishSuspects(
+  state: RelayState,
+  changed: readonly SuspectBlock[],
+  at: Moment,
+): readonly RelayEffect[] {
+  if (changed.length === 0) {
+    return [];
+  }
+  // Records that gave way make room for the changed ones.
+  const expiryEffects = removeExpiredSuspects(state, at);
+  const effects: RelayEffect[] = [];
+  for (const record of changed) {
+    state.fleet.setSuspect(record, at);
+    const { block, clearances, ends } = record;
+    effects.push(recordDecision(state, {
+      kind: "configure",
+      subject: block,
+      reason: "suspect_block",
+      figures: { clearances, ends: ends.length },
+    }, at));
+  }
+  for (const request of [...state.requests.values()]) {
+    effects.push(...dropQuarantined(state, request, at));
+  }
+  return [
+    ...effects,
+    ...expiryEffects,
+    ...isFirstLiveMember(state) ? stateSuspects(state, at) : [],
+    ...releaseBacklogs(state, at),
+    ...sendDueExchanges(state, at),
+  ];
+}
+
+/**
+ * Schedules a write of the quarantines if they have changed, so that they
+ * outlive a restart of all processes.
+ */
+function stateSuspects(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const blocks = state.suspects.quarantined.map(({ block }) => block)
+    .sort().join(",");
+  if (blocks === state.statedQuarantine) {
+    return [];
+  }
+  state.statedQuarantine = blocks;
+  const dueAt = at.monotonic + state.random.jitter(writeDelayMs, 1);
+  return [{ kind: "set_timer", timer: { kind: "state_suspects" }, at: dueAt }];
+}
+
+/** Whether this process writes what all processes know. */
+function isFirstLiveMember({ fleet, settings }: RelayState): boolean {
+  return fleet.membership.all().every(({ id, state }) =>
+    state !== "live" || id >= settings.vm
+  );
+}
+
+/** Drops a request under quarantine whose answer has not begun. */
+function dropQuarantined(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const quarantine = state.suspects.findQuarantine(request.sharedBlocks, at);
+  if (quarantine === undefined || request.phase === "streaming") {
+    return [];
+  }
+  return dropRequest(state, request, {
+    reason: "prompt_quarantined",
+    errorIfNotRun: "prompt_quarantined",
+    errorIfUnknown: "upstream_lost",
+    outcome: "cancelled",
+    retryAfterMs: quarantine.deadline - at.monotonic,
+    at,
+  });
+}
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -1,6 +1,12 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
+import {
+  hasUnansweredBlock,
+  isEarlyLoss,
+  recordAnsweredBlocks,
+  recordLoss,
+} from "../quarantine/quarantine_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { movePart, resumeFromCopy } from "../moves/move_part.ts";
@@ -165,6 +171,8 @@
     return [];
   }
   const { upstream, events, sends, firstEventMs } = request;
+  // An engine that ends looks like the end of an unframed stream.
+  const provesComplete = events > 0 && (framed || !isEarlyLoss(request, at));
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const pool = state.pools.get(request.service);
   if (pool !== undefined) {
@@ -189,6 +197,7 @@
     }, at),
     ...effects,
     { kind: "finish_events", exchangeId, head },
+    ...provesComplete ? recordAnsweredBlocks(state, request, at) : [],
     ...releaseBacklogs(state, at),
   ];
 }
@@ -298,9 +307,17 @@
     request.move = { ...request.move, streamEnded: true };
     return [];
   }
-  const resumptionEffects = resumeFromCopy(state, request, { reason, at });
+  const lossEffects = event.connectionLost === true
+    ? recordLoss(state, request, at)
+    : [];
+  // A prompt that ends engines would end the one that keeps the copy as well.
+  const isSuspect = isEarlyLoss(request, at) &&
+    hasUnansweredBlock(state, request, at);
+  const resumptionEffects = isSuspect
+    ? null
+    : resumeFromCopy(state, request, { reason, at });
   if (resumptionEffects !== null) {
-    return resumptionEffects;
+    return [...lossEffects, ...resumptionEffects];
   }
   const canRetry = canRunAgain(state, request, at);
   const { upstream, requestId, events } = request;
@@ -308,6 +325,7 @@
   const figures = {
     upstream,
     events,
+    begunMs: begunMs(request, at),
     runs: request.runs,
     sends: request.sends,
   };
@@ -321,6 +339,7 @@
         reason,
         figures,
       }, at),
+      ...lossEffects,
       ...endEffects,
       ...failRequest(request, { error: "upstream_lost", notRun: "unknown" }),
       ...releaseBacklogs(state, at),
@@ -341,11 +360,17 @@
       figures,
     }, at),
     count("retries", reason),
+    ...lossEffects,
     ...endEffects,
     ...placeRequest(state, request, at),
   ];
 }
 
+/** Milliseconds since the attempt's first event; -1 if there was none. */
+function begunMs({ firstEventAt }: RelayedRequest, at: Moment): number {
+  return firstEventAt === null ? -1 : Math.round(at.monotonic - firstEventAt);
+}
+
 /** Whether a request that may have run may be sent to another upstream. */
 function canRunAgain(
   state: RelayState,
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -1,4 +1,3 @@
-import type { ErrorKind } from "@lavenderferry/errors";
 import type { Demand } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
@@ -7,8 +6,8 @@
 import type { RelayState } from "../state.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import {
+  dropRequest,
   endRequest,
-  failRequest,
   placeRequest,
   releaseBacklogs,
 } from "./place_request.ts";
@@ -28,6 +27,9 @@
  */
 const drainingRetryMs = 50;
 
+/** Milliseconds before the stop deadline at which final answers are sent. */
+export const finalAnswerMs = 200;
+
 /** Relative jitter of retry delays, so that callers do not retry together. */
 const retryJitterShare = 0.5;
 
@@ -37,6 +39,9 @@
 /** Percentage of a route's requests that must meet its targets. */
 const targetPercent = 95;
 
+/** Longest list of block ids in a log line, in characters. */
+const maxLoggedBlockChars = 120;
+
 /** Model name in demands of services that run no models. */
 const noModel = "";
 
@@ -75,47 +80,15 @@
   }
   const effects = dropRequest(state, request, {
     reason: "deadline_passed",
-    neverRan: "no_upstream",
-    mayHaveRun: "upstream_timeout",
+    errorIfNotRun: "no_upstream",
+    errorIfUnknown: "upstream_timeout",
+    outcome: "failed",
+    retryAfterMs: notReadyRetryMs,
     at,
   });
   return [...effects, ...releaseBacklogs(state, at)];
 }
 
-/**
- * Ends a request with a final answer, or closes an answer that has already
- * begun. A request that has not run may be retried.
- */
-export function dropRequest(
-  state: RelayState,
-  request: RelayedRequest,
-  { reason, neverRan, mayHaveRun, at }: {
-    readonly reason: string;
-    /** Error of a request that was never sent to an upstream. */
-    readonly neverRan: ErrorKind;
-    readonly mayHaveRun: ErrorKind;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { phase, runs, events, upstream, demand } = request;
-  const notRun = phase === "waiting" && runs === 0;
-  const ageMs = Math.round(at.monotonic - demand.arrivedAt);
-  return [
-    recordDecision(state, {
-      kind: "drop",
-      subject: request.requestId,
-      reason,
-      figures: { phase, runs, upstream, events, ageMs },
-    }, at),
-    ...endRequest(state, request, { outcome: "failed", at }),
-    ...failRequest(request, {
-      error: notRun ? neverRan : mayHaveRun,
-      notRun: notRun ? true : "unknown",
-      ...(notRun ? { retryAfterMs: notReadyRetryMs } : {}),
-    }),
-  ];
-}
-
 function receiveRequest(
   state: RelayState,
   event: Timed<RequestReceived>,
@@ -158,6 +131,25 @@
     route,
     workspace: workspace ?? null,
   });
+  const quarantine = state.suspects.findQuarantine(request.sharedBlocks, at);
+  if (quarantine !== undefined) {
+    const retryAfterMs = quarantine.deadline - at.monotonic;
+    const blocks = quarantine.blocks.join(",").slice(0, maxLoggedBlockChars);
+    const figures = { blocks, retryAfterMs: Math.round(retryAfterMs) };
+    return [
+      recordDecision(state, {
+        kind: "refuse",
+        subject: requestId,
+        reason: "prompt_quarantined",
+        figures,
+      }, at),
+      ...sendFailure(exchangeId, {
+        error: "prompt_quarantined",
+        notRun: true,
+        retryAfterMs,
+      }),
+    ];
+  }
   if (state.stopping && !endsBeforeStop(state, request)) {
     return [
       recordDecision(state, {
@@ -187,6 +179,7 @@
         workspace: request.workspace ?? "",
         budgetMs: event.budgetMs ?? -1,
         promptTokens: request.demand.promptTokens,
+        blocks: request.sharedBlocks.join(",").slice(0, maxLoggedBlockChars),
         stopsInMs: stopsInMs(state, at),
       },
     }, at),
@@ -205,7 +198,8 @@
 ): boolean {
   const boundMs = answerTimes.get(route.name)?.boundMs(demand.maxTokens) ??
     Infinity;
-  return Math.min(deadline, demand.arrivedAt + boundMs) <= stopDeadline;
+  const lastAnswerAt = stopDeadline - finalAnswerMs;
+  return Math.min(deadline, demand.arrivedAt + boundMs) <= lastAnswerAt;
 }
 
 /** Milliseconds until the process exits; -1 if no stop is planned. */
@@ -229,6 +223,7 @@
     route,
     service: chooseService(state, route),
     workspace,
+    sharedBlocks: event.generation?.sharedBlocks ?? [],
     demand: createDemand(event, route, workspace),
     deadline: arrivedAt + allowedMs,
     phase: "waiting",
--- a/packages/steward/src/process/process_part.ts
+++ b/packages/steward/src/process/process_part.ts
@@ -23,7 +23,7 @@
   settle: 2_000,
 } as const satisfies Partial<Record<TimerName, number>>;
 
-/** Milliseconds that a planned stop waits for usage to be settled. */
+/** Milliseconds that a planned stop waits for usage and operators' replies. */
 const stopTimeoutMs = 15_000;
 
 type TimerHandler = (
@@ -46,7 +46,7 @@
     ...settlePending(state, at),
     scheduleTimer("settle", at),
   ],
-  force_exit: () => [{ kind: "exit" }],
+  force_exit: () => [{ kind: "exit", immediate: true }],
 };
 
 /** Handles the start, the timers and the stop of the process. */
@@ -62,29 +62,42 @@
     scheduleTimer("settle", at),
   ],
   timer_fired: (state, { timer, at }) => timerHandlers[timer](state, at),
-  stop_requested: (state, { at }) => {
-    if (state.stopping) {
-      return [{ kind: "exit" }];
+  stop_requested: (state, { at }) => startStop(state, at),
+  stop_signalled: (state, { at }) => {
+    if (state.stopSignalled) {
+      return [{ kind: "exit", immediate: true }];
     }
-    state.stopping = true;
-    const forcedExitAt = at.monotonic + stopTimeoutMs;
-    return [
-      { kind: "set_timer", timer: "force_exit", at: forcedExitAt },
-      ...leaveFleet(state, at),
-      ...releaseDuties(state, at),
-      ...settlePending(state, at),
-    ];
+    state.stopSignalled = true;
+    return startStop(state, at);
   },
 };
 
-/** Exits once a stopping process has neither duties nor unsettled usage. */
+/** Starts a planned stop unless one is in progress. */
+function startStop(state: StewardState, at: Moment): readonly StewardEffect[] {
+  if (state.stopping) {
+    return [];
+  }
+  state.stopping = true;
+  const forcedExitAt = at.monotonic + stopTimeoutMs;
+  return [
+    { kind: "set_timer", timer: "force_exit", at: forcedExitAt },
+    ...leaveFleet(state, at),
+    ...releaseDuties(state, at),
+    ...settlePending(state, at),
+  ];
+}
+
+/**
+ * Exits once a stopping process has no duties, unsettled usage or unanswered
+ * requests of operators.
+ */
 function exitWhenIdle(
   state: StewardState,
   at: Moment,
 ): readonly StewardEffect[] {
   const idle = state.stopping && dutiesReleased(state, at) &&
-    allBatchesSettled(state);
-  return idle ? [{ kind: "exit" }] : [];
+    allBatchesSettled(state) && state.openReplies.size === 0;
+  return idle ? [{ kind: "exit", immediate: false }] : [];
 }
 
 function scheduleTimer(
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -58,7 +58,11 @@
       ...createPlacementHandlers(platform),
       ...createProcessHandlers({
         clock: systemClock,
-        exit: () => process.exit(0),
+        exit: (immediate) => {
+          void (immediate ? Promise.resolve() : operatorServer.finish()).then(
+            () => process.exit(0),
+          );
+        },
       }),
     },
   });
@@ -78,7 +82,7 @@
   const peerAddress = `${settings.peers.ip}:${peerPort}`;
   dispatch({ kind: "listening", address, peers: peerAddress });
   announce("listening", { address, peers: peerAddress, epoch });
-  process.on("SIGTERM", () => dispatch({ kind: "stop_requested" }));
-  process.on("SIGINT", () => dispatch({ kind: "stop_requested" }));
+  process.on("SIGTERM", () => dispatch({ kind: "stop_signalled" }));
+  process.on("SIGINT", () => dispatch({ kind: "stop_signalled" }));
   dispatch({ kind: "started" });
 }
