--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind } from "@lavenderferry/errors";
-import type { ExchangeEvent } from "@lavenderferry/fleet";
+import type { EngineChecked, ExchangeEvent } from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Vm } from "@lavenderferry/platform";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
@@ -153,23 +153,6 @@
     readonly head: AnswerHead;
   };
 
-/** An engine was checked after attempts at it were lost. */
-export interface EngineChecked {
-  readonly kind: "engine_checked";
-  readonly upstream: string;
-  readonly outcome: keyof typeof engineOutcomes;
-}
-
-/** Outcomes of an attempt to connect to an engine. */
-export const engineOutcomes = {
-  /** The engine accepted the connection. */
-  listening: "listening",
-  /** The connection was refused at once, as no process listens. */
-  ended: "ended",
-  /** There was no answer, as if the VM or the network were down. */
-  silent: "silent",
-} as const;
-
 /** Error of a failed operation of the store. */
 interface SourceFailure {
   readonly error: ErrorKind;
