--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -1,41 +1,14 @@
+import type { EngineChecked } from "@lavenderferry/fleet";
 import { sendDueExchanges } from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
+import { isEarlyLoss } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
-import type { EngineChecked } from "../relay_event.ts";
 import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 
-/**
- * Milliseconds from an attempt's first event within which its loss counts as
- * early. Engines that a prompt ends do so within a few steps.
- */
-const earlyLossMs = 500;
-
-/**
- * Milliseconds from an early loss until its engine is checked. An engine that
- * ended is started again after some seconds.
- */
-const checkDelayMs = 150;
-
-/**
- * Losses at this many engines within `networkFaultWindowMs` are taken for a
- * fault of the network on this side.
- */
-const minNetworkFaultEngines = 3;
-const networkFaultWindowMs = 30;
-
-/** Milliseconds for which lost connections are remembered. */
-const lossMemoryMs = 2_000;
-
-/**
- * Milliseconds for which an early loss at a silent engine is kept. The store
- * removes the row of an engine that ended after some seconds.
- */
-const earlyLossMemoryMs = 10_000;
-
 /** Mean milliseconds until a changed quarantine is written to the store. */
 const writeDelayMs = 200;
 
@@ -48,14 +21,6 @@
   engine_checked: (state, event) => handleEngineCheck(state, event),
 };
 
-/** Whether an attempt was lost before or shortly after its first event. */
-export function isEarlyLoss(
-  { firstEventAt }: RelayedRequest,
-  at: Moment,
-): boolean {
-  return firstEventAt === null || at.monotonic - firstEventAt <= earlyLossMs;
-}
-
 /** Whether a block of a request's prompt is not known to be answerable. */
 export function hasUnansweredBlock(
   { suspects }: RelayState,
@@ -74,37 +39,28 @@
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { upstream, attemptId, sharedBlocks, resumption } = request;
-  const { connectionLostAt, earlyLosses, closeReasons } = state;
-  for (const [id, { lostAt }] of earlyLosses) {
-    if (at.monotonic - lostAt > earlyLossMemoryMs) {
-      earlyLosses.delete(id);
-    }
-  }
-  for (const [id, lostAt] of connectionLostAt) {
-    if (at.monotonic - lostAt > lossMemoryMs) {
-      connectionLostAt.delete(id);
-    }
-  }
-  connectionLostAt.set(upstream, at.monotonic);
+  const { upstream, attemptId, resumption, firstEventAt } = request;
+  const { sharedBlocks: blocks } = request;
+  const { earlyLosses, closeReasons } = state;
+  earlyLosses.recordConnection(upstream, at);
   const address = state.upstreams.get(upstream)?.address;
   if (
-    sharedBlocks.length === 0 || resumption !== null ||
-    !isEarlyLoss(request, at) || closeReasons.has(upstream) ||
+    blocks.length === 0 || resumption !== null ||
+    !isEarlyLoss(firstEventAt, at) || closeReasons.has(upstream) ||
     address === undefined
   ) {
     return [];
   }
-  const prompt = { attemptId, blocks: sharedBlocks };
-  const known = earlyLosses.get(upstream);
-  if (known !== undefined) {
-    known.prompts.push(prompt);
+  const checkAt = earlyLosses.record(
+    upstream,
+    { address, attemptId, blocks },
+    at,
+  );
+  if (checkAt === null) {
     return [];
   }
-  const lostAt = at.monotonic;
-  earlyLosses.set(upstream, { lostAt, address, prompts: [prompt] });
   const timer = { kind: "check_engine", upstream } as const;
-  return [{ kind: "set_timer", timer, at: lostAt + checkDelayMs }];
+  return [{ kind: "set_timer", timer, at: checkAt }];
 }
 
 /** Checks an engine after an early loss, unless the network is at fault. */
@@ -113,28 +69,22 @@
   upstream: string,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { earlyLosses, connectionLostAt } = state;
-  const loss = earlyLosses.get(upstream);
-  if (loss === undefined) {
-    return [];
-  }
-  const { address, lostAt, prompts } = loss;
-  const lostTogether = [...connectionLostAt].filter(([id, otherLostAt]) =>
-    id === upstream || Math.abs(otherLostAt - lostAt) <= networkFaultWindowMs
-  );
-  if (lostTogether.length < minNetworkFaultEngines) {
-    return [{ kind: "check_engine", upstream, address }];
+  const finding = state.earlyLosses.assess(upstream);
+  switch (finding?.kind) {
+    case undefined:
+      return [];
+    case "check_engine":
+      return [{ kind: "check_engine", upstream, address: finding.address }];
+    case "network_fault":
+      return [
+        recordDecision(state, {
+          kind: "member",
+          subject: upstream,
+          reason: "network_fault",
+          figures: finding.figures,
+        }, at),
+      ];
   }
-  earlyLosses.delete(upstream);
-  const figures = { prompts: prompts.length, engines: lostTogether.length };
-  return [
-    recordDecision(state, {
-      kind: "member",
-      subject: upstream,
-      reason: "network_fault",
-      figures,
-    }, at),
-  ];
 }
 
 /** Merges a peer's records of suspect blocks. */
@@ -179,7 +129,7 @@
     case "ended":
       return recordEarlyEnd(state, upstream, at);
     case "listening":
-      state.earlyLosses.delete(upstream);
+      state.earlyLosses.take(upstream);
       return [];
     case "silent":
       // The list of upstreams shows later whether it has ended.
@@ -193,8 +143,7 @@
   upstream: string,
   at: Moment,
 ): readonly RelayEffect[] {
-  const loss = state.earlyLosses.get(upstream);
-  state.earlyLosses.delete(upstream);
+  const loss = state.earlyLosses.take(upstream);
   if (loss === undefined) {
     return [];
   }
--- a/packages/relay/src/quarantine/quarantine_part_test.ts
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -1,7 +1,7 @@
+import type { EngineChecked } from "@lavenderferry/fleet";
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEffect } from "../relay_effect.ts";
-import type { EngineChecked } from "../relay_event.ts";
 import type { GenerationDemand } from "../requests/relayed_request.ts";
 
 const engines = ["e1", "e22", "e333", "e4444", "e55555", "e666666"];
