feat(relay): log and measure when the store was restored from a copy

The store's answers name an era, which nothing read, so a store that was restored could not be told from one that was away for a moment. The transport reads it, the client of the platform keeps the highest one, and the relay logs a change (member, store, restored) and serves store_era. The stand-in of the store can be restored from a copy: versions are given out again, a feed after a version that the store does not have gets 410. No decision depends on it yet.

--- a/packages/platform/src/memory_table.ts
+++ b/packages/platform/src/memory_table.ts
@@ -11,6 +11,7 @@
 
 /** In-memory table with the semantics of the platform's. */
 export class MemoryTable implements Table {
+  readonly era = 0;
   readonly #rows = new Map<string, Row>();
 
   read(keys: readonly string[]): Promise<readonly (Row | null)[]> {
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -104,6 +104,7 @@
   readonly #concurrency: number;
   readonly #timeoutMs: number;
   readonly #operations = { reads: 0, writes: 0, refused: 0 };
+  #era = 0;
 
   constructor(options: PlatformOptions) {
     const concurrency = options.concurrency ?? defaultConcurrency;
@@ -129,6 +130,11 @@
     return this.#circuit.state;
   }
 
+  /** Highest era that an answer has named; 0 if none did. */
+  get era(): number {
+    return this.#era;
+  }
+
   /**
    * Counts since the start: attempts to read, writes, and those of both that
    * were refused before they were sent.
@@ -290,6 +296,7 @@
       this.#circuit.recordFailure(performance.now());
       throw storeUnavailable("The platform did not answer", "unknown", cause);
     }
+    this.#era = Math.max(this.#era, reply.era ?? 0);
     if (reply.status === 200 || reply.status === 409) {
       this.#circuit.recordSuccess(performance.now());
       return reply;
--- a/packages/platform/src/table.ts
+++ b/packages/platform/src/table.ts
@@ -56,6 +56,11 @@
  * a commit may have been applied.
  */
 export interface Table {
+  /**
+   * Era of the table: how often it was restored from an older copy, which
+   * loses its latest transactions and counts versions from those of the copy.
+   */
+  readonly era: number;
   /** Reads rows by key; a row that does not exist is `null`. */
   read(keys: readonly string[], priority: Priority): Promise<
     readonly (Row | null)[]
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -29,6 +29,11 @@
 export interface Reply {
   readonly status: number;
   readonly body: unknown;
+  /**
+   * Era of the platform's table, which rises each time that the table is
+   * restored from an older copy. `undefined`: the platform does not say.
+   */
+  readonly era?: number | undefined;
 }
 
 /** Protocol by which operations reach a platform. */
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -74,6 +74,11 @@
 > = {
   leaving_reported: (state, { upstream, at }) =>
     markDraining(state, upstream, at),
+  store_era_learned: (state, { era, at }) => {
+    const reason = state.storeEra === null ? "reached" : "restored";
+    state.storeEra = era;
+    return [recordStoreState(state, { reason, figures: { era }, at })];
+  },
   routing_learned: (state, { routing, at }) => [
     ...applyRouting(state, routing, at),
     ...sendDueExchanges(state, at),
@@ -382,7 +387,7 @@
 function recordStoreState(
   state: RelayState,
   { reason, figures, at }: {
-    readonly reason: "lost" | "regained";
+    readonly reason: "reached" | "restored" | "lost" | "regained";
     readonly figures: Readonly<Record<string, string | number>>;
     readonly at: Moment;
   },
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -18,6 +18,15 @@
 /** Limit on the records in that row, whose size is limited as well. */
 const maxStoredSuspects = 64;
 
+/** Kinds of the events of failed operations. */
+type SourceFailureKind =
+  | "routing_failed"
+  | "upstreams_failed"
+  | "members_failed"
+  | "suspects_failed"
+  | "suspects_unwritten"
+  | "member_failed";
+
 const suspectsSchema = z.array(z.object({
   block: z.string(),
   clearances: z.int().min(0),
@@ -46,6 +55,7 @@
   readonly #settings: RelaySettings;
   readonly #routings = new RowFollower();
   readonly #upstreams = new RowFollower();
+  #era = 0;
   #memberVersion: number | null = null;
   #suspectsVersion: number | null = null;
 
@@ -55,45 +65,48 @@
   }
 
   readonly handlers: EffectHandlers<RelayEvent, SourceEffect> = {
-    follow_routing: (_effect, dispatch) => {
-      this.#followRouting().then(
-        dispatch,
-        (error: unknown) =>
-          dispatch({ kind: "routing_failed", ...toFailureFields(error) }),
-      );
-    },
-    follow_upstreams: (_effect, dispatch) => {
-      this.#followUpstreams().then(
-        dispatch,
-        (error: unknown) =>
-          dispatch({ kind: "upstreams_failed", ...toFailureFields(error) }),
-      );
-    },
-    list_members: (_effect, dispatch) => {
-      this.#listMembers().then(
-        dispatch,
-        (error: unknown) =>
-          dispatch({ kind: "members_failed", ...toFailureFields(error) }),
-      );
-    },
+    follow_routing: (_effect, dispatch) =>
+      this.#run(this.#followRouting(), "routing_failed", dispatch),
+    follow_upstreams: (_effect, dispatch) =>
+      this.#run(this.#followUpstreams(), "upstreams_failed", dispatch),
+    list_members: (_effect, dispatch) =>
+      this.#run(this.#listMembers(), "members_failed", dispatch),
     state_member: ({ leaving }, dispatch) =>
-      this.#writeMember(leaving, dispatch),
-    read_suspects: (_effect, dispatch) => {
-      this.#readSuspects().then(
-        (records) => dispatch({ kind: "suspects_learned", records }),
-        (error: unknown) =>
-          dispatch({ kind: "suspects_failed", ...toFailureFields(error) }),
-      );
-    },
-    state_suspects: ({ records }, dispatch) => {
-      this.#writeSuspects(records).then(
+      this.#run(this.#writeMember(leaving), "member_failed", dispatch),
+    read_suspects: (_effect, dispatch) =>
+      this.#run(this.#readSuspects(), "suspects_failed", dispatch),
+    state_suspects: ({ records }, dispatch) =>
+      this.#run(
+        this.#writeSuspects(records),
+        "suspects_unwritten",
         dispatch,
-        (error: unknown) =>
-          dispatch({ kind: "suspects_unwritten", ...toFailureFields(error) }),
-      );
-    },
+      ),
   };
 
+  /**
+   * Dispatches the result of an operation, after a change of the store's era if
+   * the operation has learned one.
+   */
+  #run(
+    operation: Promise<RelayEvent>,
+    failureKind: SourceFailureKind,
+    dispatch: Dispatch<RelayEvent>,
+  ): void {
+    const report = (event: RelayEvent) => {
+      const { era } = this.#ports.store;
+      if (era !== this.#era && event.kind !== failureKind) {
+        this.#era = era;
+        dispatch({ kind: "store_era_learned", era });
+      }
+      dispatch(event);
+    };
+    operation.then(
+      report,
+      (error: unknown) =>
+        report({ kind: failureKind, ...toFailureFields(error) }),
+    );
+  }
+
   async #followRouting(): Promise<RelayEvent> {
     const { store, rows } = this.#ports;
     const { after } = this.#routings;
@@ -148,9 +161,10 @@
     return { kind: "members_learned", vms, unreadable };
   }
 
-  async #readSuspects(): Promise<readonly SuspectBlock[]> {
+  async #readSuspects(): Promise<RelayEvent> {
     const [row] = await this.#ports.store.read([suspectsKey], "leases");
-    return this.#learnSuspectsRow(row ?? null);
+    const records = this.#learnSuspectsRow(row ?? null);
+    return { kind: "suspects_learned", records };
   }
 
   async #writeSuspects(
@@ -183,7 +197,7 @@
     return `${membersPrefix}${this.#settings.vm}`;
   }
 
-  #writeMember(leaving: boolean, dispatch: Dispatch<RelayEvent>): void {
+  async #writeMember(leaving: boolean): Promise<RelayEvent> {
     const { vm, dataCentre, region, callers, peers } = this.#settings;
     const value = {
       id: vm,
@@ -199,21 +213,15 @@
       ifVersion: this.#memberVersion,
       value,
     };
-    this.#ports.store.commit([write], "leases").then(
-      (result) => {
-        if (result.kind === "committed") {
-          this.#memberVersion = result.versions[0] ?? null;
-          dispatch({ kind: "member_written" });
-          return;
-        }
-        // The row is from an earlier run or from a write whose answer was lost.
-        this.#memberVersion = result.rows[0]?.version ?? null;
-        const detail = "The member's row has another version";
-        dispatch({ kind: "member_failed", error: "conflict", detail });
-      },
-      (error: unknown) =>
-        dispatch({ kind: "member_failed", ...toFailureFields(error) }),
-    );
+    const result = await this.#ports.store.commit([write], "leases");
+    if (result.kind === "committed") {
+      this.#memberVersion = result.versions[0] ?? null;
+      return { kind: "member_written" };
+    }
+    // The row is from an earlier run or from a write whose answer was lost.
+    this.#memberVersion = result.rows[0]?.version ?? null;
+    const detail = "The member's row has another version";
+    return { kind: "member_failed", error: "conflict", detail };
   }
 }
 
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -35,6 +35,7 @@
   const changes = [...answers.changes ?? []];
   const commits = [...answers.commits ?? []];
   const store = {
+    era: 0,
     changes: (prefix: string, after: number | null, waitMs: number) => {
       queries.push({ prefix, after, waitMs });
       const next = changes.shift();
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -37,6 +37,7 @@
     isolated_processes: () => state.reachability.isIsolated ? 1 : 0,
     limited_upstreams: () => state.requestLimits.count,
     leaving_upstreams_open: () => countLeavingOpen(state),
+    store_era: () => state.storeEra ?? 0,
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -220,6 +220,11 @@
 
 /** Events of the platform's store. */
 export type SourceEvent =
+  | {
+    /** An answer of the store named an era for the first time. */
+    readonly kind: "store_era_learned";
+    readonly era: number;
+  }
   | { readonly kind: "routing_learned"; readonly routing: Routing }
   | { readonly kind: "routing_failed" } & SourceFailure
   | { readonly kind: "routing_unchanged" }
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -83,6 +83,8 @@
   members: readonly Vm[];
   /** Whether the members were read at least once. */
   membersKnown: boolean;
+  /** Era of the store's table as last read; `null` before the first read. */
+  storeEra: number | null;
   /** Monotonic milliseconds of the first failed read of a store outage. */
   outageStartedAt: number | null;
   /** Monotonic milliseconds until which unlisted upstreams are kept. */
@@ -151,6 +153,7 @@
     unreadable: { upstreams: [], members: [] },
     members: [],
     membersKnown: false,
+    storeEra: null,
     outageStartedAt: null,
     keepMissingUntil: 0,
     unconfirmedUpstreams: null,
--- a/packages/standins/src/rows/rows_server.ts
+++ b/packages/standins/src/rows/rows_server.ts
@@ -42,15 +42,25 @@
   oldestFeedVersion: number;
 }
 
+/** Rows of a store at one moment. */
+export interface RowsCopy {
+  readonly rows: readonly StoredRow[];
+  readonly version: number;
+}
+
+/** Header with the era of the store. */
+const eraHeader = "store-era";
+
 /** Serves rows with transactions and a feed of changes over HTTP. */
 export class RowsServer {
   readonly faults: RowsFaults = { down: false, oldestFeedVersion: 0 };
   readonly #rows = new Map<string, StoredRow>();
-  readonly #changes: RowChange[] = [];
+  #changes: readonly RowChange[] = [];
   /** Callbacks of the feed requests that wait for a change. */
   readonly #feedWaiters = new Set<() => void>();
   readonly #server: Server;
   #version = 0;
+  #era = 1;
 
   constructor() {
     this.#server = createServer((request, response) => {
@@ -82,6 +92,32 @@
     this.#wakeFeeds();
   }
 
+  /** Version of the latest transaction. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Returns a copy of all rows, for `restore`. */
+  copy(): RowsCopy {
+    return { rows: [...this.#rows.values()], version: this.#version };
+  }
+
+  /**
+   * Replaces all rows by those of an older copy, in a new era. Open connections
+   * are closed, as the store that held them is gone.
+   */
+  restore({ rows, version }: RowsCopy): void {
+    this.#rows.clear();
+    for (const row of rows) {
+      this.#rows.set(rowId(row), row);
+    }
+    this.#version = version;
+    this.#changes = this.#changes.filter(({ ver }) => ver <= version);
+    this.#era += 1;
+    this.#server.closeAllConnections();
+    this.#wakeFeeds();
+  }
+
   /** Whether a row with an empty part exists. */
   has(table: string, key: string): boolean {
     return this.#rows.has(rowId({ table, part: "", key }));
@@ -89,12 +125,13 @@
 
   #writeRow(row: Omit<StoredRow, "ver">, ver: number): void {
     this.#rows.set(rowId(row), { ...row, ver });
-    this.#changes.push({ ...row, ver });
+    this.#changes = [...this.#changes, { ...row, ver }];
   }
 
   #deleteRow(row: RowKey, ver: number): void {
     this.#rows.delete(rowId(row));
-    this.#changes.push({ ...row, value: "", ver, tombstone: true });
+    const change = { ...row, value: "", ver, tombstone: true } as const;
+    this.#changes = [...this.#changes, change];
   }
 
   #wakeFeeds(): void {
@@ -109,7 +146,7 @@
   ): Promise<void> {
     const url = new URL(request.url ?? "/", "http://store");
     if (this.faults.down) {
-      sendJson(response, 503, {});
+      this.#send(response, 503, {});
       return;
     }
     switch (`${request.method} ${url.pathname}`) {
@@ -123,7 +160,7 @@
         await this.#sendChanges(url.searchParams, response);
         return;
       default:
-        sendJson(response, 404, {});
+        this.#send(response, 404, {});
     }
   }
 
@@ -134,7 +171,7 @@
         clientReadOnlyTables.has(table)
       )
     ) {
-      sendJson(response, 403, {});
+      this.#send(response, 403, {});
       return;
     }
     const versionsMatch = expected.every((row) =>
@@ -142,7 +179,7 @@
     );
     if (!versionsMatch) {
       const rows = expected.flatMap((row) => this.#rows.get(rowId(row)) ?? []);
-      sendJson(response, 412, { rows, ver: this.#version });
+      this.#send(response, 412, { rows, ver: this.#version });
       return;
     }
     const ver = ++this.#version;
@@ -152,7 +189,7 @@
     for (const row of deletes) {
       this.#deleteRow(row, ver);
     }
-    sendJson(response, 200, { ver, nowMs: Math.round(performance.now()) });
+    this.#send(response, 200, { ver, nowMs: Math.round(performance.now()) });
     this.#wakeFeeds();
   }
 
@@ -162,7 +199,7 @@
     const rows = [...this.#rows.values()]
       .filter(({ table, key }) => table === query.get("table") && key >= from)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    sendJson(response, 200, {
+    this.#send(response, 200, {
       rows: rows.slice(0, limit),
       hasMore: rows.length > limit,
       ver: this.#version,
@@ -175,8 +212,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const after = Number(query.get("after"));
-    if (after < this.faults.oldestFeedVersion) {
-      sendJson(response, 410, {});
+    if (after < this.faults.oldestFeedVersion || after > this.#version) {
+      this.#send(response, 410, {});
       return;
     }
     const table = query.get("table");
@@ -188,7 +225,12 @@
       await this.#waitForChange(Number(query.get("waitMs")));
     }
     const ver = this.#version;
-    sendJson(response, 200, { rows: newChanges(), ver, nowMs: 0 });
+    this.#send(response, 200, { rows: newChanges(), ver, nowMs: 0 });
+  }
+
+  #send(response: ServerResponse, status: number, body: unknown): void {
+    response.setHeader(eraHeader, this.#era);
+    sendJson(response, status, body);
   }
 
   #waitForChange(milliseconds: number): Promise<void> {
