fix(platform): versions of the store are compared together with their era

Callers were refused or served by an old configuration, and requests reached an upstream that was leaving, after the store had been restored from an older copy: its versions go back and are given out again, so rows with a new version below a remembered one were taken for older, for as long as the process ran.

The client of the platform is the one owner of the era now. Each version that it returns holds the era and the number that the store counted, as one number that sorts by both; it takes them apart as it sends them. So all that is remembered of the store compares rightly: followers of rows, row caches, leases, conditions of writes, marks. A feed after a version of an earlier era reads all rows again; an answer of an earlier era that comes late is refused; a write under such a version is a conflict, and one during the restore has an unknown outcome.

--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./memory_table.ts";
 export * from "./platform_client.ts";
 export * from "./row_follower.ts";
+export * from "./store_version.ts";
 export * from "./table.ts";
 export * from "./transport.ts";
 export * from "./vm_list.ts";
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -6,6 +6,13 @@
 import type { CircuitState } from "./circuit.ts";
 import { Circuit } from "./circuit.ts";
 import { HttpTransport } from "./http_transport.ts";
+import type { StoreVersion } from "./store_version.ts";
+import {
+  eraOf,
+  maxEra,
+  toStoreVersion,
+  versionInEra,
+} from "./store_version.ts";
 import type {
   ChangeFeed,
   Changes,
@@ -87,6 +94,11 @@
   lost: z.boolean(),
 });
 
+/** An answer with the era in which it was given. */
+interface DatedReply extends Reply {
+  readonly era: number;
+}
+
 interface QueuedOperation {
   readonly queue: PQueue;
   readonly operation: Operation;
@@ -152,7 +164,7 @@
     priority: Priority,
   ): Promise<readonly (Row | null)[]> {
     const reply = await this.#read({ kind: "read", keys }, priority);
-    return rowsSchema.parse(reply.body).rows as (Row | null)[];
+    return toRows(reply);
   }
 
   async scan(
@@ -162,15 +174,24 @@
   ): Promise<readonly Row[]> {
     const operation = { kind: "scan", prefix, options } as const;
     const reply = await this.#read(operation, priority);
-    return scanSchema.parse(reply.body).rows as Row[];
+    const { rows } = scanSchema.parse(reply.body);
+    return withStoreVersions(rows as Row[], reply.era);
   }
 
   async changes(
     prefix: string,
-    after: number | null,
+    after: StoreVersion | null,
     waitMs: number,
   ): Promise<Changes> {
-    const operation = { kind: "changes", prefix, after, waitMs } as const;
+    if (after !== null && eraOf(after) < this.#era) {
+      return { rows: [], version: after, lost: true };
+    }
+    const operation = {
+      kind: "changes",
+      prefix,
+      after: after === null ? null : versionInEra(after),
+      waitMs,
+    } as const;
     this.#operations.reads += 1;
     const reply = await this.#enqueue({
       queue: this.#reads,
@@ -178,26 +199,58 @@
       priority: "configuration",
       timeoutMs: this.#timeoutMs + waitMs,
     });
-    return changesSchema.parse(reply.body) as Changes;
+    const { era } = reply;
+    const { rows, version, lost } = changesSchema.parse(reply.body) as Changes;
+    return {
+      rows: withStoreVersions(rows, era),
+      version: toStoreVersion(era, version),
+      // Changes of another era than that of the version may lack rows.
+      lost: lost || (after !== null && eraOf(after) !== era),
+    };
   }
 
   async commit(
     writes: readonly Write[],
     priority: Priority,
   ): Promise<CommitResult> {
-    const reply = await this.#write({ kind: "commit", writes }, priority);
+    const era = this.#era;
+    const conditions = writes.flatMap(({ ifVersion }) => ifVersion ?? []);
+    if (conditions.some((version) => eraOf(version) < era)) {
+      // Another row may have been given the same version again.
+      const rows = await this.read(writes.map(({ key }) => key), priority);
+      return { kind: "conflict", rows };
+    }
+    const operation = {
+      kind: "commit",
+      writes: writes.map(toRawWrite),
+    } as const;
+    const reply = await this.#write(operation, priority);
     if (reply.status === 409) {
-      const { rows } = rowsSchema.parse(reply.body);
-      return { kind: "conflict", rows: rows as (Row | null)[] };
+      return { kind: "conflict", rows: toRows(reply) };
+    }
+    if (reply.era !== era && conditions.length > 0) {
+      throw storeUnavailable(
+        "The platform's table was restored during the write",
+        "unknown",
+      );
     }
     const { versions } = committedSchema.parse(reply.body);
-    return { kind: "committed", versions };
+    return {
+      kind: "committed",
+      versions: versions.map((version) => toStoreVersion(reply.era, version)),
+    };
   }
 
   /** Reads the platform's list of live and leaving VMs, which may be stale. */
   async listVms(): Promise<readonly Vm[]> {
     const reply = await this.#read({ kind: "list_vms" }, "leases");
-    return vmsSchema.parse(reply.body).vms;
+    const { era } = reply;
+    return vmsSchema.parse(reply.body).vms.map((vm) => ({
+      ...vm,
+      ...(vm.version === undefined
+        ? {}
+        : { version: toStoreVersion(era, vm.version) }),
+    }));
   }
 
   /** Writes an object under a key. */
@@ -219,7 +272,7 @@
   }
 
   /** Sends a read, and retries it while the circuit is closed. */
-  async #read(operation: Operation, priority: Priority): Promise<Reply> {
+  async #read(operation: Operation, priority: Priority): Promise<DatedReply> {
     const timeoutMs = this.#timeoutMs;
     for (let attempt = 1;; attempt++) {
       try {
@@ -238,7 +291,7 @@
     }
   }
 
-  async #write(operation: Operation, priority: Priority): Promise<Reply> {
+  async #write(operation: Operation, priority: Priority): Promise<DatedReply> {
     this.#operations.writes += 1;
     const timeoutMs = this.#timeoutMs;
     const queue = this.#writes;
@@ -246,7 +299,7 @@
   }
 
   /** Queues an operation; if it fails unsent, the error has `notRun: true`. */
-  async #enqueue(queued: QueuedOperation): Promise<Reply> {
+  async #enqueue(queued: QueuedOperation): Promise<DatedReply> {
     const { queue, operation, priority, timeoutMs } = queued;
     if (queue.size >= maxQueuedOperations) {
       throw this.#refuse("The queue of operations for the platform is full");
@@ -276,6 +329,11 @@
     });
   }
 
+  /** Returns the era of a reply: the current one if it names none. */
+  #eraOfReply({ era = this.#era }: Reply): number {
+    return era > maxEra ? this.#era : era;
+  }
+
   /** Raises the concurrency gradually after an outage. */
   #adjustConcurrency(): void {
     const share = this.#circuit.concurrencyShare(performance.now());
@@ -287,7 +345,7 @@
     }
   }
 
-  async #send(operation: Operation, timeoutMs: number): Promise<Reply> {
+  async #send(operation: Operation, timeoutMs: number): Promise<DatedReply> {
     let reply: Reply;
     try {
       const signal = AbortSignal.timeout(timeoutMs);
@@ -296,21 +354,53 @@
       this.#circuit.recordFailure(performance.now());
       throw storeUnavailable("The platform did not answer", "unknown", cause);
     }
-    this.#era = Math.max(this.#era, reply.era ?? 0);
+    const era = this.#eraOfReply(reply);
+    if (era < this.#era) {
+      throw storeUnavailable(
+        "The platform's answer is older than the restored table",
+        "unknown",
+      );
+    }
+    this.#era = era;
     if (reply.status === 200 || reply.status === 409) {
       this.#circuit.recordSuccess(performance.now());
-      return reply;
+      return { ...reply, era };
     }
     this.#circuit.recordFailure(performance.now());
     const refused = reply.status === 429 || reply.status === 503;
     throw storeUnavailable(
       `The platform answered with status ${reply.status}`,
       refused ? true : "unknown",
-      undefined,
     );
   }
 }
 
+function toRows({ body, era }: DatedReply): readonly (Row | null)[] {
+  const { rows } = rowsSchema.parse(body);
+  return rows.map((row) =>
+    row === null ? null : withStoreVersion(row as Row, era)
+  );
+}
+
+function withStoreVersions<Item extends Pick<Row, "version">>(
+  rows: readonly Item[],
+  era: number,
+): readonly Item[] {
+  return rows.map((row) => withStoreVersion(row, era));
+}
+
+function withStoreVersion<Item extends Pick<Row, "version">>(
+  row: Item,
+  era: number,
+): Item {
+  return { ...row, version: toStoreVersion(era, row.version) };
+}
+
+function toRawWrite({ ifVersion, ...write }: Write): Write {
+  const version = ifVersion === null ? null : versionInEra(ifVersion);
+  return { ...write, ifVersion: version };
+}
+
 function createQueue(concurrency: number, perSecond: number): PQueue {
   return new PQueue({
     concurrency,
@@ -326,7 +416,7 @@
 function storeUnavailable(
   message: string,
   notRun: true | "unknown",
-  cause: unknown,
+  cause?: unknown,
 ): Failure {
   return new KnownError(message, { kind: "store_unavailable", notRun, cause });
 }
--- a/packages/platform/src/row_follower.ts
+++ b/packages/platform/src/row_follower.ts
@@ -1,8 +1,9 @@
+import type { StoreVersion } from "./store_version.ts";
 import type { Changes, Json } from "./table.ts";
 
 /** Latest version and value of a row that a follower has received. */
 export interface FollowedRow {
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: Json;
 }
 
@@ -13,17 +14,17 @@
 export class RowFollower {
   readonly #rows = new Map<string, FollowedRow>();
   /** Versions at which rows were removed, kept until the next full read. */
-  readonly #removed = new Map<string, number>();
-  #after: number | null = null;
-  #version = 0;
+  readonly #removed = new Map<string, StoreVersion>();
+  #after: StoreVersion | null = null;
+  #version: StoreVersion = 0;
 
   /** Version to request changes after; `null` when all rows must be read. */
-  get after(): number | null {
+  get after(): StoreVersion | null {
     return this.#after;
   }
 
   /** Version of the table that the rows correspond to. */
-  get version(): number {
+  get version(): StoreVersion {
     return this.#version;
   }
 
--- a/packages/platform/src/table.ts
+++ b/packages/platform/src/table.ts
@@ -1,3 +1,5 @@
+import type { StoreVersion } from "./store_version.ts";
+
 /** Any value that JSON can represent. */
 export type Json =
   | null
@@ -7,10 +9,10 @@
   | readonly Json[]
   | { readonly [name: string]: Json | undefined };
 
-/** One row of the table; its version grows by one with every write. */
+/** One row of the table; its version grows with every write. */
 export interface Row {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: Json;
 }
 
@@ -18,7 +20,7 @@
 export interface Write {
   readonly key: string;
   /** Version that the row must have; `null`: the row must not exist. */
-  readonly ifVersion: number | null;
+  readonly ifVersion: StoreVersion | null;
   /** New value; `null` removes the row. */
   readonly value: Json;
 }
@@ -28,7 +30,7 @@
  * a conflict, the present rows.
  */
 export type CommitResult =
-  | { readonly kind: "committed"; readonly versions: readonly number[] }
+  | { readonly kind: "committed"; readonly versions: readonly StoreVersion[] }
   | { readonly kind: "conflict"; readonly rows: readonly (Row | null)[] };
 
 /** Range and size of one scan. */
@@ -78,7 +80,7 @@
 /** A row that changed; the value is `null` when it was removed. */
 export interface RowChange {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: Json;
 }
 
@@ -87,7 +89,7 @@
   /** Ordered by version; all rows when no version was given. */
   readonly rows: readonly RowChange[];
   /** Version to pass to the next call. */
-  readonly version: number;
+  readonly version: StoreVersion;
   /** The store no longer has the changes; all rows must be read again. */
   readonly lost: boolean;
 }
@@ -100,7 +102,7 @@
    */
   changes(
     prefix: string,
-    after: number | null,
+    after: StoreVersion | null,
     waitMs: number,
   ): Promise<Changes>;
 }
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -1,6 +1,6 @@
 import type { Json, ScanOptions, Write } from "./table.ts";
 
-/** A request of a client to a platform. */
+/** A request of a client to a platform, with versions as the table counts them. */
 export type Operation =
   | { readonly kind: "read"; readonly keys: readonly string[] }
   | {
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { Vm } from "@lavenderferry/platform";
+import { versionInEra } from "@lavenderferry/platform";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
@@ -405,7 +406,7 @@
     readonly at: Moment;
   },
 ): RelayEffect {
-  const { upstreamsVersion: listVersion } = state;
+  const listVersion = versionInEra(state.upstreamsVersion);
   const figures = { upstream: true, cause, listVersion };
   return recordDecision(
     state,
@@ -415,8 +416,9 @@
 }
 
 function recordUpstream(state: RelayState, vm: Vm, at: Moment): RelayEffect {
-  const { id, address, dataCentre, pool = "", version = 0 } = vm;
-  const { upstreamsVersion: listVersion } = state;
+  const { id, address, dataCentre, pool = "" } = vm;
+  const version = versionInEra(vm.version ?? 0);
+  const listVersion = versionInEra(state.upstreamsVersion);
   return recordDecision(state, {
     kind: "member",
     subject: id,
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -1,6 +1,6 @@
 import { toFailure } from "@lavenderferry/errors";
 import type { Row, Vm } from "@lavenderferry/platform";
-import { RowFollower, vmSchema } from "@lavenderferry/platform";
+import { RowFollower, versionInEra, vmSchema } from "@lavenderferry/platform";
 import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import { z } from "zod";
@@ -119,7 +119,7 @@
     }
     const routing = rows.readRouting(row.value);
     return routing === null
-      ? { kind: "routing_unreadable", version: row.version }
+      ? { kind: "routing_unreadable", version: versionInEra(row.version) }
       : { kind: "routing_learned", routing };
   }
 
