fix(relay): upstreams that were leaving stay closed when the store is restored

The copy lists upstreams as they were before they left, in a later era than the marks that say so, so the marks lost to the rows and the upstreams got requests again until their rows were written. Those that registered after the copy was made were closed at once.

A row that has not been written since the first read of its era may be that of the copy. Its version counts in the era of the mark then; an absence outranks it until the rows of ended upstreams have lapsed. Upstreams that the first list of an era lacks are retained as after an outage. Marks tell peers the version with its era in a new field; builds without it go on to read the number alone, and their marks count in the era of the list.

--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -16,6 +16,7 @@
 import { DutyDirectory } from "./duty_directory.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
 import { Exchange } from "./exchange.ts";
+import { readMark, writeMark } from "./mark_codec.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Link } from "./link.ts";
 import type { Mark } from "./marks.ts";
@@ -369,14 +370,8 @@
     this.membership.recordAnswer(from, message.epoch);
     this.#queueSenderRecord(message, link);
     this.#publishMembers(at, from);
-    for (const { upstream, reason, version, at: wall } of message.marks) {
-      this.#applyMark({ upstream, reason, version, at: wall }, { at, from });
-      const knownVersion = this.marks.get(upstream)?.version ?? 0;
-      if (knownVersion <= version) {
-        link.remove("marks", upstream);
-      } else {
-        link.add("marks", upstream);
-      }
+    for (const record of message.marks) {
+      this.#applyPeerMark(record, { at, link });
     }
     for (const record of message.duties) {
       this.#applyDuty(record, { at, from });
@@ -426,6 +421,25 @@
     }
   }
 
+  /** Applies a mark of a peer; an older one is answered with the known one. */
+  #applyPeerMark(
+    record: ExchangeMessage__Output["marks"][number],
+    { at, link }: { readonly at: Moment; readonly link: Link },
+  ): void {
+    const mark = readMark(record, this.marks.listVersion);
+    if (mark === null) {
+      return;
+    }
+    const { upstream, version } = mark;
+    this.#applyMark(mark, { at, from: link.id });
+    const knownVersion = this.marks.get(upstream)?.version ?? 0;
+    if (knownVersion <= version) {
+      link.remove("marks", upstream);
+    } else {
+      link.add("marks", upstream);
+    }
+  }
+
   #applyMark(
     mark: Mark,
     { at, from }: { readonly at: Moment; readonly from?: string },
@@ -434,7 +448,7 @@
       return false;
     }
     const { upstream } = mark;
-    const value = { ...mark };
+    const value = writeMark(mark);
     const origin = from === undefined ? {} : { from };
     this.#exchange.publish("marks", { key: upstream, value }, {
       at,
--- a/packages/fleet/src/marks.ts
+++ b/packages/fleet/src/marks.ts
@@ -1,3 +1,4 @@
+import type { StoreVersion } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 
 /** The reasons why an upstream takes no new work. */
@@ -23,7 +24,7 @@
    * Version of the platform's list to which the observation belongs: of the row
    * that says so, or of the list that lacks the upstream. 0: not known.
    */
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** Time after which the VM list, which lags, overrides a mark. */
@@ -35,7 +36,12 @@
 /** The latest mark of each upstream, with the deadline until which it is kept. */
 export class Marks {
   readonly #marks = new Map<string, { mark: Mark; deadline: number }>();
-  #listVersion = 0;
+  #listVersion: StoreVersion = 0;
+
+  /** Version of the newest VM list that was read; 0 if it counts none. */
+  get listVersion(): StoreVersion {
+    return this.#listVersion;
+  }
 
   /** Returns all marks in force. */
   all(): readonly Mark[] {
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,6 +1,6 @@
 import type { ErrorKind } from "@lavenderferry/errors";
-import type { Vm } from "@lavenderferry/platform";
-import { versionInEra } from "@lavenderferry/platform";
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import { eraOf, versionInEra } from "@lavenderferry/platform";
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
@@ -57,6 +57,13 @@
  */
 const keepMissingMs = 2_500;
 
+/**
+ * Milliseconds after a restore of the store within which the rows of upstreams
+ * that have ended lapse: those that are up renew theirs about every second, and
+ * a row is removed after three missed renewals.
+ */
+const lapseMs = 5_000;
+
 /**
  * Shortest outage of the store, in milliseconds, after which live upstreams
  * may be missing from its list. They renew their rows about every second, and
@@ -190,6 +197,7 @@
   at: Moment,
 ): readonly RelayEffect[] {
   const effects: RelayEffect[] = [...endOutage(state, at)];
+  beginEra(state, version, at);
   const previous = state.upstreams;
   const listedIds = new Set(vms.map(({ id }) => id));
   const missing = [...previous.values()].filter(({ id }) => !listedIds.has(id));
@@ -228,6 +236,21 @@
   return [...effects, ...releaseBacklogs(state, at)];
 }
 
+/**
+ * Retains upstreams that the first list of a new era lacks, as upstreams that
+ * registered after the copy was made register again.
+ */
+function beginEra(state: RelayState, version: StoreVersion, at: Moment): void {
+  const { eraStart } = state;
+  if (eraStart !== null && eraOf(version) <= eraOf(eraStart.version)) {
+    return;
+  }
+  state.eraStart = { version, rowsTrustedFrom: at.monotonic + lapseMs };
+  if (eraStart !== null) {
+    state.keepMissingUntil = at.monotonic + keepMissingMs;
+  }
+}
+
 /**
  * Closes or opens an upstream as the store's list and the marks of peers say.
  * An upstream that is not listed here yet is reviewed when it is.
@@ -242,7 +265,7 @@
     return [];
   }
   const { closeReasons } = state;
-  const reason = findCloseReason(state, upstream);
+  const reason = findCloseReason(state, upstream, at);
   const isClosed = closeReasons.has(id);
   if (reason === null) {
     closeReasons.delete(id);
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -1,3 +1,5 @@
+import { markRetentionMs } from "@lavenderferry/fleet";
+import { toStoreVersion } from "@lavenderferry/platform";
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 
@@ -88,7 +90,13 @@
   relay.list([d1], { afterMs: 4_000 });
   const wall = 1_700_000_000_000 + relay.now;
   relay.receiveExchange({
-    marks: [{ upstream: "d22", reason: "gone", at: wall, version: 2 }],
+    marks: [{
+      upstream: "d22",
+      reason: "gone",
+      at: wall,
+      version: 2,
+      datedVersion: 2,
+    }],
   });
   t.strictSame([...collectTargets(relay)], ["instance-d1"]);
   t.end();
@@ -184,7 +192,7 @@
     } else {
       const at = 1_700_000_000_000 + relay.now;
       const mark = { upstream: "d22", reason: "gone", at, version: 2 };
-      relay.receiveExchange({ marks: [mark] });
+      relay.receiveExchange({ marks: [{ ...mark, datedVersion: 2 }] });
     }
     relay.list([d1, d2], { afterMs: 4_000, version: 3 });
     t.equal(collectTargets(relay).size, 2);
@@ -193,3 +201,25 @@
     t.end();
   });
 }
+
+// The copy lists it as it was before.
+t.test("an upstream that has long been leaving stays closed when the store is restored", (t) => {
+  const relay = new RelayFixture();
+  const listed = { ...d2, version: toStoreVersion(1, 4) };
+  const leaving = {
+    ...d2,
+    state: "leaving" as const,
+    version: toStoreVersion(1, 6),
+  };
+  relay.learn([d1, listed], undefined, { version: toStoreVersion(1, 5) });
+  relay.list([d1, leaving], { version: toStoreVersion(1, 6) });
+  const afterMs = markRetentionMs;
+  relay.list([d1, leaving], { afterMs, version: toStoreVersion(1, 7) });
+  const copied = { ...d2, version: toStoreVersion(2, 4) };
+  relay.list([d1, copied], { version: toStoreVersion(2, 5) });
+  t.strictSame([...collectTargets(relay)], ["instance-d1"]);
+  const written = { ...d2, version: toStoreVersion(2, 6) };
+  relay.list([d1, written], { version: toStoreVersion(2, 6) });
+  t.equal(collectTargets(relay).size, 2, "its row was written again");
+  t.end();
+});
--- a/packages/relay/src/fleet/upstream_closure.ts
+++ b/packages/relay/src/fleet/upstream_closure.ts
@@ -1,16 +1,36 @@
 import type { Mark, MarkReason } from "@lavenderferry/fleet";
 import { markReasons } from "@lavenderferry/fleet";
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import { eraOf, toStoreVersion, versionInEra } from "@lavenderferry/platform";
+import type { Moment } from "@lavenderferry/runtime";
 import type { KnownUpstream, RelayState } from "../state.ts";
 
+/** What is compared with a mark. */
+interface Comparison {
+  readonly mark: Mark;
+  readonly upstream: KnownUpstream;
+  /**
+   * Version of the row in the era of the mark, if the row may be older than the
+   * mark although it was read in a later era; else `null`.
+   */
+  readonly copiedVersion: StoreVersion | null;
+  /** Whether the rows of ended upstreams have lapsed since the restore. */
+  readonly isRowTrusted: boolean;
+}
+
 /** Whether a mark is newer than what the list says of an upstream. */
-type MarkRule = (mark: Mark, upstream: KnownUpstream) => boolean;
+type MarkRule = (comparison: Comparison) => boolean;
 
-const isNewerThanRow: MarkRule = (mark, { version = 0 }) =>
-  mark.version >= version;
+const isNewerThanRow: MarkRule = ({ mark, upstream, copiedVersion }) =>
+  mark.version >= (copiedVersion ?? upstream.version ?? 0);
 
 /** An absence has no row, so it is compared with the list as a whole. */
-const isNewerThanList: MarkRule = (mark, { listedIn }) =>
-  mark.version > listedIn;
+const isNewerThanList: MarkRule = (
+  { mark, upstream, copiedVersion, isRowTrusted },
+) =>
+  copiedVersion === null || isRowTrusted
+    ? mark.version > upstream.listedIn
+    : mark.version >= copiedVersion;
 
 /**
  * An upstream's own word overrides its row, which lags. A restarted upstream has
@@ -24,15 +44,28 @@
   gone: isNewerThanList,
 };
 
+/**
+ * Whether a row may be that of the copy from which the store was restored: it
+ * has not been written since the first read in its era.
+ */
+function isCopied(
+  { eraStart }: Pick<RelayState, "eraStart">,
+  { version = 0 }: Pick<Vm, "version">,
+): boolean {
+  return eraStart !== null && version > 0 && version <= eraStart.version;
+}
+
 /**
  * Returns why an upstream takes no new requests, or `null` if it does. Compares
  * versions, so the order in which the list and the marks of peers are received
  * does not matter.
  */
 export function findCloseReason(
-  { fleet, closeReasons }: Pick<RelayState, "fleet" | "closeReasons">,
+  state: Pick<RelayState, "fleet" | "closeReasons" | "eraStart">,
   upstream: KnownUpstream,
+  at: Moment,
 ): string | null {
+  const { fleet, closeReasons, eraStart } = state;
   if (upstream.isRemoved) {
     return markReasons.gone;
   }
@@ -49,7 +82,15 @@
   const rule = isMarkReason(mark.reason)
     ? markRules[mark.reason]
     : isNewerThanRow;
-  return rule(mark, upstream) ? mark.reason : null;
+  const { version = 0 } = upstream;
+  const markEra = eraOf(mark.version);
+  const copiedVersion = markEra < eraOf(version) && isCopied(state, upstream)
+    ? toStoreVersion(markEra, versionInEra(version))
+    : null;
+  const isRowTrusted = at.monotonic >= (eraStart?.rowsTrustedFrom ?? 0);
+  return rule({ mark, upstream, copiedVersion, isRowTrusted })
+    ? mark.reason
+    : null;
 }
 
 function isMarkReason(reason: string): reason is MarkReason {
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,7 +1,7 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { EngineChecked, ExchangeEvent } from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
-import type { Vm } from "@lavenderferry/platform";
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
 import type { RelayTimer } from "./process/timers.ts";
@@ -238,7 +238,7 @@
     readonly kind: "upstreams_learned";
     readonly vms: readonly Vm[];
     /** Version of the list; each change of the store raises it. */
-    readonly version: number;
+    readonly version: StoreVersion;
     /** Keys of rows that are not usable upstreams. */
     readonly unreadable: readonly string[];
   }
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -1,5 +1,5 @@
 import { FleetNode } from "@lavenderferry/fleet";
-import type { Vm } from "@lavenderferry/platform";
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
 import type { Dispatcher } from "@lavenderferry/policy";
 import {
   AdaptiveDispatcher,
@@ -35,7 +35,7 @@
 /** An upstream as the store last listed it. */
 export interface KnownUpstream extends Vm {
   /** Version of the latest list that contained it. */
-  readonly listedIn: number;
+  readonly listedIn: StoreVersion;
   /** Whether a later list without it was confirmed. */
   readonly isRemoved: boolean;
 }
@@ -44,7 +44,20 @@
 export interface UpstreamList {
   readonly vms: readonly Vm[];
   /** Each change of the store raises it. */
-  readonly version: number;
+  readonly version: StoreVersion;
+}
+
+/**
+ * The first list that was read in an era of the store. Rows that have not been
+ * written since may be those of the copy from which the store was restored.
+ */
+export interface EraStart {
+  readonly version: StoreVersion;
+  /**
+   * Monotonic milliseconds from which a row that is still listed shows that its
+   * upstream is running.
+   */
+  readonly rowsTrustedFrom: number;
 }
 
 /** Removes an upstream from a pool, so that it gets no new work. */
@@ -69,7 +82,9 @@
   /** Upstreams that are listed or still run requests, by id. */
   upstreams: ReadonlyMap<string, KnownUpstream>;
   /** Version of the latest list of upstreams. */
-  upstreamsVersion: number;
+  upstreamsVersion: StoreVersion;
+  /** `null` before the upstreams were read. */
+  eraStart: EraStart | null;
   /** Whether the upstreams were read at least once. */
   upstreamsKnown: boolean;
   /** Reasons why closed upstreams take no new work, by upstream id. */
@@ -148,6 +163,7 @@
     pools: new Map(),
     upstreams: new Map(),
     upstreamsVersion: 0,
+    eraStart: null,
     upstreamsKnown: false,
     closeReasons: new Map(),
     unreadable: { upstreams: [], members: [] },
