fix(relay): a process writes its own rows again when the store is restored

A store that is restored has lost the member rows and quarantines that were written after the copy, and nothing wrote them again: a process that started later found fewer peers, and quarantines did not outlive a restart of all. A process that learns of a new era writes its row and its quarantines again. It tells its peers the era with each exchange; those that know an older one read the store at once and believe the store, not the peer.

--- a/packages/entry/src/quarantine/quarantine_part_test.ts
+++ b/packages/entry/src/quarantine/quarantine_part_test.ts
@@ -134,6 +134,7 @@
         acknowledged: 0,
         full: false,
         configurationVersion: 0,
+        storeEra: 0,
         members: [],
         duties: [],
         shares: [],
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -26,6 +26,7 @@
   readonly sender: string;
   readonly epoch: string;
   readonly configurationVersion: number;
+  readonly storeEra: number;
   readonly full: boolean;
 }
 
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -81,6 +81,7 @@
   readonly #confirmedBy = new Set<string>();
   readonly #leaving = new LeavingUpstreams();
   #configurationVersion = 0;
+  #storeEra = 0;
   #replyCount = 0;
   #nextReviewAt = 0;
   #nextProbeAt = 0;
@@ -184,6 +185,11 @@
     this.#exchange.announceVersion(version);
   }
 
+  /** Sets the latest era of the platform's table that this process has read. */
+  setStoreEra(era: number): void {
+    this.#storeEra = Math.max(this.#storeEra, era);
+  }
+
   /** Publishes this process's work in flight; only changes are sent. */
   setShares(shares: readonly PeerWork[], at: Moment): void {
     const sharesByEngine = new Map(
@@ -349,6 +355,7 @@
       sender: id,
       epoch,
       configurationVersion: this.#configurationVersion,
+      storeEra: this.#storeEra,
       full: this.#replyCount < fullStateReplies,
     };
   }
@@ -385,6 +392,7 @@
       const known = this.#updates.lengths.get(from) ?? [];
       this.#updates.lengths.set(from, [...known, ...message.lengths]);
     }
+    this.#updates.storeEra = Math.max(this.#updates.storeEra, message.storeEra);
     this.#applyConfigurations(message.configurations);
     link.urgent ||= message.configurationVersion > this.#configurationVersion;
   }
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -152,6 +152,7 @@
     epoch: "",
     sequence: 0,
     configurationVersion: 0,
+    storeEra: 0,
     configurations: [],
     members: [],
     marks: [],
--- a/packages/fleet/src/fleet_updates.ts
+++ b/packages/fleet/src/fleet_updates.ts
@@ -37,6 +37,8 @@
   readonly suspects: readonly SuspectRecord[];
   /** Records of limits that upstreams name, as peers know them. */
   readonly limits: readonly RequestLimitRecord__Output[];
+  /** Latest era of the platform's table that a peer has read; 0 if unknown. */
+  readonly storeEra: number;
 }
 
 /** Updates that are being collected. */
@@ -48,6 +50,7 @@
   readonly members: Member[];
   readonly suspects: SuspectRecord[];
   readonly limits: RequestLimitRecord__Output[];
+  storeEra: number;
 }
 
 /** Creates a collection without updates. */
@@ -60,5 +63,6 @@
     members: [],
     suspects: [],
     limits: [],
+    storeEra: 0,
   };
 }
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -95,6 +95,11 @@
   for (const routing of updates.configurations) {
     effects.push(...applyRouting(state, routing, at));
   }
+  if (updates.storeEra > Math.max(state.storeEra ?? 0, state.announcedEra)) {
+    state.announcedEra = updates.storeEra;
+    // The store's answer tells whether the peer is right.
+    effects.push({ kind: "read_suspects" });
+  }
   return updates.marks.length > 0 || updates.shares.size > 0
     ? [...effects, ...releaseBacklogs(state, at)]
     : effects;
--- a/packages/relay/src/fleet/exchange_part_test.ts
+++ b/packages/relay/src/fleet/exchange_part_test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import type { MemberState } from "@lavenderferry/fleet";
-import { RelayFixture, routingOf } from "../fixtures/relay_fixture.ts";
+import { only, RelayFixture, routingOf } from "../fixtures/relay_fixture.ts";
 import { computeRetryBurst } from "../state.ts";
 
 function receiveMembers(
@@ -51,3 +51,17 @@
   t.equal(spendRetries(relay), 1);
   t.end();
 });
+
+t.test("a later era that a peer has read makes a process read the store once", (t) => {
+  const relay = new RelayFixture();
+  relay.reduce({ kind: "store_era_learned", era: 1 });
+  const first = relay.receiveExchange({ storeEra: 2 });
+  t.equal(only(first, "read_suspects").length, 1);
+  const repeated = relay.receiveExchange({ storeEra: 2, sequence: 2 });
+  t.strictSame(only(repeated, "read_suspects"), []);
+  relay.reduce({ kind: "store_era_learned", era: 2 });
+  const current = relay.receiveExchange({ storeEra: 2, sequence: 3 });
+  t.strictSame(only(current, "read_suspects"), []);
+  t.match(only(current, "answer_exchange"), [{ message: { storeEra: 2 } }]);
+  t.end();
+});
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,7 +1,7 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { StoreVersion, Vm } from "@lavenderferry/platform";
 import { eraOf, versionInEra } from "@lavenderferry/platform";
-import type { EventHandlers, Moment } from "@lavenderferry/runtime";
+import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
 import { beginEvacuation } from "../moves/evacuation.ts";
@@ -82,11 +82,7 @@
 > = {
   leaving_reported: (state, { upstream, at }) =>
     markDraining(state, upstream, at),
-  store_era_learned: (state, { era, at }) => {
-    const reason = state.storeEra === null ? "reached" : "restored";
-    state.storeEra = era;
-    return [recordStoreState(state, { reason, figures: { era }, at })];
-  },
+  store_era_learned: applyStoreEra,
   routing_learned: (state, { routing, at }) => [
     ...applyRouting(state, routing, at),
     ...sendDueExchanges(state, at),
@@ -141,6 +137,38 @@
   member_failed: (state, event) => retryOperation(state, "state_member", event),
 };
 
+/**
+ * Tells peers the era of the store. After a restore, writes this process's own
+ * rows again, since the store may have lost them.
+ */
+function applyStoreEra(
+  state: RelayState,
+  { era, at }: Timed<Extract<SourceEvent, { kind: "store_era_learned" }>>,
+): readonly RelayEffect[] {
+  const isRestored = state.storeEra !== null;
+  state.storeEra = era;
+  state.fleet.setStoreEra(era);
+  const figures = { era };
+  const reason = isRestored ? "restored" : "reached";
+  return [
+    recordStoreState(state, { reason, figures, at }),
+    ...isRestored ? writeRowsAgain(state) : [],
+    ...sendDueExchanges(state, at),
+  ];
+}
+
+function writeRowsAgain(state: RelayState): readonly RelayEffect[] {
+  const { suspects, stopping } = state;
+  const quarantined = suspects.quarantined;
+  return [
+    { kind: "read_suspects" },
+    { kind: "state_member", leaving: stopping },
+    ...quarantined.length === 0 ? [] : [
+      { kind: "state_suspects", records: quarantined } as const,
+    ],
+  ];
+}
+
 /** Puts a routing in force; one that is not newer is ignored. */
 export function applyRouting(
   state: RelayState,
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -223,3 +223,31 @@
   t.equal(collectTargets(relay).size, 2, "its row was written again");
   t.end();
 });
+
+t.test("a process writes its own rows again when the store is restored", (t) => {
+  const relay = new RelayFixture();
+  const reached = relay.reduce({ kind: "store_era_learned", era: 0 });
+  t.strictSame(only(reached, "state_member"), [], "nothing was lost yet");
+  const restored = relay.reduce({ kind: "store_era_learned", era: 1 });
+  t.match(only(restored, "state_member"), [{ leaving: false }]);
+  t.equal(only(restored, "read_suspects").length, 1);
+  t.match(only(restored, "log_decision"), [
+    { decision: { subject: "store", reason: "restored", figures: { era: 1 } } },
+  ]);
+  relay.reduce({ kind: "stop_requested" });
+  const again = relay.reduce({ kind: "store_era_learned", era: 2 });
+  t.match(only(again, "state_member"), [{ leaving: true }]);
+  t.end();
+});
+
+t.test("quarantines are written again when the store is restored", (t) => {
+  const relay = new RelayFixture();
+  relay.reduce({ kind: "store_era_learned", era: 0 });
+  const changedAt = 1_700_000_000_000 + relay.now;
+  const ends = ["e1/1", "e2/2", "e3/3"];
+  const records = [{ block: "bad", clearances: 0, ends, changedAt }];
+  relay.reduce({ kind: "suspects_learned", records });
+  const restored = relay.reduce({ kind: "store_era_learned", era: 1 });
+  t.match(only(restored, "state_suspects"), [{ records: [{ block: "bad" }] }]);
+  t.end();
+});
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -55,7 +55,7 @@
   readonly #settings: RelaySettings;
   readonly #routings = new RowFollower();
   readonly #upstreams = new RowFollower();
-  #era = 0;
+  #era: number | null = null;
   #memberVersion: number | null = null;
   #suspectsVersion: number | null = null;
 
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -5,6 +5,7 @@
   Row,
   Write,
 } from "@lavenderferry/platform";
+import type { Dispatch } from "@lavenderferry/runtime";
 import t from "tap";
 import { upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayPorts } from "../ports.ts";
@@ -63,23 +64,35 @@
   const ports = { store, rows } as unknown as RelayPorts;
   const { settings } = new RelayFixture().state;
   const { handlers } = new SourceRunner(ports, settings);
-  const follow = () =>
+  /** Resolves to the result of an operation; the era has its own events. */
+  const resultOf = (start: (dispatch: Dispatch<RelayEvent>) => void) =>
     new Promise<RelayEvent>((resolve) =>
-      handlers.follow_upstreams({ kind: "follow_upstreams" }, resolve)
+      start((event) => {
+        if (event.kind === "store_era_learned") {
+          eras.push(event.era);
+        } else {
+          resolve(event);
+        }
+      })
+    );
+  const eras: number[] = [];
+  const follow = () =>
+    resultOf((dispatch) =>
+      handlers.follow_upstreams({ kind: "follow_upstreams" }, dispatch)
     );
   const writeMember = (leaving: boolean) =>
-    new Promise<RelayEvent>((resolve) =>
-      handlers.state_member({ kind: "state_member", leaving }, resolve)
+    resultOf((dispatch) =>
+      handlers.state_member({ kind: "state_member", leaving }, dispatch)
     );
   const run = (effect: SuspectsEffect) =>
-    new Promise<RelayEvent>((resolve) => {
+    resultOf((dispatch) => {
       if (effect.kind === "read_suspects") {
-        handlers.read_suspects(effect, resolve);
+        handlers.read_suspects(effect, dispatch);
       } else {
-        handlers.state_suspects(effect, resolve);
+        handlers.state_suspects(effect, dispatch);
       }
     });
-  return { queries, writes, follow, writeMember, run };
+  return { store, eras, queries, writes, follow, writeMember, run };
 }
 
 const fullRead = {
@@ -181,3 +194,20 @@
     });
   }
 });
+
+t.test("each era of the store is reported once, before what was read in it", async (t) => {
+  const { store, eras, follow } = createRunner({
+    changes: [fullRead, fullRead, fullRead, new Error("down"), fullRead],
+  });
+  store.era = 3;
+  await follow();
+  await follow();
+  t.strictSame(eras, [3]);
+  store.era = 4;
+  await follow();
+  t.strictSame(eras, [3, 4]);
+  store.era = 5;
+  t.match(await follow(), { kind: "upstreams_failed" });
+  await follow();
+  t.strictSame(eras, [3, 4, 5]);
+});
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -100,6 +100,8 @@
   membersKnown: boolean;
   /** Era of the store's table as last read; `null` before the first read. */
   storeEra: number | null;
+  /** Latest era of the store that peers have announced; 0 if none. */
+  announcedEra: number;
   /** Monotonic milliseconds of the first failed read of a store outage. */
   outageStartedAt: number | null;
   /** Monotonic milliseconds until which unlisted upstreams are kept. */
@@ -170,6 +172,7 @@
     members: [],
     membersKnown: false,
     storeEra: null,
+    announcedEra: 0,
     outageStartedAt: null,
     keepMissingUntil: 0,
     unconfirmedUpstreams: null,
