fix(fleet): no fence of a lease is granted again after a restore

A table that is restored from a copy has lost the latest acquisitions, so the next holder was given a fence that another one had used, or a lower one, and both could believe that they hold the duty. Fences hold the era of the table now: in a new era they start above all earlier ones, a holder goes on under a new one, and others wait until leases from before the restore have ended. The client of the platform's own protocol reads the era from a header, which the stand-in serves; its table can be copied and restored.

--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -1,10 +1,11 @@
 import { shardCount } from "@lavenderferry/ledger";
 import type { CommitResult, Row } from "@lavenderferry/platform";
+import { toStoreVersion } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 import { hashText } from "@lavenderferry/runtime";
 import type { DutyDirectory } from "./duty_directory.ts";
-import type { Candidate, LeaseAction } from "./lease.ts";
-import { Lease } from "./lease.ts";
+import type { Candidate, LeaseAction, LeaseRestore } from "./lease.ts";
+import { Lease, leaseDurationMs, maxClockErrorMs } from "./lease.ts";
 import type { Member } from "./member.ts";
 
 /** Number of duties among which recovery after dead processes is divided. */
@@ -65,6 +66,8 @@
   #stewardIds = "";
   #nextStepAt = 0;
   #leaving = false;
+  #era = 0;
+  #restore: LeaseRestore | undefined;
 
   constructor(self: Candidate) {
     this.#self = self;
@@ -93,6 +96,20 @@
     return [...this.#duties.values()].every(({ lease }) => !lease.owned);
   }
 
+  /**
+   * Sets the era of the table of leases. In a later one, fences are above those
+   * of all earlier ones, and leases from before the restore may still be held.
+   */
+  setEra(era: number, at: Moment): void {
+    if (era > this.#era) {
+      this.#era = era;
+      this.#restore = {
+        firstFence: toStoreVersion(era, 1),
+        formerEndedBy: at.monotonic + leaseDurationMs + maxClockErrorMs,
+      };
+    }
+  }
+
   /** Starts the release of all duties, for a planned stop. */
   releaseAll(): void {
     this.#leaving = true;
@@ -120,6 +137,7 @@
       const unrelated = duty.preferred !== this.#self.id && !duty.lease.owned;
       const action = unrelated ? null : duty.lease.step({
         wanted: this.#isWanted(name, duty, at),
+        restore: this.#restore,
         isLive: (owner, epoch) =>
           stewards.some((steward) =>
             steward.id === owner && steward.epoch === epoch
--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -43,12 +43,27 @@
   | { readonly kind: "read"; readonly key: string }
   | { readonly kind: "write"; readonly write: Write };
 
+const noRestore: LeaseRestore = { firstFence: 0, formerEndedBy: -Infinity };
+
 /** What a process intends for a lease at one moment. */
 export interface LeaseIntent {
   /** Whether this process should hold the lease. */
   readonly wanted: boolean;
   /** Returns whether a run of a process is live. */
   readonly isLive: (owner: string, epoch: string) => boolean;
+  /** What the table may have lost; absent if it was never restored. */
+  readonly restore?: LeaseRestore | undefined;
+}
+
+/**
+ * Limits on leases in a table that was restored from an older copy, which may
+ * lack the latest acquisitions.
+ */
+export interface LeaseRestore {
+  /** Fence above all that were granted before the restore. */
+  readonly firstFence: number;
+  /** Monotonic milliseconds by which leases from before it have ended. */
+  readonly formerEndedBy: number;
 }
 
 /** A run of a process that may hold a lease. */
@@ -178,20 +193,25 @@
     const deadline = at.wall + leaseDurationMs;
     const { id: owner, epoch } = this.#self;
     const fence = observed.row?.fence ?? 0;
+    const { firstFence, formerEndedBy } = intent.restore ?? noRestore;
+    const nextFence = Math.max(firstFence, fence + 1);
+    const held = this.fenceAt(at) !== null;
+    if (!held && at.monotonic < formerEndedBy) {
+      return null;
+    }
     if (this.#isOwn(observed.row)) {
       if (!intent.wanted) {
         return { owner: "", epoch: "", fence, deadline: at.wall };
       }
-      const held = this.fenceAt(at) !== null;
       const isRenewalDue =
         at.monotonic >= this.#heldUntil - leaseDurationMs + driftMarginMs +
             renewalIntervalMs;
-      return held
+      return held && fence >= firstFence
         ? (isRenewalDue ? { owner, epoch, fence, deadline } : null)
-        : { owner, epoch, fence: fence + 1, deadline };
+        : { owner, epoch, fence: nextFence, deadline };
     }
     return intent.wanted && isFree(observed, intent, at)
-      ? { owner, epoch, fence: fence + 1, deadline }
+      ? { owner, epoch, fence: nextFence, deadline }
       : null;
   }
 
--- a/packages/fleet/src/lease_test.ts
+++ b/packages/fleet/src/lease_test.ts
@@ -1,5 +1,5 @@
 import type { Row, Write } from "@lavenderferry/platform";
-import { MemoryTable } from "@lavenderferry/platform";
+import { MemoryTable, toStoreVersion } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
 import t from "tap";
@@ -245,3 +245,42 @@
     t.ok(highest > 1, "the lease moved");
   }
 });
+
+/** The limits after a restore in an era, learned at a time. */
+function restoredAt(era: number, milliseconds: number): LeaseIntent {
+  const formerEndedBy = milliseconds + leaseDurationMs + maxClockErrorMs;
+  const firstFence = toStoreVersion(era, 1);
+  return { ...wanted, restore: { firstFence, formerEndedBy } };
+}
+
+// Fences were granted twice, as the copy lacks the latest acquisition.
+t.test("no fence is granted again after the table was restored", async (t) => {
+  const table = new MemoryTable();
+  const a = createLease("a");
+  const b = createLease("b");
+  const copy = table.copy();
+  await runAll(a, table, { intent: wanted, at: momentAt(0) });
+  const former = a.fenceAt(momentAt(1)) ?? 0;
+  table.restore(copy);
+  const intent = restoredAt(1, 100);
+  await runAll(b, table, { intent, at: momentAt(100) });
+  t.equal(b.fenceAt(momentAt(100)), null, "the former holder may use it");
+  const endedAt = momentAt(100 + leaseDurationMs + maxClockErrorMs);
+  await runAll(b, table, { intent, at: endedAt });
+  t.ok((b.fenceAt(endedAt) ?? 0) > former);
+  t.equal(a.fenceAt(endedAt), null);
+});
+
+t.test("a holder goes on under a new fence after the table was restored", async (t) => {
+  const table = new MemoryTable();
+  const lease = createLease("a");
+  await runAll(lease, table, { intent: wanted, at: momentAt(0) });
+  const copy = table.copy();
+  table.restore(copy);
+  const intent = restoredAt(1, 100);
+  await runAll(lease, table, { intent, at: momentAt(100) });
+  t.equal(lease.fenceAt(momentAt(101)), toStoreVersion(1, 1));
+  const later = momentAt(100 + renewalIntervalMs);
+  await runAll(lease, table, { intent, at: later });
+  t.equal(lease.fenceAt(later), toStoreVersion(1, 1), "renewals keep it");
+});
--- a/packages/platform/src/http_transport.ts
+++ b/packages/platform/src/http_transport.ts
@@ -30,6 +30,20 @@
   get_object: ({ key }) => ({ path: "/v1/objects/get", body: { key } }),
 };
 
+/** Header with the era of the platform's table. */
+export const eraHeader = "platform-era";
+
+/** Reads an era from a header; returns `undefined` if it is not a number. */
+export function readEra(
+  header: string | readonly string[] | undefined,
+): number | undefined {
+  return typeof header === "string" && eraPattern.test(header)
+    ? Number(header)
+    : undefined;
+}
+
+const eraPattern = /^\d{1,9}$/;
+
 /** Sends operations as JSON over HTTP. */
 export class HttpTransport implements Transport {
   readonly #pool: Pool;
@@ -51,7 +65,8 @@
       signal,
     });
     const status = response.statusCode;
-    return { status, body: await response.body.json() };
+    const era = readEra(response.headers[eraHeader]);
+    return { status, body: await response.body.json(), era };
   }
 
   async close(): Promise<void> {
--- a/packages/platform/src/memory_table.ts
+++ b/packages/platform/src/memory_table.ts
@@ -11,8 +11,26 @@
 
 /** In-memory table with the semantics of the platform's. */
 export class MemoryTable implements Table {
-  readonly era = 0;
   readonly #rows = new Map<string, Row>();
+  #era = 0;
+
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Returns a copy of all rows, for `restore`. */
+  copy(): readonly Row[] {
+    return [...this.#rows.values()];
+  }
+
+  /** Replaces all rows by those of an older copy, in a new era. */
+  restore(copy: readonly Row[]): void {
+    this.#era += 1;
+    this.#rows.clear();
+    for (const row of copy) {
+      this.#rows.set(row.key, row);
+    }
+  }
 
   read(keys: readonly string[]): Promise<readonly (Row | null)[]> {
     return Promise.resolve(keys.map((key) => this.#rows.get(key) ?? null));
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,5 +1,6 @@
 /** Client of the platform's table, objects, VM list and weight store. */
 export * from "./circuit.ts";
+export { eraHeader, readEra } from "./http_transport.ts";
 export * from "./memory_table.ts";
 export * from "./platform_client.ts";
 export * from "./row_follower.ts";
--- a/packages/standins/src/platform/platform_server.ts
+++ b/packages/standins/src/platform/platform_server.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Json, Vm } from "@lavenderferry/platform";
-import { MemoryTable, vmSchema } from "@lavenderferry/platform";
+import type { Json, Row, Vm } from "@lavenderferry/platform";
+import { eraHeader, MemoryTable, vmSchema } from "@lavenderferry/platform";
 import polka from "polka";
 import { z } from "zod";
 import { listen, readJson, sendJson } from "../util/http_server.ts";
@@ -67,6 +67,8 @@
 export class PlatformServer {
   readonly #table = new MemoryTable();
   readonly #objects = new Map<string, Json>();
+  /** Rows of the table when `/control/copy` was last called. */
+  #copy: readonly Row[] = [];
   readonly #vms = new Map<string, Vm>();
   readonly #vmLists: VmListVersion[] = [{ publishedAt: 0, vms: [] }];
   /** Runs of all services, which survive the service processes. */
@@ -107,6 +109,8 @@
       })
       .put("/control/runs", this.#controlHandler(this.#addRun))
       .put("/control/faults", this.#controlHandler(this.#setFaults))
+      .put("/control/copy", this.#controlHandler(this.#copyTable))
+      .put("/control/restore", this.#controlHandler(this.#restoreTable))
       .put("/control/vms", this.#controlHandler(this.#updateVm))
       .put(
         "/control/operations",
@@ -164,6 +168,16 @@
     return {};
   };
 
+  readonly #copyTable = () => {
+    this.#copy = this.#table.copy();
+    return {};
+  };
+
+  readonly #restoreTable = () => {
+    this.#table.restore(this.#copy);
+    return {};
+  };
+
   readonly #updateVm = (body: unknown) => {
     const removed = z.object({ remove: z.string() }).safeParse(body);
     if (removed.success) {
@@ -239,6 +253,7 @@
         response.destroy();
         return;
       }
+      response.setHeader(eraHeader, this.#table.era);
       const conflict = "kind" in result && result.kind === "conflict";
       sendJson(response, conflict ? 409 : 200, result);
     } catch (error) {
--- a/packages/steward/src/fleet/duty_event.ts
+++ b/packages/steward/src/fleet/duty_event.ts
@@ -6,11 +6,15 @@
     readonly kind: "lease_read";
     readonly duty: string;
     readonly row: Row | null;
+    /** Era of the table. */
+    readonly era: number;
   }
   | {
     readonly kind: "lease_written";
     readonly duty: string;
     readonly result: CommitResult;
+    /** Era of the table. */
+    readonly era: number;
   }
   | {
     readonly kind: "lease_failed";
--- a/packages/steward/src/fleet/duty_part.ts
+++ b/packages/steward/src/fleet/duty_part.ts
@@ -15,11 +15,13 @@
 
 /** Acquires, renews and releases leases of duties. */
 export const dutyPart: EventHandlers<StewardState, DutyEvent, StewardEffect> = {
-  lease_read: (state, { duty, row, at }) => {
+  lease_read: (state, { duty, row, era, at }) => {
+    state.duties.setEra(era, at);
     state.duties.rowRead(duty, row, at);
     return [...recordDutyChange(state, duty, at), ...stepDuties(state, at)];
   },
-  lease_written: (state, { duty, result, at }) => {
+  lease_written: (state, { duty, result, era, at }) => {
+    state.duties.setEra(era, at);
     state.duties.writeCompleted(duty, result, at);
     return recordDutyChange(state, duty, at);
   },
--- a/packages/steward/src/fleet/duty_runner.ts
+++ b/packages/steward/src/fleet/duty_runner.ts
@@ -11,13 +11,19 @@
   return {
     read_lease: ({ duty, key }, dispatch) => {
       table.read([key], "leases").then(
-        ([row = null]) => dispatch({ kind: "lease_read", duty, row }),
+        ([row = null]) => {
+          const { era } = table;
+          dispatch({ kind: "lease_read", duty, row, era });
+        },
         createFailureHandler(duty, dispatch),
       );
     },
     write_lease: ({ duty, write }, dispatch) => {
       table.commit([write], "leases").then(
-        (result) => dispatch({ kind: "lease_written", duty, result }),
+        (result) => {
+          const { era } = table;
+          dispatch({ kind: "lease_written", duty, result, era });
+        },
         createFailureHandler(duty, dispatch),
       );
     },
