fix(steward): configurations that a restored table has lost are written again

A table that is restored from a copy lacks the latest versions. The processes kept the newest one in force, but the next change was accepted under a number that had been given out, and no process took it. A steward that reads an older version than it knows, or learns of a new era, writes those that it knows again under the condition of the head that it read.

Tests in configuration_store_test and process_part_test; the effect and the method are new, so both fail without.

--- a/packages/configuration/src/configuration_store.ts
+++ b/packages/configuration/src/configuration_store.ts
@@ -91,6 +91,28 @@
     return await this.#write(change, head);
   }
 
+  /**
+   * Writes accepted versions, oldest first, that the table has lost because it
+   * was restored from an older copy; returns those that were written. Another
+   * process may do so at the same time.
+   */
+  async writeAgain(
+    accepted: readonly Configuration[],
+  ): Promise<readonly Configuration[]> {
+    const head = await this.#readHead();
+    const lost = accepted.filter(({ version }) => version > head.version);
+    const newest = lost.at(-1);
+    if (newest === undefined) {
+      return [];
+    }
+    const writes = [
+      createHeadWrite(newest, head),
+      ...lost.map(createVersionWrite),
+    ];
+    const { kind } = await this.#table.commit(writes, "configuration");
+    return kind === "committed" ? lost : [];
+  }
+
   /**
    * Retries the commit, or reads it back, until its outcome is known. A retry
    * cannot apply the change twice: its conditions fail once an earlier attempt
@@ -198,21 +220,25 @@
   configuration: Configuration,
   head: Head,
 ): readonly Write[] {
-  const { version, effectiveAt } = configuration;
   return [
-    {
-      key: headKey,
-      ifVersion: head.rowVersion,
-      value: { version, effectiveAt },
-    },
-    {
-      key: versionKey(version),
-      ifVersion: null,
-      value: configuration as unknown as Json,
-    },
+    createHeadWrite(configuration, head),
+    createVersionWrite(configuration),
   ];
 }
 
+function createHeadWrite(
+  { version, effectiveAt }: Configuration,
+  { rowVersion }: Head,
+): Write {
+  const value = { version, effectiveAt };
+  return { key: headKey, ifVersion: rowVersion, value };
+}
+
+function createVersionWrite(configuration: Configuration): Write {
+  const value = configuration as unknown as Json;
+  return { key: versionKey(configuration.version), ifVersion: null, value };
+}
+
 function versionKey(version: number): string {
   return `configuration/version/${String(version).padStart(12, "0")}`;
 }
--- a/packages/configuration/src/configuration_store_test.ts
+++ b/packages/configuration/src/configuration_store_test.ts
@@ -176,6 +176,25 @@
   }
 }
 
+// A number that operators were told was given to another change.
+t.test("versions that a restored table has lost are written again", async (t) => {
+  const table = new MemoryTable();
+  const store = new ConfigurationStore(table);
+  const first = await store.accept(createChange("ida"));
+  const copy = table.copy();
+  const second = await store.accept({ ...createChange("jan"), ifVersion: 1 });
+  const third = await store.accept({ ...createChange("ewa"), ifVersion: 2 });
+  table.restore(copy);
+  t.equal((await store.readLatest()).version, 1);
+  const written = await store.writeAgain([first, second, third]);
+  t.strictSame(written.map(({ version }) => version), [2, 3]);
+  t.strictSame(await store.readLatest(), third);
+  t.strictSame(await store.readVersion(2), second);
+  t.strictSame(await store.writeAgain([first, second, third]), []);
+  const fourth = await store.accept({ ...createChange("ola"), ifVersion: 3 });
+  t.equal(fourth.version, 4);
+});
+
 function unavailable(notRun: true | "unknown"): Error {
   return new KnownError("Fault", { kind: "store_unavailable", notRun });
 }
--- a/packages/configuration/src/timeline.ts
+++ b/packages/configuration/src/timeline.ts
@@ -13,6 +13,11 @@
     return this.#versions.at(-1) ?? emptyConfiguration;
   }
 
+  /** The known versions that an operator has stated, oldest first. */
+  get versions(): readonly Configuration[] {
+    return this.#versions.filter(({ version }) => version > 0);
+  }
+
   /** Adds a version and returns true if it is newer than all known ones. */
   add(configuration: Configuration): boolean {
     if (configuration.version <= this.latest.version) {
--- a/packages/fleet/src/duties.ts
+++ b/packages/fleet/src/duties.ts
@@ -99,15 +99,18 @@
   /**
    * Sets the era of the table of leases. In a later one, fences are above those
    * of all earlier ones, and leases from before the restore may still be held.
+   * Returns whether the era is later.
    */
-  setEra(era: number, at: Moment): void {
-    if (era > this.#era) {
-      this.#era = era;
-      this.#restore = {
-        firstFence: toStoreVersion(era, 1),
-        formerEndedBy: at.monotonic + leaseDurationMs + maxClockErrorMs,
-      };
+  setEra(era: number, at: Moment): boolean {
+    if (era <= this.#era) {
+      return false;
     }
+    this.#era = era;
+    this.#restore = {
+      firstFence: toStoreVersion(era, 1),
+      formerEndedBy: at.monotonic + leaseDurationMs + maxClockErrorMs,
+    };
+    return true;
   }
 
   /** Starts the release of all duties, for a planned stop. */
--- a/packages/steward/src/fleet/duty_part.ts
+++ b/packages/steward/src/fleet/duty_part.ts
@@ -3,6 +3,7 @@
 import type { StewardEffect } from "../effects.ts";
 import type { StewardState } from "../state.ts";
 import type { DutyEvent } from "./duty_event.ts";
+import { writeConfigurationsAgain } from "./fleet_part.ts";
 
 /** Milliseconds that a planned stop waits for leases to be released. */
 const releaseTimeoutMs = 2_000;
@@ -16,14 +17,18 @@
 /** Acquires, renews and releases leases of duties. */
 export const dutyPart: EventHandlers<StewardState, DutyEvent, StewardEffect> = {
   lease_read: (state, { duty, row, era, at }) => {
-    state.duties.setEra(era, at);
+    const effects = applyEra(state, era, at);
     state.duties.rowRead(duty, row, at);
-    return [...recordDutyChange(state, duty, at), ...stepDuties(state, at)];
+    return [
+      ...effects,
+      ...recordDutyChange(state, duty, at),
+      ...stepDuties(state, at),
+    ];
   },
   lease_written: (state, { duty, result, era, at }) => {
-    state.duties.setEra(era, at);
+    const effects = applyEra(state, era, at);
     state.duties.writeCompleted(duty, result, at);
-    return recordDutyChange(state, duty, at);
+    return [...effects, ...recordDutyChange(state, duty, at)];
   },
   lease_failed: (state, { duty, notRun, at }) => {
     state.duties.operationFailed(duty, notRun, at);
@@ -31,6 +36,15 @@
   },
 };
 
+/** Repairs what the table has lost if it was restored from an older copy. */
+function applyEra(
+  state: StewardState,
+  era: number,
+  at: Moment,
+): readonly StewardEffect[] {
+  return state.duties.setEra(era, at) ? [writeConfigurationsAgain(state)] : [];
+}
+
 /** Returns the due operations on leases, and records duties lost by expiry. */
 export function stepDuties(
   state: StewardState,
--- a/packages/steward/src/fleet/fleet_event.ts
+++ b/packages/steward/src/fleet/fleet_event.ts
@@ -11,4 +11,9 @@
     readonly kind: "configuration_read";
     readonly configuration: Configuration;
   }
-  | { readonly kind: "configuration_read_failed" };
+  | { readonly kind: "configuration_read_failed" }
+  | {
+    readonly kind: "configurations_written_again";
+    /** Versions that the table had lost. */
+    readonly versions: readonly number[];
+  };
--- a/packages/steward/src/fleet/fleet_part.ts
+++ b/packages/steward/src/fleet/fleet_part.ts
@@ -35,14 +35,36 @@
     state.timeline.add(event.configuration);
     state.fleet.applyConfiguration(event.configuration);
     state.configurationKnown = true;
-    return [scheduleConfigurationRead(state, event.at)];
+    const isLost = event.configuration.version < state.timeline.latest.version;
+    return [
+      ...isLost ? [writeConfigurationsAgain(state)] : [],
+      scheduleConfigurationRead(state, event.at),
+    ];
   },
+  configurations_written_again: (_state, { versions }) =>
+    versions.length === 0 ? [] : [{
+      kind: "log",
+      part: "fleet",
+      sentence: "Wrote configurations again that the table had lost",
+      fields: { versions: versions.join(",") },
+    }],
   configuration_read_failed: (
     state,
     event,
   ) => [scheduleConfigurationRead(state, event.at)],
 };
 
+/**
+ * Writes the known configurations again. The table has lost the latest of them
+ * if it was restored from an older copy; they stay in force.
+ */
+export function writeConfigurationsAgain(
+  { timeline }: StewardState,
+): StewardEffect {
+  const configurations = timeline.versions;
+  return { kind: "write_configurations_again", configurations };
+}
+
 function removeStaleOrders(state: StewardState): void {
   const ids = new Set(state.vms.map(({ id }) => id));
   for (const engine of state.confirmedOrders.keys()) {
--- a/packages/steward/src/fleet/fleet_runner.ts
+++ b/packages/steward/src/fleet/fleet_runner.ts
@@ -24,5 +24,15 @@
         () => dispatch({ kind: "configuration_read_failed" }),
       );
     },
+    write_configurations_again: ({ configurations: known }, dispatch) => {
+      configurations.writeAgain(known).then(
+        (written) => {
+          const versions = written.map(({ version }) => version);
+          dispatch({ kind: "configurations_written_again", versions });
+        },
+        // The next read of the configuration tries again.
+        () => undefined,
+      );
+    },
   };
 }
--- a/packages/steward/src/process/process_part_test.ts
+++ b/packages/steward/src/process/process_part_test.ts
@@ -1,3 +1,5 @@
+import type { Configuration } from "@lavenderferry/configuration";
+import { emptyConfiguration } from "@lavenderferry/configuration";
 import { KnownError } from "@lavenderferry/errors";
 import t from "tap";
 import type { StewardEffect } from "../effects.ts";
@@ -93,3 +95,31 @@
   t.match(exitsOf(reduce(state, timer, 15_000)), [{ immediate: true }]);
   t.end();
 });
+
+function versionOf(version: number): Configuration {
+  return {
+    ...emptyConfiguration,
+    version,
+    statement: { partners: {}, splits: {}, classes: {} },
+  };
+}
+
+// The table had lost the newest version, and its number was given out again.
+t.test("a steward writes configurations again that the table has lost", (t) => {
+  const state = createState();
+  const [second, third] = [versionOf(2), versionOf(3)];
+  for (const configuration of [second, third]) {
+    reduce(state, { kind: "configuration_read", configuration });
+  }
+  const expected = [
+    { kind: "write_configurations_again", configurations: [second, third] },
+  ];
+  const isWrite = ({ kind }: StewardEffect) =>
+    kind === "write_configurations_again";
+  const read = { kind: "configuration_read", configuration: second } as const;
+  t.match(reduce(state, read).filter(isWrite), expected);
+  const lease = { kind: "lease_read", duty: "d", row: null } as const;
+  t.strictSame(reduce(state, { ...lease, era: 0 }).filter(isWrite), []);
+  t.match(reduce(state, { ...lease, era: 1 }).filter(isWrite), expected);
+  t.end();
+});
