--- a/packages/standins/src/rows/rows_server.ts
+++ b/packages/standins/src/rows/rows_server.ts
@@ -81,8 +81,13 @@
 
   /** Writes a row on behalf of the operator or an upstream. */
   put(table: string, key: string, value: unknown): void {
-    const text = Buffer.from(JSON.stringify(value)).toString("base64");
-    this.#writeRow({ table, part: "", key, value: text }, ++this.#version);
+    this.putBytes(table, key, Buffer.from(JSON.stringify(value)));
+  }
+
+  /** Writes a row with any bytes as its value. */
+  putBytes(table: string, key: string, bytes: Uint8Array): void {
+    const value = Buffer.from(bytes).toString("base64");
+    this.#writeRow({ table, part: "", key, value }, ++this.#version);
     this.#wakeFeeds();
   }
 
