--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./memory_table.ts";
 export * from "./platform_client.ts";
 export * from "./row_follower.ts";
+export * from "./socket_address_schema.ts";
 export * from "./store_version.ts";
 export * from "./table.ts";
 export * from "./transport.ts";
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "@lavenderferry/errors";
 import { KnownError } from "@lavenderferry/errors";
-import { Random } from "@lavenderferry/runtime";
+import { createLogger, Random } from "@lavenderferry/runtime";
 import PQueue from "p-queue";
 import { z } from "zod";
 import type { CircuitState } from "./circuit.ts";
@@ -69,6 +69,8 @@
 
 const secondMs = 1_000;
 
+const log = createLogger("platform");
+
 /**
  * A value that was parsed as JSON. Whoever uses it checks it: a check here would
  * refuse all rows for the sake of one.
@@ -83,7 +85,7 @@
 const rowsSchema = z.object({ rows: z.array(rowSchema.nullable()) });
 const scanSchema = z.object({ rows: z.array(rowSchema) });
 const committedSchema = z.object({ versions: z.array(z.number()) });
-const vmsSchema = z.object({ vms: z.array(vmSchema) });
+const vmsSchema = z.object({ vms: z.array(z.unknown()) });
 
 /** Share by which the delay before a retry of a read varies. */
 const retryJitterShare = 0.5;
@@ -123,6 +125,7 @@
   readonly #timeoutMs: number;
   readonly #operations = { reads: 0, writes: 0, refused: 0 };
   #era = 0;
+  #unreadableVms = 0;
 
   constructor(options: PlatformOptions) {
     const concurrency = options.concurrency ?? defaultConcurrency;
@@ -251,12 +254,24 @@
   async listVms(): Promise<readonly Vm[]> {
     const reply = await this.#read({ kind: "list_vms" }, "leases");
     const { era } = reply;
-    return vmsSchema.parse(reply.body).vms.map((vm) => ({
-      ...vm,
-      ...(vm.version === undefined
-        ? {}
-        : { version: toStoreVersion(era, vm.version) }),
-    }));
+    const { vms } = vmsSchema.parse(reply.body);
+    const parsed = vms.map((vm) => vmSchema.safeParse(vm));
+    this.#reportUnreadableVms(parsed.filter(({ success }) => !success).length);
+    return parsed.flatMap(({ data }) => data === undefined ? [] : [data])
+      .map((vm) => ({
+        ...vm,
+        ...(vm.version === undefined
+          ? {}
+          : { version: toStoreVersion(era, vm.version) }),
+      }));
+  }
+
+  /** Logs a change of the number of entries that name no VM to use. */
+  #reportUnreadableVms(count: number): void {
+    if (count !== this.#unreadableVms) {
+      this.#unreadableVms = count;
+      log("The VM list has entries that cannot be read", { count });
+    }
   }
 
   /** Writes an object under a key. */
--- a/packages/platform/src/platform_client_test.ts
+++ b/packages/platform/src/platform_client_test.ts
@@ -164,3 +164,34 @@
   t.equal(failure.notRun, true);
   t.equal(store.paths.length, 1);
 });
+
+// One odd entry refused the whole list.
+t.test("an entry that cannot be read hides no other VM", async (t) => {
+  const store = await startStore(t);
+  const vm = {
+    id: "engine-1",
+    role: "engine",
+    dataCentre: "a",
+    region: "north",
+    state: "live",
+    address: "10.0.0.1:80",
+  };
+  const odd = [
+    null,
+    "text",
+    { ...vm, state: "asleep" },
+    { ...vm, address: "10.0.0.1:99999" },
+    { ...vm, address: "engine-1:80" },
+    { ...vm, peers: "10.0.0.1" },
+    { ...vm, slots: Infinity },
+  ];
+  for (const entry of odd) {
+    store.answer = (response) => {
+      response.end(JSON.stringify({ vms: [entry, vm] }));
+    };
+    t.match(await store.client.listVms(), [{
+      id: "engine-1",
+      checksFence: false,
+    }]);
+  }
+});
--- a/packages/platform/src/vm_list.ts
+++ b/packages/platform/src/vm_list.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { socketAddressSchema } from "./socket_address_schema.ts";
 
 /** Programs that a VM runs. */
 export const vmRoles = {
@@ -21,9 +22,9 @@
   /** `leaving`: the VM is about to be reclaimed. */
   state: z.enum(["live", "leaving"]),
   /** IP number and port for callers or requests. */
-  address: z.string(),
+  address: socketAddressSchema,
   /** IP number and port for peers; entries and stewards only. */
-  peers: z.string().optional(),
+  peers: socketAddressSchema.optional(),
   /** Pool of an engine, or name of a service. */
   pool: z.string().optional(),
   /** Id by which an upstream checks that a request is meant for it. */
