fix(relay): what cannot be sent fails the attempt, not the process

Node and gRPC throw for ports out of range, targets that they cannot parse and header values with line breaks, and an exception of an effect ends the process. Addresses also come from peers, and instance ids from the keys of rows. Such an attempt counts as refused, as nothing was sent; such an engine as silent; such an exchange as failed.

--- a/packages/fleet/src/engine_check.ts
+++ b/packages/fleet/src/engine_check.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { connect } from "node:net";
+import { Socket } from "node:net";
 import type { EffectHandlers } from "@lavenderferry/runtime";
 import { parseSocketAddress } from "./socket_address.ts";
 
@@ -46,8 +46,9 @@
   address: string,
 ): Promise<EngineChecked["outcome"]> {
   const { ip: host, port } = parseSocketAddress(address);
-  const socket = connect({ host, port });
+  const socket = new Socket();
   try {
+    socket.connect({ host, port });
     await once(socket, "connect", {
       signal: AbortSignal.timeout(connectTimeoutMs),
     });
--- a/packages/fleet/src/exchange_runner.ts
+++ b/packages/fleet/src/exchange_runner.ts
@@ -24,7 +24,7 @@
   /** Handlers of the exchange effects. */
   readonly handlers: EffectHandlers<ExchangeEvent, ExchangeEffect> = {
     send_exchange: ({ peer, address, message }, dispatch) => {
-      this.#clients.at(address).exchange(message).then(
+      this.#send(address, message).then(
         (reply) => dispatch({ kind: "exchange_replied", peer, reply }),
         (error: unknown) => {
           const { kind } = toFailure(error);
@@ -38,6 +38,14 @@
     },
   };
 
+  /** Rejects also if the address, which peers state, cannot be used. */
+  async #send(
+    address: string,
+    message: ExchangeMessage,
+  ): Promise<ExchangeMessage__Output> {
+    return await this.#clients.at(address).exchange(message);
+  }
+
   /** Dispatches a peer's request to the reducer and resolves to its reply. */
   receive(
     message: ExchangeMessage__Output,
--- a/packages/relay/src/http/endless_answer_test.ts
+++ b/packages/relay/src/http/endless_answer_test.ts
@@ -54,7 +54,7 @@
     const address = await startUpstream(t, (socket) => {
       written = writeEndlessly(socket, head, text);
     });
-    const [event] = await sendAttempt(t, address, streaming);
+    const [event] = await sendAttempt(t, address, { streaming });
     const kind = name === "a refusal" ? "attempt_refused" : "attempt_failed";
     t.equal(event?.kind, kind);
     t.ok(await written < maxBytes, "the connection was closed");
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -130,19 +130,17 @@
       dispatch({ kind: "caller_disconnected", exchangeId });
       return;
     }
-    const { method = "GET", url = "/" } = exchange.request;
-    const { ip: host, port } = parseSocketAddress(target.address);
-    const isReusable = method === "GET" && !streaming && !target.isPeer;
-    const request = sendRequest({
-      host,
-      port,
-      method,
-      path: url,
-      // Node accepts an array of names and values, but its types do not.
-      headers: this.#headersOf(effect, exchange) as never,
-      agent: isReusable ? this.#keepAliveAgent : false,
-      setHost: false,
-    });
+    let request: ClientRequest;
+    try {
+      request = this.#createRequest(effect, exchange);
+    } catch (error) {
+      // Node refuses addresses, paths and header values that it cannot send.
+      const reason = "unreachable";
+      const detail = String(error);
+      const kind = "attempt_refused";
+      dispatch({ kind, attemptId, exchangeId, reason, detail });
+      return;
+    }
     const attempt: Attempt = { request, dropped: false };
     this.#attempts.set(attemptId, attempt);
     new AnswerReader({
@@ -160,6 +158,27 @@
     request.end(exchange.body);
   }
 
+  /** Creates the request of an attempt; throws if it cannot be sent. */
+  #createRequest(
+    effect: SendRequest,
+    exchange: CallerExchange,
+  ): ClientRequest {
+    const { target, streaming } = effect;
+    const { method = "GET", url = "/" } = exchange.request;
+    const { ip: host, port } = parseSocketAddress(target.address);
+    const isReusable = method === "GET" && !streaming && !target.isPeer;
+    return sendRequest({
+      host,
+      port,
+      method,
+      path: url,
+      // Node accepts an array of names and values, but its types do not.
+      headers: this.#headersOf(effect, exchange) as never,
+      agent: isReusable ? this.#keepAliveAgent : false,
+      setHost: false,
+    });
+  }
+
   #headersOf(effect: SendRequest, exchange: CallerExchange): string[] {
     const { target, workspace, deadline, copyTo, resumption } = effect;
     const { request, body } = exchange;
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -56,7 +56,7 @@
         }
       });
     });
-    const events = await sendAttempt(t, address, true);
+    const events = await sendAttempt(t, address, { streaming: true });
     t.equal(events.at(-1)?.kind, "attempt_failed", end);
   }
 });
@@ -67,7 +67,7 @@
   const address = await startUpstream(t, (socket) => {
     socket.end(`${signed}transfer-encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`);
   });
-  t.match(await sendAttempt(t, address, true), [
+  t.match(await sendAttempt(t, address, { streaming: true }), [
     { kind: "events_received", count: 1, lastEventId: "1" },
     { kind: "stream_ended", framed: true },
   ]);
@@ -90,7 +90,7 @@
       socket.write(first);
       setTimeout(() => socket.end(second), silenceMs);
     });
-    const events = await sendAttempt(t, address, streaming);
+    const events = await sendAttempt(t, address, { streaming });
     t.equal(events.at(-1)?.kind, kind);
     t.notOk(events.some((event) => event.kind === "attempt_failed"));
   }));
@@ -159,7 +159,32 @@
     t,
     (socket) => socket.end(`${signed}\r\n`),
   );
-  t.match(await sendAttempt(t, address, true), [
+  t.match(await sendAttempt(t, address, { streaming: true }), [
     { kind: "attempt_failed", reason: "empty_stream", connectionLost: true },
   ]);
 });
+
+// An exception of an effect ended the process.
+t.test("an attempt that cannot be sent counts as refused", async (t) => {
+  for (const address of ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:x"]) {
+    const events = await sendAttempt(t, address);
+    t.match(events, [{ kind: "attempt_refused", reason: "unreachable" }]);
+  }
+  const address = await startUpstream(t, () => undefined);
+  const events = await sendAttempt(t, address, {
+    instance: "two\r\nlines",
+  });
+  t.match(events, [{ kind: "attempt_refused", reason: "unreachable" }]);
+});
+
+t.test("an engine whose address cannot be used is silent", async (t) => {
+  const exchanges = new CallerExchanges(codec);
+  const { handlers } = new UpstreamRunner(codec, exchanges, idleCopier);
+  const event = await new Promise((resolve) =>
+    handlers.check_engine(
+      { kind: "check_engine", upstream: "e1", address: "127.0.0.1:99999" },
+      resolve,
+    )
+  );
+  t.match(event, { kind: "engine_checked", outcome: "silent" });
+});
