fix(relay): records of suspects with impossible numbers are ignored

A record of a peer whose time of change lies far ahead was never too old: its quarantine stayed, spread to all peers and was written to the store. Records with such a time or with numbers that are no counts are ignored.

--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -20,6 +20,12 @@
 /** Milliseconds for which equals of a request that is tried again are refused. */
 const trialMs = 5_000;
 
+/**
+ * Longest time by which the clock of another process may be ahead, in
+ * milliseconds. A record from later than that would never be too old.
+ */
+const maxClockLeadMs = 60_000;
+
 /** Length of the periods in which one process may try a request, in milliseconds. */
 const trialPeriodMs = 1_000;
 
@@ -185,10 +191,20 @@
   records: readonly SuspectBlock[],
   at: Moment,
 ): readonly RelayEffect[] {
-  const changed = records.flatMap((record) => state.suspects.merge(record, at));
+  const changed = records.filter((record) => isUsable(record, at))
+    .flatMap((record) => state.suspects.merge(record, at));
   return publishSuspects(state, changed, at);
 }
 
+/** Whether a record has numbers that a process can have written by now. */
+function isUsable(
+  { clearances, changedAt }: SuspectBlock,
+  at: Moment,
+): boolean {
+  return Number.isSafeInteger(clearances) && Number.isSafeInteger(changedAt) &&
+    changedAt <= at.wall + maxClockLeadMs;
+}
+
 /** Records a complete answer, which clears what its request is suspected by. */
 export function recordAnswered(
   state: RelayState,
--- a/packages/relay/src/quarantine/quarantine_part_test.ts
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -503,3 +503,26 @@
   t.match(failures(relay.generate(change)), [{ error: "request_quarantined" }]);
   t.end();
 });
+
+// A record from the far future was never too old, here and at all peers.
+t.test("records with numbers that no process writes are ignored", (t) => {
+  const wall = 1_700_000_000_000;
+  for (
+    const change of [
+      { changedAt: 2 ** 64 },
+      { changedAt: wall + 3_600_000 },
+      { changedAt: NaN },
+      { clearances: 0.5 },
+      { clearances: Infinity },
+    ]
+  ) {
+    const relay = createRelay();
+    const suspects = [{ ...recordOf("p"), ends: [...ends], ...change }];
+    relay.receiveExchange({ suspects });
+    t.strictSame(relay.state.suspects.quarantines, []);
+  }
+  const relay = createRelay();
+  relay.receiveExchange({ suspects: [{ ...recordOf("p"), ends: [...ends] }] });
+  t.equal(relay.state.suspects.quarantines.length, 1);
+  t.end();
+});
