fix(relay): an answer without an id on a kept connection is to no request

Callers were told that a request has not run while an upstream ran it, or it ran at a second one: on a kept connection a faulty upstream may write an earlier refusal once more, and one without an id counted for the request that was just sent. An answer without an id is believed on a connection's first request only; upstreams name the request in their answers.

repeated_refusal_test failed in eight of 32 cases and passes.

--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -277,8 +277,10 @@
     const { codec, requestId, streaming, target } = this.#options;
     const { statusCode: status = 0 } = response;
     const metadata = codec.readAnswer(response.headers);
-    const isForeign = metadata.requestId !== null &&
-      metadata.requestId !== requestId;
+    // On a kept connection, an answer without an id may be to an earlier request.
+    const isForeign = metadata.requestId === null
+      ? request.reusedSocket
+      : metadata.requestId !== requestId;
     if (target.isPeer && !metadata.signed) {
       this.#readPeerFailure(request, response, metadata.pauseMs);
       return;
