fix(entry): generations and calls have a connection each

An engine or service that writes an earlier refusal once more on a kept connection made the entry start a generation at a second engine, or tell the caller that a call has not run, while the first one ran. Their answers name no request, so a connection carries one. Calls with a key had theirs already.

repeated_refusal_test failed in two of three cases and passes.

--- a/packages/entry/src/calls/service_runner.ts
+++ b/packages/entry/src/calls/service_runner.ts
@@ -17,17 +17,12 @@
 
 /** Calls plain services and commits the records of calls. */
 export class ServiceRunner {
-  readonly #agent = new Agent({
-    connect: { timeout: connectTimeoutMs },
-    headersTimeout: callTimeoutMs,
-    bodyTimeout: callTimeoutMs,
-  });
   /**
-   * Opens a connection for each call with an idempotency key. A service can
-   * close a kept-alive connection while the call is sent, which would leave the
-   * outcome unknown.
+   * Opens a connection for each call. On a kept one, a service may write an
+   * earlier answer again, which would count as that of the next call, or close
+   * it while a call is sent, which would leave the outcome unknown.
    */
-  readonly #unpooledAgent = new Agent({
+  readonly #agent = new Agent({
     connect: { timeout: connectTimeoutMs },
     headersTimeout: callTimeoutMs,
     bodyTimeout: callTimeoutMs,
@@ -57,17 +52,15 @@
   /** Closes all connections at once; calls in progress fail. */
   async close(): Promise<void> {
     await this.#agent.destroy();
-    await this.#unpooledAgent.destroy();
   }
 
   async #call(
     effect: Extract<CallEffect, { kind: "call_service" }>,
     dispatch: Dispatch<EntryEvent>,
   ): Promise<void> {
-    const { callId, upstream, address, method, path, body, key } = effect;
-    const agent = key === null ? this.#agent : this.#unpooledAgent;
+    const { callId, upstream, address, method, path, body } = effect;
     try {
-      const response = await agent.request({
+      const response = await this.#agent.request({
         origin: `http://${address}`,
         path,
         method: method as "POST",
--- a/packages/entry/src/generations/engine_runner.ts
+++ b/packages/entry/src/generations/engine_runner.ts
@@ -38,6 +38,16 @@
     bodyTimeout: 0,
     keepAliveTimeout: 10_000,
   });
+  /**
+   * Opens a connection for each generation. On a kept one, an engine may write
+   * an earlier refusal again, which would count as that of the next generation.
+   */
+  readonly #unpooledAgent = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    headersTimeout: headersTimeoutMs,
+    bodyTimeout: 0,
+    pipelining: 0,
+  });
   /** Connections by attempt id. */
   readonly #attempts = new Map<string, EngineStream>();
   /** Cache feeds by engine address. */
@@ -101,6 +111,7 @@
   /** Closes all connections, also those with calls in progress. */
   async close(): Promise<void> {
     await this.#agent.destroy();
+    await this.#unpooledAgent.destroy();
   }
 
   #openStream(
@@ -116,7 +127,7 @@
       dispatch(event);
     });
     this.#attempts.set(attemptId, stream);
-    this.#agent.dispatch(request, stream);
+    this.#unpooledAgent.dispatch(request, stream);
   }
 
   async #cancel(
