--- a/packages/relay/src/mod.ts
+++ b/packages/relay/src/mod.ts
@@ -7,4 +7,5 @@
 export * from "./routing/route_table.ts";
 export * from "./routing/routing.ts";
 export * from "./settings.ts";
+export type { SocketAddress } from "@lavenderferry/fleet";
 export { parseSocketAddress } from "@lavenderferry/fleet";
