fix(platform): a late answer of an earlier era ends the probe of the circuit

The answer was refused without a result for the circuit breaker. If it answered the probe after an outage, the circuit stayed half open, and the process never reached the store again. It counts as a failure now, so another probe follows.

Found by reading the diff; the test in restored_table_test failed before.

--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -377,6 +377,7 @@
     }
     const era = this.#eraOfReply(reply);
     if (era < this.#era) {
+      this.#circuit.recordFailure(performance.now());
       throw storeUnavailable(
         "The platform's answer is older than the restored table",
         "unknown",
--- a/packages/platform/src/restored_table_test.ts
+++ b/packages/platform/src/restored_table_test.ts
@@ -126,3 +126,30 @@
     t.equal(version, toStoreVersion(3, 10));
   }
 });
+
+// The refused answer was that of the probe, and no other was sent.
+t.test("a late answer to a probe does not keep the circuit half open", async (t) => {
+  const answers: Answers = { read: rowsIn(2) };
+  const { client } = createClient(answers);
+  const read = () => client.read(["k"], "leases");
+  await read();
+  answers.read = { status: 503, body: "" };
+  while (client.circuit === "closed") {
+    await failureOf(read());
+  }
+  answers.read = rowsIn(1);
+  const readUntil = async (isDone: () => boolean) => {
+    while (!isDone()) {
+      await failureOf(read());
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  };
+  const lateUntil = performance.now() + 600;
+  await readUntil(() => performance.now() > lateUntil);
+  answers.read = rowsIn(2);
+  const deadline = performance.now() + 4_000;
+  await readUntil(() =>
+    client.circuit === "closed" || performance.now() > deadline
+  );
+  t.equal(client.circuit, "closed");
+});
