--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -1,5 +1,4 @@
 import type { Configuration } from "@lavenderferry/configuration";
-import { configurationSchema } from "@lavenderferry/configuration";
 import type { Vm } from "@lavenderferry/platform";
 import type {
   ConfigurationRecord,
@@ -31,6 +30,7 @@
   Versioned,
 } from "./fleet_updates.ts";
 import { createUpdates } from "./fleet_updates.ts";
+import { readConfiguration } from "./read_configuration.ts";
 import type { FanOut } from "./peer_selection.ts";
 import { choosePeers } from "./peer_selection.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
@@ -91,7 +91,7 @@
     const { id, epoch, role, dataCentre, region, seed } = options;
     this.#options = options;
     this.#readConfiguration = options.readConfiguration ??
-      ((document) => validateConfiguration(document) as Document | null);
+      ((document) => readConfiguration(document) as Document | null);
     this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
     this.#exchange = new Exchange(id, this.#random);
     this.membership = new Membership({
@@ -597,8 +597,3 @@
 
 /** Minimum number of links whose joint silence shows a fault on this side. */
 const minIsolationLinks = 3;
-
-function validateConfiguration(document: unknown): Configuration | null {
-  const parsed = configurationSchema.safeParse(document);
-  return parsed.success ? parsed.data : null;
-}
--- a/packages/fleet/src/item.ts
+++ b/packages/fleet/src/item.ts
@@ -62,7 +62,7 @@
 
 /** The terms beside `textBytes` estimate the values of numeric fields. */
 const sizeEstimators: SizeEstimators = {
-  marks: (value) => textBytes(value) + 12,
+  marks: (value) => textBytes(value) + 20,
   suspects: (value) =>
     textBytes(value) + 9 +
     (value.ends ?? []).reduce((sum, end) => sum + fieldBytes + end.length, 0),
