--- a/packages/platform/src/restored_table_test.ts
+++ b/packages/platform/src/restored_table_test.ts
@@ -153,3 +153,16 @@
   );
   t.equal(client.circuit, "closed");
 });
+
+// It waited for changes after a version that the restored table has passed.
+t.test("a feed that waits is ended when another answer names a later era", async (t) => {
+  const never = new Promise<Reply>(() => undefined);
+  const answers: Answers = { read: rowsIn(1), changes: changesIn(1, 9) };
+  const { client } = createClient(answers);
+  const { version } = await client.changes("a/", null, 0);
+  answers.changes = never;
+  const feed = client.changes("a/", version, 2_500);
+  answers.read = rowsIn(2);
+  await client.read(["k"], "leases");
+  t.match(await feed, { rows: [], lost: true });
+});
