fix(platform): feeds of an earlier era end as soon as a later one is known

A routing came into force up to 2.5 s after the store was restored, beyond the 2 s that operators may expect: a feed that was sent with a version which the restored store had passed waited for a change after it, although another answer had already named the new era. The client ends all feeds of an earlier era when it learns of a later one, so that they read all rows again.

--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -124,6 +124,8 @@
   readonly #concurrency: number;
   readonly #timeoutMs: number;
   readonly #operations = { reads: 0, writes: 0, refused: 0 };
+  /** Callbacks that end the feeds that are being read. */
+  readonly #waitingFeeds = new Set<() => void>();
   #era = 0;
   #unreadableVms = 0;
 
@@ -195,6 +197,24 @@
     if (after !== null && eraOf(after) < this.#era) {
       return { rows: [], version: after, lost: true };
     }
+    if (after === null) {
+      return await this.#readChanges(prefix, after, waitMs);
+    }
+    return await new Promise((resolve, reject) => {
+      const end = () => {
+        resolve({ rows: [], version: after, lost: true });
+      };
+      this.#waitingFeeds.add(end);
+      this.#readChanges(prefix, after, waitMs).then(resolve, reject)
+        .finally(() => this.#waitingFeeds.delete(end));
+    });
+  }
+
+  async #readChanges(
+    prefix: string,
+    after: StoreVersion | null,
+    waitMs: number,
+  ): Promise<Changes> {
     const operation = {
       kind: "changes",
       prefix,
@@ -350,6 +370,14 @@
     });
   }
 
+  /** Ends the feeds of earlier eras, which may wait in vain for changes. */
+  #endFeeds(): void {
+    for (const end of this.#waitingFeeds) {
+      end();
+    }
+    this.#waitingFeeds.clear();
+  }
+
   /** Returns the era of a reply: the current one if it names none. */
   #eraOfReply({ era = this.#era }: Reply): number {
     return era > maxEra ? this.#era : era;
@@ -383,7 +411,10 @@
         "unknown",
       );
     }
-    this.#era = era;
+    if (era > this.#era) {
+      this.#era = era;
+      this.#endFeeds();
+    }
     if (reply.status === 200 || reply.status === 409) {
       this.#circuit.recordSuccess(performance.now());
       return { ...reply, era };
