feat(protocol): exchanges over a stream that stays open

Change: ExchangeInOrder carries exchanges one after another on one stream. A peer of an earlier build answers UNIMPLEMENTED and is asked by single calls until one fails. A message that cannot be decoded ends its stream only. Channelz is off.

--- a/packages/entry/src/quarantine/quarantine_part_test.ts
+++ b/packages/entry/src/quarantine/quarantine_part_test.ts
@@ -132,6 +132,7 @@
         epoch: "e",
         sequence: ++this.#peerMessages,
         acknowledged: 0,
+        upstreams: null,
         full: false,
         configurationVersion: 0,
         storeEra: 0,
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -83,6 +83,14 @@
   TakeOverRequest,
   TakeOverRequest__Output,
 } from "./generated/lavenderferry/v1/TakeOverRequest.ts";
+export type {
+  UpstreamChange,
+  UpstreamChange__Output,
+} from "./generated/lavenderferry/v1/UpstreamChange.ts";
+export type {
+  UpstreamNews,
+  UpstreamNews__Output,
+} from "./generated/lavenderferry/v1/UpstreamNews.ts";
 export type {
   UsageBatch,
   UsageBatch__Output,
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -4,7 +4,6 @@
   ChannelCredentials,
   ClientUnaryCall,
   requestCallback,
-  ServiceError,
 } from "@grpc/grpc-js";
 import { credentials, status } from "@grpc/grpc-js";
 import type { DrainReply__Output } from "./generated/lavenderferry/v1/DrainReply.ts";
@@ -22,8 +21,10 @@
 import type { TakeOverReply__Output } from "./generated/lavenderferry/v1/TakeOverReply.ts";
 import type { TakeOverRequest } from "./generated/lavenderferry/v1/TakeOverRequest.ts";
 import type { PeerClient as GeneratedClient } from "./generated/lavenderferry/v1/Peer.ts";
-import { peerService } from "./peer_service.ts";
+import { ExchangeStream } from "./exchange_stream.ts";
 import { maxMessageBytes } from "./limits.ts";
+import { peerService } from "./peer_service.ts";
+import { toPeerFailure } from "./to_peer_failure.ts";
 
 const callTimeoutMs = 1_000;
 
@@ -37,6 +38,9 @@
 export class PeerClient {
   readonly #client: GeneratedClient;
   readonly #blocked: boolean;
+  #stream: ExchangeStream | null = null;
+  /** Whether the peer is of a build that exchanges by single calls only. */
+  #usesSingleCalls = false;
 
   /** A blocked client sends nothing: every call fails as `stranger`. */
   constructor(
@@ -51,16 +55,28 @@
       "grpc.initial_reconnect_backoff_ms": 100,
       "grpc.max_reconnect_backoff_ms": 2_000,
       "grpc.enable_http_proxy": 0,
+      "grpc.enable_channelz": 0,
       "grpc.keepalive_time_ms": keepAliveMs,
       "grpc.keepalive_timeout_ms": keepAliveTimeoutMs,
     });
   }
 
   /** Sends the changes since the last exchange and returns the peer's. */
-  exchange(message: ExchangeMessage): Promise<ExchangeMessage__Output> {
-    return this.#unary((callback) =>
-      this.#client.exchange(message, { deadline: deadline() }, callback)
-    );
+  async exchange(message: ExchangeMessage): Promise<ExchangeMessage__Output> {
+    if (this.#blocked) {
+      throw plainConnectionFailure();
+    }
+    if (!this.#usesSingleCalls) {
+      try {
+        return await this.#openStream().send(message);
+      } catch (error) {
+        // Set as the stream ends, before its requests fail.
+        if (!this.#hasOnlySingleCalls()) {
+          throw error;
+        }
+      }
+    }
+    return await this.#exchangeOnce(message);
   }
 
   /** Sends usage batches; returns the highest settled sequence. */
@@ -103,6 +119,35 @@
     this.#client.close();
   }
 
+  #hasOnlySingleCalls(): boolean {
+    return this.#usesSingleCalls;
+  }
+
+  #openStream(): ExchangeStream {
+    this.#stream ??= new ExchangeStream(this.#client.exchangeInOrder(), {
+      timeoutMs: callTimeoutMs,
+      onEnd: (error) => {
+        this.#stream = null;
+        this.#usesSingleCalls = error?.code === status.UNIMPLEMENTED;
+      },
+    });
+    return this.#stream;
+  }
+
+  async #exchangeOnce(
+    message: ExchangeMessage,
+  ): Promise<ExchangeMessage__Output> {
+    try {
+      return await this.#unary((callback) =>
+        this.#client.exchange(message, { deadline: deadline() }, callback)
+      );
+    } catch (error) {
+      // The peer may restart with another build.
+      this.#usesSingleCalls = false;
+      throw error;
+    }
+  }
+
   #unary<Reply>(
     call: (callback: requestCallback<Reply>) => ClientUnaryCall,
   ): Promise<Reply> {
@@ -135,16 +180,3 @@
     });
   });
 }
-
-/**
- * Converts a gRPC error: a refused sender and an untrusted certificate have the
- * kind `stranger`, any other error has the kind `upstream_lost`.
- */
-function toPeerFailure(error: ServiceError | null): Failure {
-  const message = error?.details ?? "The peer sent no reply";
-  const unauthenticated = error?.code === status.PERMISSION_DENIED ||
-    /certificate|altnames/i.test(message);
-  return unauthenticated
-    ? new KnownError(message, { kind: "stranger" })
-    : new KnownError(message, { kind: "upstream_lost", notRun: "unknown" });
-}
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -1,5 +1,10 @@
 import { KnownError, toFailure } from "@lavenderferry/errors";
-import type { handleUnaryCall, ServerUnaryCall } from "@grpc/grpc-js";
+import type {
+  handleBidiStreamingCall,
+  handleUnaryCall,
+  ServerUnaryCall,
+  StatusObject,
+} from "@grpc/grpc-js";
 import { Server, ServerCredentials, status } from "@grpc/grpc-js";
 import type { DrainReply } from "./generated/lavenderferry/v1/DrainReply.ts";
 import type { DrainRequest__Output } from "./generated/lavenderferry/v1/DrainRequest.ts";
@@ -22,6 +27,11 @@
 /** The part of a call that identifies the caller. */
 type Caller = Pick<ServerUnaryCall<unknown, unknown>, "getAuthContext">;
 
+type Method<Request, Reply> = (
+  request: Request,
+  call: Caller,
+) => Promise<Reply>;
+
 /** Implementation of the calls of the Peer service. */
 export interface PeerMethods {
   exchange(message: ExchangeMessage__Output): Promise<ExchangeMessage>;
@@ -46,12 +56,18 @@
     this.#server = new Server({
       "grpc.max_receive_message_length": maxMessageBytes,
       "grpc.max_send_message_length": maxMessageBytes,
+      "grpc.enable_channelz": 0,
     });
+    const exchange: Method<ExchangeMessage__Output, ExchangeMessage> = (
+      message,
+      call,
+    ) => {
+      this.#checkSender(call, message.sender);
+      return methods.exchange(message);
+    };
     const handlers: PeerHandlers = {
-      Exchange: unary((message, call) => {
-        this.#checkSender(call, message.sender);
-        return methods.exchange(message);
-      }),
+      Exchange: unary(exchange),
+      ExchangeInOrder: inOrder(exchange),
       Settle: unary((message) => methods.settle(message)),
       Hold: unary((message) => methods.hold(message)),
       TakeOver: unary((message) => methods.takeOver(message)),
@@ -82,9 +98,12 @@
 
   /** With TLS, refuses a sender that the caller's certificate does not name. */
   #checkSender(call: Caller, sender: string): void {
+    if (!this.#credentials._isSecure()) {
+      return;
+    }
     const context = call.getAuthContext();
     const name = context?.sslPeerCertificate?.subject.CN;
-    if (this.#credentials._isSecure() && name !== sender) {
+    if (name !== sender) {
       this.#unauthenticatedCalls += 1;
       throw new KnownError(`The certificate does not name "${sender}"`, {
         kind: "stranger",
@@ -99,25 +118,50 @@
 }
 
 function unary<Request, Reply>(
-  method: (request: Request, call: Caller) => Promise<Reply>,
+  method: Method<Request, Reply>,
 ): handleUnaryCall<Request, Reply> {
   return function handle(call, callback) {
-    invoke(method, call).then(
+    invoke(method, call.request, call).then(
       (reply) => callback(null, reply),
-      (error: unknown) => {
-        const { kind, message } = toFailure(error);
-        const code = kind === "stranger"
-          ? status.PERMISSION_DENIED
-          : status.UNAVAILABLE;
-        callback({ code, details: message });
-      },
+      (error: unknown) => callback(toStatus(error)),
     );
   };
 }
 
+/** Replies to each request before it takes the next one. */
+function inOrder<Request, Reply>(
+  method: Method<Request, Reply>,
+): handleBidiStreamingCall<Request, Reply> {
+  return function handle(call) {
+    let replied = Promise.resolve();
+    call.on("data", (request: Request) => {
+      const reply = invoke(method, request, call);
+      // Awaited below, possibly after it has failed.
+      reply.catch(() => undefined);
+      replied = replied.then(async () => {
+        call.write(await reply);
+      }).catch((error: unknown) => {
+        call.emit("error", toStatus(error));
+      });
+    });
+    // A request that cannot be decoded ends the stream, not the process.
+    call.on("error", () => undefined);
+    call.on("end", () => call.end());
+  };
+}
+
 async function invoke<Request, Reply>(
-  method: (request: Request, call: Caller) => Promise<Reply>,
-  call: ServerUnaryCall<Request, Reply>,
+  method: Method<Request, Reply>,
+  request: Request,
+  call: Caller,
 ): Promise<Reply> {
-  return await method(call.request, call);
+  return await method(request, call);
+}
+
+function toStatus(error: unknown): Partial<StatusObject> {
+  const { kind, message } = toFailure(error);
+  const code = kind === "stranger"
+    ? status.PERMISSION_DENIED
+    : status.UNAVAILABLE;
+  return { code, details: message };
 }
