feat(relay): a few processes read the store for all

Cause: each process read the upstreams every 1.5 s and held a feed for the routing.

Change: eight processes, or one for each data centre, read the store; all rank each other by rendezvous. Exchanges pass on the list of upstreams with its version, a digest and its age, and the age of the routing. A process whose news are older than a share of the tightest bound reads the store itself, deputies sooner than others. Large fleets call two peers near, one far and a reader instead of twelve.

--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -1,4 +1,4 @@
-import type { ExchangeMessage } from "@lavenderferry/protocol";
+import type { ExchangeMessage, UpstreamNews } from "@lavenderferry/protocol";
 import type { Moment, Random } from "@lavenderferry/runtime";
 import {
   ExchangeBudget,
@@ -28,8 +28,13 @@
   readonly configurationVersion: number;
   readonly storeEra: number;
   readonly full: boolean;
+  /** Milliseconds since the configuration was confirmed to be the newest. */
+  readonly configurationAgeMs?: number;
 }
 
+/** Returns what a peer lacks of the list of upstreams; `null` if none is known. */
+export type NewsSource = (link: Link, at: Moment) => UpstreamNews | null;
+
 /** The origin of a change and how soon it must be sent. */
 export interface ChangeOptions {
   readonly at: Moment;
@@ -61,10 +66,16 @@
   readonly #budget = new ExchangeBudget();
   readonly #self: string;
   readonly #random: Random;
+  readonly #newsFor: NewsSource;
   #sequence = 0;
   #repairIndex = 0;
 
-  constructor(self: string, random: Random) {
+  constructor(
+    self: string,
+    random: Random,
+    newsFor: NewsSource = () => null,
+  ) {
+    this.#newsFor = newsFor;
     this.#self = self;
     this.#random = random;
   }
@@ -116,6 +127,7 @@
     if (link.epoch !== epoch) {
       link.epoch = epoch;
       link.configurationVersion = 0;
+      link.listVersion = 0;
       link.lastRequestSequence = 0;
       link.lastReplySequence = 0;
       this.#queueState(link, at);
@@ -146,6 +158,13 @@
     }
   }
 
+  /** Marks links as urgent whose peers have an older list of upstreams. */
+  announceList(version: number): void {
+    for (const link of this.#links.values()) {
+      link.urgent ||= link.listVersion < version;
+    }
+  }
+
   /** Builds the requests that are due. */
   buildDueRequests(
     header: MessageHeader,
@@ -180,7 +199,14 @@
     this.#budget.spend(full ? 0 : bytes + messageOverheadBytes, at);
     const sequence = ++this.#sequence;
     link.replySent(sequence, items);
-    return { ...header, sequence, full: false, ...groupByKind(items) };
+    const upstreams = this.#newsFor(link, at);
+    return {
+      ...header,
+      sequence,
+      full: false,
+      upstreams,
+      ...groupByKind(items),
+    };
   }
 
   /** Records a reply and schedules the next exchange. */
@@ -214,10 +240,18 @@
       this.#random.jitter(exchangeIntervalMs, jitterShare);
     const sequence = ++this.#sequence;
     const acknowledged = link.lastReplySequence;
+    link.requestSentAt = at.monotonic;
+    const upstreams = this.#newsFor(link, at);
     return {
       peer: link.id,
       address: link.address,
-      message: { ...header, sequence, acknowledged, ...groupByKind(items) },
+      message: {
+        ...header,
+        sequence,
+        acknowledged,
+        upstreams,
+        ...groupByKind(items),
+      },
     };
   }
 
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -1,5 +1,6 @@
 import type { Configuration } from "@lavenderferry/configuration";
-import type { Vm } from "@lavenderferry/platform";
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import { eraOf } from "@lavenderferry/platform";
 import type {
   ConfigurationRecord,
   EngineShare,
@@ -8,6 +9,7 @@
   LengthSketch,
   RequestLimitRecord__Output,
   SuspectBlockRecord,
+  UpstreamNews,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
@@ -33,7 +35,11 @@
 import { readConfiguration } from "./read_configuration.ts";
 import type { FanOut } from "./peer_selection.ts";
 import { choosePeers } from "./peer_selection.ts";
+import type { ReaderRank } from "./readers.ts";
+import { rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
+import type { ListedUpstreams } from "./upstream_list.ts";
+import { UpstreamList } from "./upstream_list.ts";
 
 /** Identity and settings of one process of the fleet. */
 export interface FleetNodeOptions<Document extends Versioned = Configuration> {
@@ -49,6 +55,14 @@
   readonly keptVersions?: number;
   /** Number of peers that this process calls. */
   readonly fanOut?: FanOut;
+  /** Number of peers up to which this process calls all of them. */
+  readonly meshSize?: number;
+  /**
+   * Milliseconds within which each process must know of changes in the
+   * platform's store. If set, some processes read it for all, and each calls
+   * at least one of them.
+   */
+  readonly freshnessMs?: number;
 }
 
 /** Number of configuration versions retained for peers that lag behind. */
@@ -60,6 +74,15 @@
 /** Mean time between attempts to reach a listed member that is gone. */
 const probeIntervalMs = 5_000;
 
+/** Milliseconds between two announcements of a list that has not changed. */
+const confirmationIntervalMs = 1_000;
+
+/**
+ * Age at which a list of upstreams is wanted from any peer, as a share of the
+ * time within which changes must be known.
+ */
+const wantedAgeShare = 0.5;
+
 /** Longest time between reviews of the choice of peers. */
 const peerReviewIntervalMs = 5_000;
 
@@ -79,8 +102,17 @@
   readonly #configurations = new Map<number, ConfigurationRecord>();
   readonly #peerWork = new Map<string, Map<string, PeerWork>>();
   readonly #confirmedBy = new Set<string>();
+  /** The platform's list of upstreams, as read here or at a peer. */
+  readonly upstreams: UpstreamList;
   readonly #leaving = new LeavingUpstreams();
   #configurationVersion = 0;
+  #configurationConfirmedAt = -Infinity;
+  #retainedUntil = 0;
+  #missedVersion: StoreVersion = 0;
+  #listAnnouncedAt = -Infinity;
+  /** First version of the list after the latest restore of the store. */
+  #eraStart: StoreVersion = Infinity;
+  #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
   #nextReviewAt = 0;
@@ -93,7 +125,14 @@
     this.#readConfiguration = options.readConfiguration ??
       ((document) => readConfiguration(document) as Document | null);
     this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
-    this.#exchange = new Exchange(id, this.#random);
+    this.upstreams = new UpstreamList((known, later) =>
+      this.#isNewsToPeers(known, later)
+    );
+    this.#exchange = new Exchange(
+      id,
+      this.#random,
+      (link, at) => this.#newsFor(link, at),
+    );
     this.membership = new Membership({
       id,
       epoch,
@@ -117,6 +156,19 @@
     return this.#exchange.links.length;
   }
 
+  /**
+   * Monotonic milliseconds at which the configuration was last known to be the
+   * platform's newest.
+   */
+  get configurationConfirmedAt(): number {
+    return this.#configurationConfirmedAt;
+  }
+
+  /** How soon this process reads the platform's store itself. */
+  get readerRank(): ReaderRank {
+    return rankOf(this.#options.id, this.#readers);
+  }
+
   /** Sets the addresses at which this process is reached. */
   setAddresses(address: string, peers: string): void {
     this.membership.updateSelf({ address, peers });
@@ -185,6 +237,35 @@
     this.#exchange.announceVersion(version);
   }
 
+  /**
+   * Records that the configuration was the platform's newest at `confirmedAt`,
+   * in monotonic milliseconds.
+   */
+  confirmConfiguration(confirmedAt: number): void {
+    this.#configurationConfirmedAt = Math.max(
+      this.#configurationConfirmedAt,
+      confirmedAt,
+    );
+  }
+
+  /**
+   * Applies a list of upstreams that the platform was asked for at `askedAt`,
+   * in monotonic milliseconds, unless a later one is known.
+   */
+  readUpstreams(list: ListedUpstreams, askedAt: number): void {
+    const { changedIn, version } = this.upstreams;
+    if (version > 0 && eraOf(version) < eraOf(list.version)) {
+      this.#eraStart = list.version;
+    }
+    this.upstreams.read(list, askedAt);
+    this.#announceChanges(changedIn);
+  }
+
+  /** Sets the monotonic deadline until which unlisted upstreams are retained. */
+  retainUnlisted(deadline: number): void {
+    this.#retainedUntil = deadline;
+  }
+
   /** Sets the latest era of the platform's table that this process has read. */
   setStoreEra(era: number): void {
     this.#storeEra = Math.max(this.#storeEra, era);
@@ -285,7 +366,7 @@
     if (at.monotonic >= this.#nextReviewAt) {
       this.#reviewPeers(at);
     }
-    return this.#exchange.buildDueRequests(this.#header(), at);
+    return this.#exchange.buildDueRequests(this.#header(at), at);
   }
 
   /** Applies a peer's request and returns the reply. */
@@ -293,7 +374,7 @@
     const address = this.membership.get(message.sender)?.peers ?? "";
     const link = this.#exchange.openLink(message.sender, address, at);
     if (link === null) {
-      return { ...this.#header(), full: false };
+      return { ...this.#header(at), full: false };
     }
     this.#exchange.resetOnNewEpoch(link, message.epoch, at);
     link.acknowledgementReceived(message.acknowledged);
@@ -302,9 +383,10 @@
       link.lastRequestSequence,
       message.sequence,
     );
-    this.#applyMessage(message, link, { at, stale });
+    this.#applyMessage(message, link, { at, stale, sentAt: -Infinity });
     const { full, configurationVersion } = message;
-    const reply = this.#exchange.buildReply(link, this.#header(), { full, at });
+    const header = this.#header(at);
+    const reply = this.#exchange.buildReply(link, header, { full, at });
     const configurations = this.#configurationsAfter(configurationVersion);
     return { ...reply, configurations };
   }
@@ -322,7 +404,8 @@
     const stale = reply.sequence <= link.lastReplySequence;
     link.lastReplySequence = reply.sequence;
     this.#replyCount += 1;
-    this.#applyMessage(reply, link, { at, stale });
+    const { requestSentAt: sentAt } = link;
+    this.#applyMessage(reply, link, { at, stale, sentAt });
     if (reply.configurationVersion <= this.#configurationVersion) {
       this.#confirmedBy.add(peer);
     }
@@ -349,21 +432,30 @@
     return links.length >= minIsolationLinks && silent.length === links.length;
   }
 
-  #header(): MessageHeader {
+  #header(at: Moment): MessageHeader {
     const { id, epoch } = this.#options;
+    const confirmedAt = this.#configurationConfirmedAt;
     return {
       sender: id,
       epoch,
       configurationVersion: this.#configurationVersion,
       storeEra: this.#storeEra,
       full: this.#replyCount < fullStateReplies,
+      ...confirmedAt === -Infinity
+        ? {}
+        : { configurationAgeMs: at.monotonic - confirmedAt },
     };
   }
 
   #applyMessage(
     message: ExchangeMessage__Output,
     link: Link,
-    { at, stale }: { readonly at: Moment; readonly stale: boolean },
+    { at, stale, sentAt }: {
+      readonly at: Moment;
+      readonly stale: boolean;
+      /** When a reply was asked for; `-Infinity` for a request. */
+      readonly sentAt: number;
+    },
   ): void {
     const from = link.id;
     link.lastReceivedAt = at.monotonic;
@@ -394,9 +486,86 @@
     }
     this.#updates.storeEra = Math.max(this.#updates.storeEra, message.storeEra);
     this.#applyConfigurations(message.configurations);
+    this.#confirmBy(message, sentAt);
+    this.#applyNews(message.upstreams, link, { at, sentAt });
     link.urgent ||= message.configurationVersion > this.#configurationVersion;
   }
 
+  /** A reply is as old as the peer says, counted from when it was asked. */
+  #confirmBy(
+    { configurationVersion, configurationAgeMs }: ExchangeMessage__Output,
+    sentAt: number,
+  ): void {
+    const isSame = configurationVersion === this.#configurationVersion;
+    if (isSame && configurationAgeMs !== undefined && configurationAgeMs >= 0) {
+      this.confirmConfiguration(sentAt - configurationAgeMs);
+    }
+  }
+
+  #applyNews(
+    news: ExchangeMessage__Output["upstreams"],
+    link: Link,
+    { at, sentAt }: { readonly at: Moment; readonly sentAt: number },
+  ): void {
+    if (news === null) {
+      return;
+    }
+    link.listVersion = news.version;
+    link.wantsUpstreams = news.wanted;
+    const { changedIn } = this.upstreams;
+    const askedAt = news.ageMs >= 0 ? sentAt - news.ageMs : -Infinity;
+    const outcome = this.upstreams.merge(news, askedAt);
+    const isDue = at.monotonic - this.#listAnnouncedAt >=
+      confirmationIntervalMs;
+    if (outcome === "incomplete") {
+      this.#missedVersion = Math.max(this.#missedVersion, news.version);
+      link.urgent = true;
+    } else if (outcome === "changed" || (outcome === "confirmed" && isDue)) {
+      this.#listAnnouncedAt = at.monotonic;
+      const { retentionMs } = news;
+      this.#updates.upstreams = { ...this.upstreams.listed, retentionMs };
+      this.#announceChanges(changedIn);
+    }
+  }
+
+  #announceChanges(formerlyChangedIn: StoreVersion): void {
+    const { version, changedIn } = this.upstreams;
+    if (changedIn !== formerlyChangedIn) {
+      this.#exchange.announceList(version);
+    }
+  }
+
+  #newsFor(link: Link, { monotonic: now }: Moment): UpstreamNews | null {
+    const { freshnessMs = Infinity } = this.#options;
+    const { version, askedAt } = this.upstreams;
+    return this.upstreams.newsFor(link.listVersion, {
+      now,
+      isWantedByPeer: link.wantsUpstreams,
+      isWanted: now - askedAt >= wantedAgeShare * freshnessMs ||
+        this.#missedVersion > version,
+      retainedUntil: this.#retainedUntil,
+    });
+  }
+
+  /**
+   * Whether a later version of a row outranks a mark that the known version does
+   * not, or shows that the row was written since the store was restored.
+   */
+  #isNewsToPeers(
+    { id, version: known = 0 }: Vm,
+    { version: later = 0 }: Vm,
+  ): boolean {
+    const markVersion = this.marks.get(id)?.version ?? -1;
+    return [markVersion, this.#eraStart].some((version) =>
+      known <= version && version < later
+    );
+  }
+
+  get #readers(): readonly Member[] {
+    this.#rankedReaders ??= rankReaders(this.membership.all());
+    return this.#rankedReaders;
+  }
+
   #applyMember(
     record: ExchangeMessage__Output["members"][number],
     { at, link }: { readonly at: Moment; readonly link: Link },
@@ -534,6 +703,7 @@
     for (const id of this.membership.takeChangedIds()) {
       const record = this.membership.get(id);
       this.#nextReviewAt = 0;
+      this.#rankedReaders = null;
       if (record === undefined) {
         continue;
       }
@@ -565,7 +735,11 @@
     this.#nextReviewAt = at.monotonic + peerReviewIntervalMs;
     const { self } = this.membership;
     const members = this.membership.all();
-    const peers = [...choosePeers(self, members, this.#options.fanOut)];
+    const { fanOut, meshSize, freshnessMs } = this.#options;
+    const readers = freshnessMs === undefined ? [] : this.#readers;
+    const peers = [
+      ...choosePeers(self, members, { fanOut, meshSize, readers }),
+    ];
     if (at.monotonic >= this.#nextProbeAt) {
       this.#nextProbeAt = at.monotonic +
         this.#random.jitter(probeIntervalMs, 0.2);
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -163,6 +163,7 @@
     duties: [],
     full: false,
     acknowledged: 0,
+    upstreams: null,
   };
   return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
 }
--- a/packages/fleet/src/fleet_updates.ts
+++ b/packages/fleet/src/fleet_updates.ts
@@ -3,6 +3,7 @@
 import type { Mark } from "./marks.ts";
 import type { Member } from "./member.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
+import type { ListedUpstreams } from "./upstream_list.ts";
 
 /** A document that is distributed to every process, by version. */
 export interface Versioned {
@@ -39,6 +40,14 @@
   readonly limits: readonly RequestLimitRecord__Output[];
   /** Latest era of the platform's table that a peer has read; 0 if unknown. */
   readonly storeEra: number;
+  /** The list of upstreams, if a peer's news changed or confirmed it. */
+  readonly upstreams: RelayedUpstreams | null;
+}
+
+/** A list of upstreams that a peer has read. */
+export interface RelayedUpstreams extends ListedUpstreams {
+  /** Milliseconds for which the peer retains upstreams that are not listed. */
+  readonly retentionMs: number;
 }
 
 /** Updates that are being collected. */
@@ -51,6 +60,7 @@
   readonly suspects: SuspectRecord[];
   readonly limits: RequestLimitRecord__Output[];
   storeEra: number;
+  upstreams: RelayedUpstreams | null;
 }
 
 /** Creates a collection without updates. */
@@ -64,5 +74,6 @@
     suspects: [],
     limits: [],
     storeEra: 0,
+    upstreams: null,
   };
 }
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -25,6 +25,12 @@
   lastReceivedAt = 0;
   /** Highest configuration version that the peer stated. */
   configurationVersion = 0;
+  /** Version of the list of upstreams that the peer last stated. */
+  listVersion = 0;
+  /** Whether the peer wants all upstreams if it lacks earlier changes. */
+  wantsUpstreams = false;
+  /** Monotonic milliseconds at which the last request was sent. */
+  requestSentAt = -Infinity;
   /** Highest sequence of the requests received. */
   lastRequestSequence = 0;
   /** Sequence of the last reply received. */
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -13,6 +13,7 @@
   FleetUpdates,
   LengthCounts,
   PeerWork,
+  RelayedUpstreams,
   Versioned,
 } from "./fleet_updates.ts";
 export * from "./lease.ts";
@@ -20,5 +21,7 @@
 export * from "./member.ts";
 export * from "./membership.ts";
 export * from "./peer_selection.ts";
+export * from "./readers.ts";
 export * from "./socket_address.ts";
 export * from "./suspect_record.ts";
+export * from "./upstream_list.ts";
--- a/packages/fleet/src/peer_selection.ts
+++ b/packages/fleet/src/peer_selection.ts
@@ -1,5 +1,6 @@
 import { hashText, rankByRendezvous } from "@lavenderferry/runtime";
 import type { Member } from "./member.ts";
+import { countReaders } from "./readers.ts";
 
 /** Number of peers to call in the process's own data centre. */
 export const nearPeers = 2;
@@ -16,6 +17,18 @@
 /** The fan-out from which the exchange's byte budget is computed. */
 export const defaultFanOut: FanOut = { near: nearPeers, far: farPeers };
 
+/** Other readers that a reader calls, so that they know each other's news. */
+const readersPerReader = 2;
+
+/** Options of the choice of peers. */
+export interface PeerSelection {
+  readonly fanOut?: FanOut | undefined;
+  /** Number of peers up to which all are chosen. */
+  readonly meshSize?: number | undefined;
+  /** Members by rank as readers of the store, if some read it for all. */
+  readonly readers?: readonly Member[];
+}
+
 /**
  * Chooses the peers that a process calls. A ring within the data centre and a
  * ring of the data centres keep the graph connected; the others are chosen by
@@ -24,15 +37,37 @@
 export function choosePeers(
   self: Member,
   members: readonly Member[],
-  fanOut: FanOut = defaultFanOut,
+  { fanOut = defaultFanOut, meshSize = 0, readers = [] }: PeerSelection = {},
 ): readonly Member[] {
   const others = members.filter((member) =>
     member.id !== self.id && member.state !== "gone" && member.peers !== ""
   );
-  return [
+  if (others.length <= meshSize) {
+    return others;
+  }
+  const chosen = [
+    ...chooseReaders(self, readers),
     ...chooseNear(self, others, fanOut.near),
     ...chooseFar(self, others, fanOut.far),
   ];
+  return [...new Map(chosen.map((member) => [member.id, member])).values()];
+}
+
+/** A reader calls the next ones, any other member calls one, if possible near. */
+function chooseReaders(
+  self: Member,
+  ranked: readonly Member[],
+): readonly Member[] {
+  const readers = ranked.slice(0, countReaders(ranked));
+  const position = readers.findIndex(({ id }) => id === self.id);
+  if (position >= 0) {
+    return [...readers.slice(position + 1), ...readers.slice(0, position)]
+      .slice(0, readersPerReader);
+  }
+  const near = readers.filter(({ dataCentre }) =>
+    dataCentre === self.dataCentre
+  );
+  return rankByRendezvous(self.id, near.length > 0 ? near : readers, 1);
 }
 
 function chooseNear(
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -11,7 +11,13 @@
 import { computeRetryBurst } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { mergeLimits, removeExpiredLimits } from "../limits/limit_part.ts";
-import { applyRouting, reviewUpstream } from "./source_part.ts";
+import {
+  applyRouting,
+  applyUpstreams,
+  retainUnlisted,
+  reviewUpstream,
+} from "./source_part.ts";
+import { reviewReads } from "./store_reads.ts";
 
 /** Handles exchanges with peers and applies the updates they contain. */
 export const exchangePart: EventHandlers<
@@ -83,6 +89,7 @@
       members.filter((member) => member.state !== "gone").map(({ id }) => id),
       at,
     );
+    effects.push(...reviewReads(state, at));
   }
   for (const { dispatcher } of state.pools.values()) {
     for (const [peer, shares] of updates.shares) {
@@ -95,6 +102,11 @@
   for (const routing of updates.configurations) {
     effects.push(...applyRouting(state, routing, at));
   }
+  if (updates.upstreams !== null) {
+    const { retentionMs, ...list } = updates.upstreams;
+    retainUnlisted(state, at.monotonic + retentionMs);
+    effects.push(...applyUpstreams(state, list, at));
+  }
   if (updates.storeEra > Math.max(state.storeEra ?? 0, state.announcedEra)) {
     state.announcedEra = updates.storeEra;
     // The store's answer tells whether the peer is right.
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -23,21 +23,11 @@
 import { count, recordDecision } from "../util/effects.ts";
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
 import { applyUpdates } from "./exchange_part.ts";
+import { readSoon, scheduleRead, scheduleReadAgain } from "./store_reads.ts";
 import { findCloseReason } from "./upstream_closure.ts";
 
-/**
- * Milliseconds between two reads of the upstreams, per live process. Processes
- * notify each other of leaving upstreams, so in a larger fleet each reads less
- * often.
- */
-const readPeriodMsPerMember = 150;
-const minReadPeriodMs = 250;
-const maxReadPeriodMs = 1_500;
-
 /** Milliseconds until a failed operation is retried. */
 const retryDelaysMs = {
-  follow_routing: 400,
-  follow_upstreams: 400,
   // Members are also learned from peers, so this is less urgent.
   list_members: 800,
   state_member: 800,
@@ -83,23 +73,42 @@
   leaving_reported: (state, { upstream, at }) =>
     markDraining(state, upstream, at),
   store_era_learned: applyStoreEra,
-  routing_learned: (state, { routing, at }) => [
-    ...applyRouting(state, routing, at),
-    ...sendDueExchanges(state, at),
-    schedule("follow_routing", 0, at),
-  ],
-  routing_unchanged: (_state, { at }) => [schedule("follow_routing", 0, at)],
-  routing_unreadable: (state, { version, at }) => [
-    recordUnreadable(state, "routing", { version, at }),
-    schedule("follow_routing", 0, at),
-  ],
-  routing_failed: (state, event) =>
-    retryOperation(state, "follow_routing", event),
-  upstreams_learned: (state, { vms, version, unreadable, at }) => [
-    ...recordUnreadableRows(state, { upstreams: unreadable }, at),
-    ...applyUpstreams(state, { vms, version }, at),
-    schedule("follow_upstreams", nextReadDelayMs(state), at),
+  routing_learned: (state, { routing, confirmedAt, at }) => {
+    const effects = applyRouting(state, routing, at);
+    state.fleet.confirmConfiguration(confirmedAt);
+    return [
+      ...effects,
+      ...sendDueExchanges(state, at),
+      scheduleRead(state, "routing", at),
+    ];
+  },
+  routing_unchanged: (state, { confirmedAt, at }) => {
+    state.fleet.confirmConfiguration(confirmedAt);
+    return [scheduleRead(state, "routing", at)];
+  },
+  routing_unreadable: (state, { version, confirmedAt, at }) => {
+    state.fleet.confirmConfiguration(confirmedAt);
+    return [
+      recordUnreadable(state, "routing", { version, at }),
+      scheduleRead(state, "routing", at),
+    ];
+  },
+  routing_failed: (state, event) => [
+    recordFailure(state, "follow_routing", event),
+    count("retries", event.error),
+    scheduleReadAgain(state, "routing", event.at),
   ],
+  upstreams_learned: (state, { vms, version, unreadable, askedAt, at }) => {
+    const outageEffects = endOutage(state, at);
+    state.fleet.readUpstreams({ vms, version }, askedAt);
+    return [
+      ...outageEffects,
+      ...recordUnreadableRows(state, { upstreams: unreadable }, at),
+      // Peers may have told of a later list.
+      ...applyUpstreams(state, state.fleet.upstreams.listed, at),
+      scheduleRead(state, "upstreams", at),
+    ];
+  },
   upstreams_failed: (state, event) => {
     const { error, detail, at } = event;
     const figures = { error, detail };
@@ -108,16 +117,24 @@
       ? [recordStoreState(state, { reason: "lost", figures, at })]
       : [];
     state.outageStartedAt ??= at.monotonic;
-    return [...outageStart, ...scheduleRetry(state, "follow_upstreams", event)];
+    return [
+      ...outageStart,
+      count("retries", error),
+      scheduleReadAgain(state, "upstreams", at),
+    ];
   },
   members_learned: (state, { vms, unreadable, at }) => {
+    const wereKnown = state.membersKnown;
     state.members = vms;
     state.membersKnown = true;
-    const periodMs = timerPeriodsMs.list_members;
+    const effects = updateMembership(state, at);
+    // The other processes learn the suspects from the readers.
+    const isFirstReader = !wereKnown && state.fleet.readerRank === "reader";
     return [
       ...recordUnreadableRows(state, { members: unreadable }, at),
-      ...updateMembership(state, at),
-      schedule("list_members", state.random.jitter(periodMs, jitterShare), at),
+      ...effects,
+      ...isFirstReader ? [{ kind: "read_suspects" } as const] : [],
+      scheduleMemberList(state, at),
     ];
   },
   members_failed: (state, event) =>
@@ -152,7 +169,7 @@
   const reason = isRestored ? "restored" : "reached";
   return [
     recordStoreState(state, { reason, figures, at }),
-    ...isRestored ? writeRowsAgain(state) : [],
+    ...isRestored ? [...writeRowsAgain(state), ...readSoon(state, at)] : [],
     ...sendDueExchanges(state, at),
   ];
 }
@@ -224,7 +241,7 @@
   { vms, version }: UpstreamList,
   at: Moment,
 ): readonly RelayEffect[] {
-  const effects: RelayEffect[] = [...endOutage(state, at)];
+  const effects: RelayEffect[] = [];
   beginEra(state, version, at);
   const previous = state.upstreams;
   const listedIds = new Set(vms.map(({ id }) => id));
@@ -275,10 +292,16 @@
   }
   state.eraStart = { version, rowsTrustedFrom: at.monotonic + lapseMs };
   if (eraStart !== null) {
-    state.keepMissingUntil = at.monotonic + keepMissingMs;
+    retainUnlisted(state, at.monotonic + keepMissingMs);
   }
 }
 
+/** Retains upstreams that are not listed, here and at the peers. */
+export function retainUnlisted(state: RelayState, deadline: number): void {
+  state.keepMissingUntil = Math.max(state.keepMissingUntil, deadline);
+  state.fleet.retainUnlisted(state.keepMissingUntil);
+}
+
 /**
  * Closes or opens an upstream as the store's list and the marks of peers say.
  * An upstream that is not listed here yet is reviewed when it is.
@@ -352,9 +375,12 @@
     return [];
   }
   const outageMs = at.monotonic - state.outageStartedAt;
+  // Peers may have read the store all the while.
+  const unknownMs = at.monotonic -
+    Math.max(state.outageStartedAt, state.fleet.upstreams.askedAt);
   state.outageStartedAt = null;
-  if (outageMs >= minOutageMs) {
-    state.keepMissingUntil = at.monotonic + keepMissingMs;
+  if (unknownMs >= minOutageMs) {
+    retainUnlisted(state, at.monotonic + keepMissingMs);
   }
   const figures = { outageMs: Math.round(outageMs) };
   return [recordStoreState(state, { reason: "regained", figures, at })];
@@ -496,15 +522,23 @@
   return false;
 }
 
-function nextReadDelayMs(state: RelayState): number {
-  const liveMembers = state.fleet.membership.all().filter((member) =>
-    member.state === "live"
-  );
-  const periodMs = Math.min(
-    maxReadPeriodMs,
-    Math.max(minReadPeriodMs, liveMembers.length * readPeriodMsPerMember),
-  );
-  return state.random.jitter(periodMs, jitterShare);
+/** Lists the members, or only checks again whether that is due. */
+export function listMembersIfDue(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { fleet, settings, membersKnown } = state;
+  const hasPeers = fleet.membership.all()
+    .some((member) => member.id !== settings.vm && member.state === "live");
+  return !membersKnown || !hasPeers || fleet.readerRank === "reader"
+    ? [{ kind: "list_members" }]
+    : [scheduleMemberList(state, at)];
+}
+
+function scheduleMemberList(state: RelayState, at: Moment): RelayEffect {
+  const periodMs = timerPeriodsMs.list_members;
+  const delayMs = state.random.jitter(periodMs, jitterShare);
+  return schedule("list_members", delayMs, at);
 }
 
 /** Records why an operation of the store failed, and schedules a retry. */
@@ -517,34 +551,31 @@
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
-  const { error: reason, detail, at } = event;
-  const figures = { operation: kind, detail };
-  const decision = {
-    kind: "retry",
-    subject: "store",
-    reason,
-    figures,
-  } as const;
+  const { error, at } = event;
+  const delayMs = state.random.jitter(retryDelaysMs[kind], jitterShare);
   return [
-    recordDecision(state, decision, at),
-    ...scheduleRetry(state, kind, event),
+    recordFailure(state, kind, event),
+    count("retries", error),
+    schedule(kind, delayMs, at),
   ];
 }
 
-/** Schedules a retry of an operation of the store, and counts it. */
-function scheduleRetry(
+/** Records why an operation of the store failed. */
+function recordFailure(
   state: RelayState,
-  kind: keyof typeof retryDelaysMs,
-  { error, at }: { readonly error: ErrorKind; readonly at: Moment },
-): readonly RelayEffect[] {
-  return [
-    count("retries", error),
-    schedule(
-      kind,
-      state.random.jitter(retryDelaysMs[kind], jitterShare),
-      at,
-    ),
-  ];
+  operation: string,
+  { error: reason, detail, at }: {
+    readonly error: ErrorKind;
+    readonly detail: string;
+    readonly at: Moment;
+  },
+): RelayEffect {
+  const figures = { operation, detail };
+  return recordDecision(
+    state,
+    { kind: "retry", subject: "store", reason, figures },
+    at,
+  );
 }
 
 /** Records each row that has become unreadable since the last read. */
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -65,8 +65,8 @@
   }
 
   readonly handlers: EffectHandlers<RelayEvent, SourceEffect> = {
-    follow_routing: (_effect, dispatch) =>
-      this.#run(this.#followRouting(), "routing_failed", dispatch),
+    follow_routing: ({ waits }, dispatch) =>
+      this.#run(this.#followRouting(waits), "routing_failed", dispatch),
     follow_upstreams: (_effect, dispatch) =>
       this.#run(this.#followUpstreams(), "upstreams_failed", dispatch),
     list_members: (_effect, dispatch) =>
@@ -107,29 +107,31 @@
     );
   }
 
-  async #followRouting(): Promise<RelayEvent> {
-    const { store, rows } = this.#ports;
-    const { after } = this.#routings;
-    const waitMs = after === null ? 0 : routingWaitMs;
-    const changes = await store.changes(rows.routingPrefix, after, waitMs);
-    const changed = this.#routings.applyChanges(changes);
+  async #followRouting(waits: boolean): Promise<RelayEvent> {
+    const { rows } = this.#ports;
+    const waitMs = waits ? routingWaitMs : 0;
+    const prefix = rows.routingPrefix;
+    const { changed, confirmedAt } = await this.#follow(this.#routings, {
+      prefix,
+      waitMs,
+    });
     const row = this.#routings.rows.get(rows.routingKey);
     if (!changed || row === undefined) {
-      return { kind: "routing_unchanged" };
+      return { kind: "routing_unchanged", confirmedAt };
     }
     const routing = rows.readRouting(row.value);
+    const version = versionInEra(row.version);
     return routing === null
-      ? { kind: "routing_unreadable", version: versionInEra(row.version) }
-      : { kind: "routing_learned", routing };
+      ? { kind: "routing_unreadable", version, confirmedAt }
+      : { kind: "routing_learned", routing, confirmedAt };
   }
 
   async #followUpstreams(): Promise<RelayEvent> {
-    const { store, rows } = this.#ports;
-    const { after } = this.#upstreams;
-    // A full read does not wait for changes, so it can time out sooner.
-    const waitMs = after === null ? 0 : upstreamsWaitMs;
-    const changes = await store.changes(rows.upstreamPrefix, after, waitMs);
-    this.#upstreams.applyChanges(changes);
+    const { rows } = this.#ports;
+    const { confirmedAt: askedAt } = await this.#follow(this.#upstreams, {
+      prefix: rows.upstreamPrefix,
+      waitMs: upstreamsWaitMs,
+    });
     const vms: Vm[] = [];
     const unreadable: string[] = [];
     for (const [key, { value, version }] of this.#upstreams.rows) {
@@ -141,7 +143,32 @@
       }
     }
     const { version } = this.#upstreams;
-    return { kind: "upstreams_learned", vms, version, unreadable };
+    return { kind: "upstreams_learned", vms, version, unreadable, askedAt };
+  }
+
+  /**
+   * Reads what has changed in a table, or all of it if the store has no history
+   * of the changes any more. Returns whether any row changed, and a time at
+   * which the rows were those of the store.
+   */
+  async #follow(
+    follower: RowFollower,
+    { prefix, waitMs }: { readonly prefix: string; readonly waitMs: number },
+  ): Promise<{ readonly changed: boolean; readonly confirmedAt: number }> {
+    const { store } = this.#ports;
+    const { after } = follower;
+    const askedAt = performance.now();
+    // A full read does not wait for changes, so it can time out sooner.
+    const heldMs = after === null ? 0 : waitMs;
+    const changes = await store.changes(prefix, after, heldMs);
+    const changed = follower.applyChanges(changes);
+    if (changes.lost && after !== null) {
+      return await this.#follow(follower, { prefix, waitMs });
+    }
+    // The store answers a poll either at once on a change, or at its end.
+    const wasHeld = changes.rows.length === 0 &&
+      performance.now() - askedAt >= heldMs;
+    return { changed, confirmedAt: wasHeld ? askedAt + heldMs : askedAt };
   }
 
   async #listMembers(): Promise<RelayEvent> {
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -6,7 +6,8 @@
 import { createTimerHandler } from "@lavenderferry/runtime";
 import { sendDueExchanges } from "@lavenderferry/fleet";
 import { exchangeWithPeers } from "../fleet/exchange_part.ts";
-import { applyUpstreams } from "../fleet/source_part.ts";
+import { applyUpstreams, listMembersIfDue } from "../fleet/source_part.ts";
+import { readIfDue, startRead } from "../fleet/store_reads.ts";
 import { continueProbes } from "../forwarding/forwarding_part.ts";
 import { evacuate } from "../moves/move_part.ts";
 import { checkEngine } from "../quarantine/quarantine_part.ts";
@@ -27,11 +28,10 @@
   ProcessEvent,
   RelayEffect
 > = {
-  started: (_state, { at }) => [
-    { kind: "follow_routing" },
-    { kind: "follow_upstreams" },
+  started: (state, { at }) => [
+    startRead(state, "routing"),
+    startRead(state, "upstreams"),
     { kind: "list_members" },
-    { kind: "read_suspects" },
     { kind: "state_member", leaving: false },
     schedulePeriodic("exchange", at),
     schedulePeriodic("release_backlogs", at),
@@ -61,9 +61,11 @@
     ...releaseBacklogs(state, at),
     schedulePeriodic("release_backlogs", at),
   ],
-  follow_upstreams: () => [{ kind: "follow_upstreams" }],
-  follow_routing: () => [{ kind: "follow_routing" }],
-  list_members: () => [{ kind: "list_members" }],
+  follow_upstreams: (state, { dueAt }, at) =>
+    readIfDue(state, "upstreams", { dueAt, at }),
+  follow_routing: (state, { dueAt }, at) =>
+    readIfDue(state, "routing", { dueAt, at }),
+  list_members: (state, _timer, at) => listMembersIfDue(state, at),
   state_member: (state) => [
     { kind: "state_member", leaving: state.stopping },
   ],
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -2,8 +2,8 @@
 export type RelayTimer =
   | { readonly kind: "exchange" }
   | { readonly kind: "release_backlogs" }
-  | { readonly kind: "follow_upstreams" }
-  | { readonly kind: "follow_routing" }
+  | { readonly kind: "follow_upstreams"; readonly dueAt: number }
+  | { readonly kind: "follow_routing"; readonly dueAt: number }
   | { readonly kind: "list_members" }
   | { readonly kind: "state_member" }
   | { readonly kind: "read_suspects" }
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -105,7 +105,11 @@
 
 /** Effects that call the platform's store. */
 export type SourceEffect =
-  | { readonly kind: "follow_routing" }
+  | {
+    /** Reads the routing; may wait for a newer one than was read before. */
+    readonly kind: "follow_routing";
+    readonly waits: boolean;
+  }
   | { readonly kind: "follow_upstreams" }
   | { readonly kind: "list_members" }
   | {
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -225,12 +225,21 @@
     readonly kind: "store_era_learned";
     readonly era: number;
   }
-  | { readonly kind: "routing_learned"; readonly routing: Routing }
+  | {
+    readonly kind: "routing_learned";
+    readonly routing: Routing;
+    readonly confirmedAt: number;
+  }
   | { readonly kind: "routing_failed" } & SourceFailure
-  | { readonly kind: "routing_unchanged" }
+  | {
+    readonly kind: "routing_unchanged";
+    /** Monotonic milliseconds at which the routing was the newest one. */
+    readonly confirmedAt: number;
+  }
   | {
     /** A newer row is not a valid routing; the current one stays in force. */
     readonly kind: "routing_unreadable";
+    readonly confirmedAt: number;
     /** Version of the row. */
     readonly version: number;
   }
@@ -241,6 +250,8 @@
     readonly version: StoreVersion;
     /** Keys of rows that are not usable upstreams. */
     readonly unreadable: readonly string[];
+    /** Monotonic milliseconds at which the store was asked. */
+    readonly askedAt: number;
   }
   | { readonly kind: "upstreams_failed" } & SourceFailure
   | {
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -18,6 +18,11 @@
   readonly metrics: SocketAddress | null;
   /** Limit on the duration of a planned stop, in milliseconds. */
   readonly stopMs: number;
+  /**
+   * Milliseconds within which the process must know of each change of the
+   * routing and of the upstreams.
+   */
+  readonly freshnessMs: number;
   /** Burst of retries per window, across all processes of the fleet. */
   readonly retryBurst: number;
   /** Retries allowed per first attempt. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -12,6 +12,7 @@
   SuspectBlocks,
 } from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
+import type { SharedRead, SharedSource } from "./fleet/store_reads.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
@@ -109,6 +110,10 @@
   /** Last list of upstreams while unlisted ones are kept, else `null`. */
   unconfirmedUpstreams: UpstreamList | null;
   readonly fleet: FleetNode<Routing>;
+  /** When the store is read next, by what is read. */
+  readonly reads: Readonly<Record<SharedSource, SharedRead>>;
+  /** Whether this process was last found to read the store for all. */
+  readsForAll: boolean;
   /** Requests in progress, by exchange id. */
   readonly requests: Map<string, RelayedRequest>;
   /** Limits that upstreams name on the requests from all processes. */
@@ -144,8 +149,8 @@
 /** Peers only need the newest routing. */
 const keptRoutingVersions = 1;
 
-/** Large enough for small fleets to exchange state between all processes. */
-const fanOut = { near: 4, far: 8 };
+/** Peers up to which all processes exchange with each other. */
+const meshSize = 12;
 
 /**
  * Creates the state of a process that has read nothing from the store yet.
@@ -184,12 +189,15 @@
       region: settings.region,
       seed,
       keptVersions: keptRoutingVersions,
-      fanOut,
+      meshSize,
+      freshnessMs: settings.freshnessMs,
       readConfiguration: (document) => {
         const parsed = routingSchema.safeParse(document);
         return parsed.success ? parsed.data : null;
       },
     }, startedAt),
+    reads: { routing: { dueAt: 0 }, upstreams: { dueAt: 0 } },
+    readsForAll: true,
     requests: new Map(),
     requestLimits: new RequestLimits(settings.vm),
     answerTimes: new Map(),
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -17,6 +17,7 @@
       "port": 8740,
     },
     "dataCentre": "lodz-a",
+    "freshnessMs": 5000,
     "metrics": Object {
       "ip": "10.1.0.19",
       "port": 7201,
