fix(relay): a planned stop admits late requests by their deadline only

Cause: a stopping relay admitted what recent answers of its route said would end before the exit. A stream that then was slower than those was cut by the exit without an answer, also where it may not be repeated.

Change: the estimate counts for 2.8 s after the stop was requested; later only a request whose own deadline is before the final answers is taken, all others are refused at once as not run.

--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -32,6 +32,12 @@
 /** Milliseconds before the stop deadline at which final answers are sent. */
 export const finalAnswerMs = 200;
 
+/**
+ * Milliseconds of a planned stop in which answers are estimated. Callers that
+ * have new addresses after that time are served by other processes.
+ */
+const estimatedStopMs = 2_800;
+
 /** Relative jitter of retry delays, so that callers do not retry together. */
 const retryJitterShare = 0.5;
 
@@ -192,17 +198,24 @@
 }
 
 /**
- * Whether a request ends before a stopping process exits: at its own deadline,
- * or because no recent answer of its route took as long as is left.
+ * Whether a request ends before a stopping process exits: at its own deadline
+ * or, soon after the stop, because no recent answer of its route took as long as
+ * is left. A slow answer would be cut, so later only the deadline counts.
  */
 function endsBeforeStop(
-  { answerTimes, stopDeadline }: RelayState,
+  { answerTimes, stopDeadline, settings }: RelayState,
   { route, demand, deadline }: RelayedRequest,
 ): boolean {
-  const boundMs = answerTimes.get(route.name)?.boundMs(demand.maxTokens) ??
-    Infinity;
+  const { arrivedAt, maxTokens } = demand;
   const lastAnswerAt = stopDeadline - finalAnswerMs;
-  return Math.min(deadline, demand.arrivedAt + boundMs) <= lastAnswerAt;
+  const stopRequestedAt = stopDeadline - settings.stopMs;
+  if (
+    deadline <= lastAnswerAt || arrivedAt > stopRequestedAt + estimatedStopMs
+  ) {
+    return deadline <= lastAnswerAt;
+  }
+  const boundMs = answerTimes.get(route.name)?.boundMs(maxTokens) ?? Infinity;
+  return arrivedAt + boundMs <= lastAnswerAt;
 }
 
 /** Milliseconds until the process exits; -1 if no stop is planned. */
