perf(relay): timers fire when something is due

Cause: queues were checked every 25 ms and exchanges every 100 ms with nothing due, and large fleets exchanged once a second with peers that bring no news.

Change: the queues' timer runs while a request waits; the exchange's timer fires at the next due exchange, within 250 ms; in fleets that are no mesh, links to peers that read for no others exchange every 2 s. A link is silent after one and a half of its own intervals.

--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -85,13 +85,20 @@
   }
 
   /** Sets the peers to call; removes silent links to all others. */
-  setPeers(peers: readonly Member[], at: Moment): void {
+  setPeers(
+    peers: readonly Member[],
+    { at, intervalMsOf = () => exchangeIntervalMs }: {
+      readonly at: Moment;
+      readonly intervalMsOf?: (peer: Member) => number;
+    },
+  ): void {
     const chosen = new Set(peers.map(({ id }) => id));
     for (const peer of peers) {
       const link = this.openLink(peer.id, peer.peers, at);
       if (link !== null) {
         link.address = peer.peers;
         link.chosen = true;
+        link.intervalMs = intervalMsOf(peer);
       }
     }
     for (const link of this.#links.values()) {
@@ -165,6 +172,22 @@
     }
   }
 
+  /**
+   * Returns when a request is due next, in monotonic milliseconds; now if an
+   * urgent one could not be sent yet.
+   */
+  nextDueAt(at: Moment): number {
+    let dueAt = Infinity;
+    for (const link of this.#links.values()) {
+      if (link.requestInFlight || link.address === "") {
+        continue;
+      }
+      const ownDueAt = link.chosen ? link.nextExchangeAt : Infinity;
+      dueAt = Math.min(dueAt, link.urgent ? at.monotonic : ownDueAt);
+    }
+    return dueAt;
+  }
+
   /** Builds the requests that are due. */
   buildDueRequests(
     header: MessageHeader,
@@ -214,7 +237,7 @@
     link.requestDelivered();
     link.lastReceivedAt = at.monotonic;
     link.nextExchangeAt = at.monotonic +
-      this.#random.jitter(exchangeIntervalMs, jitterShare);
+      this.#random.jitter(link.intervalMs, jitterShare);
   }
 
   /** Requeues the items of a failed request and schedules a retry. */
@@ -237,7 +260,7 @@
     this.#budget.spend(link.urgent ? 0 : bytes + messageOverheadBytes, at);
     link.requestSent(items);
     link.nextExchangeAt = at.monotonic +
-      this.#random.jitter(exchangeIntervalMs, jitterShare);
+      this.#random.jitter(link.intervalMs, jitterShare);
     const sequence = ++this.#sequence;
     const acknowledged = link.lastReplySequence;
     link.requestSentAt = at.monotonic;
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -17,6 +17,10 @@
 import { DutyDirectory } from "./duty_directory.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
 import { Exchange } from "./exchange.ts";
+import {
+  exchangeIntervalMs,
+  sparseExchangeIntervalMs,
+} from "./exchange_budget.ts";
 import { readMark, writeMark } from "./mark_codec.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Link } from "./link.ts";
@@ -36,7 +40,7 @@
 import type { FanOut } from "./peer_selection.ts";
 import { choosePeers } from "./peer_selection.ts";
 import type { ReaderRank } from "./readers.ts";
-import { rankOf, rankReaders } from "./readers.ts";
+import { countReaders, rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
 import type { ListedUpstreams } from "./upstream_list.ts";
 import { UpstreamList } from "./upstream_list.ts";
@@ -83,6 +87,9 @@
  */
 const wantedAgeShare = 0.5;
 
+/** Longest time between two polls, which bounds how late a timer is. */
+const maxPollIntervalMs = 250;
+
 /** Longest time between reviews of the choice of peers. */
 const peerReviewIntervalMs = 5_000;
 
@@ -369,6 +376,14 @@
     return this.#exchange.buildDueRequests(this.#header(at), at);
   }
 
+  /** Returns when `poll` must be called next, in monotonic milliseconds. */
+  nextPollAt(at: Moment): number {
+    return Math.min(
+      at.monotonic + maxPollIntervalMs,
+      this.#exchange.nextDueAt(at),
+    );
+  }
+
   /** Applies a peer's request and returns the reply. */
   receive(message: ExchangeMessage__Output, at: Moment): ExchangeMessage {
     const address = this.membership.get(message.sender)?.peers ?? "";
@@ -426,8 +441,8 @@
    */
   #isIsolated(at: Moment): boolean {
     const { links } = this.#exchange;
-    const silent = links.filter(({ lastReceivedAt }) =>
-      at.monotonic - lastReceivedAt > silentLinkMs
+    const silent = links.filter(({ lastReceivedAt, intervalMs }) =>
+      at.monotonic - lastReceivedAt > silentIntervals * intervalMs
     );
     return links.length >= minIsolationLinks && silent.length === links.length;
   }
@@ -737,6 +752,7 @@
     const members = this.membership.all();
     const { fanOut, meshSize, freshnessMs } = this.#options;
     const readers = freshnessMs === undefined ? [] : this.#readers;
+    const readerTotal = countReaders(readers);
     const peers = [
       ...choosePeers(self, members, { fanOut, meshSize, readers }),
     ];
@@ -748,7 +764,16 @@
         unreachable[this.#random.integerBelow(Math.max(1, unreachable.length))];
       peers.push(...(probe === undefined ? [] : [probe]));
     }
-    this.#exchange.setPeers(peers, at);
+    const isMesh = members.length <= 1 + (meshSize ?? Infinity);
+    this.#exchange.setPeers(peers, {
+      at,
+      // A reader's news must not be late.
+      intervalMsOf: ({ id }) =>
+        isMesh ||
+          readers.slice(0, readerTotal).some((member) => member.id === id)
+          ? exchangeIntervalMs
+          : sparseExchangeIntervalMs,
+    });
     this.#deleteStaleItems();
   }
 
@@ -766,8 +791,8 @@
   }
 }
 
-/** Time after which a link is silent; above the longest exchange interval. */
-const silentLinkMs = 1_500;
+/** Intervals after which a link is silent; above the longest one. */
+const silentIntervals = 1.5;
 
 /** Minimum number of links whose joint silence shows a fault on this side. */
 const minIsolationLinks = 3;
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -1,3 +1,4 @@
+import { exchangeIntervalMs } from "./exchange_budget.ts";
 import type { ItemKind } from "./item.ts";
 import { forwardedKinds, itemKinds } from "./item.ts";
 import type { Item, ItemStore } from "./item_store.ts";
@@ -19,6 +20,8 @@
   epoch = "";
   /** Whether this process chose the peer for periodic exchanges. */
   chosen = false;
+  /** Milliseconds between periodic exchanges. */
+  intervalMs = exchangeIntervalMs;
   /** Monotonic milliseconds of the next periodic exchange. */
   nextExchangeAt = 0;
   /** Monotonic milliseconds at which a message was last received. */
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -13,7 +13,11 @@
 import { checkEngine } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
-import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
+import {
+  dropRequest,
+  releaseBacklogs,
+  scheduleRelease,
+} from "../requests/place_request.ts";
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import { expireRequest, finalAnswerMs } from "../requests/request_part.ts";
@@ -33,8 +37,7 @@
     startRead(state, "upstreams"),
     { kind: "list_members" },
     { kind: "state_member", leaving: false },
-    schedulePeriodic("exchange", at),
-    schedulePeriodic("release_backlogs", at),
+    scheduleExchange(state, at),
   ],
   timer_fired: (state, { timer, at }) => handleTimer(state, timer, at),
   stop_requested: (state, { at }) => requestStop(state, at),
@@ -55,12 +58,13 @@
 const timerHandlers: TimerHandlers<RelayState, RelayTimer, RelayEffect> = {
   exchange: (state, _timer, at) => [
     ...exchangeWithPeers(state, at),
-    schedulePeriodic("exchange", at),
-  ],
-  release_backlogs: (state, _timer, at) => [
-    ...releaseBacklogs(state, at),
-    schedulePeriodic("release_backlogs", at),
+    scheduleExchange(state, at),
   ],
+  release_backlogs: (state, _timer, at) => {
+    state.isReleaseScheduled = false;
+    const effects = releaseBacklogs(state, at);
+    return [...effects, ...scheduleRelease(state, at)];
+  },
   follow_upstreams: (state, { dueAt }, at) =>
     readIfDue(state, "upstreams", { dueAt, at }),
   follow_routing: (state, { dueAt }, at) =>
@@ -92,6 +96,14 @@
 
 const handleTimer = createTimerHandler(timerHandlers);
 
+function scheduleExchange(state: RelayState, at: Moment): RelayEffect {
+  const dueAt = Math.max(
+    state.fleet.nextPollAt(at),
+    at.monotonic + timerPeriodsMs.exchange,
+  );
+  return { kind: "set_timer", timer: { kind: "exchange" }, at: dueAt };
+}
+
 function schedulePeriodic(
   kind: keyof typeof timerPeriodsMs,
   at: Moment,
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -18,9 +18,9 @@
 
 /** Milliseconds between two runs of the periodic timers. */
 export const timerPeriodsMs = {
-  /** Checks which exchanges are due; each link has its own period. */
+  /** Shortest time between two checks which exchanges are due. */
   exchange: 100,
-  /** Limits how late a queued request is sent or refused. */
+  /** Limits how late a queued request is sent or refused, while there is one. */
   release_backlogs: 25,
   /**
    * Members are learned from exchanges; their rows serve a process that knows
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -7,6 +7,7 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
+import { timerPeriodsMs } from "../process/timers.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
 /** Retry delay for callers whose service has no pool, in milliseconds. */
@@ -77,6 +78,25 @@
   return effects;
 }
 
+/**
+ * Sets the timer that releases queued requests, unless it is set or none is
+ * queued.
+ */
+export function scheduleRelease(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const isWaiting = [...state.pools.values()]
+    .some(({ dispatcher }) => dispatcher.waiting > 0);
+  if (state.isReleaseScheduled || !isWaiting) {
+    return [];
+  }
+  state.isReleaseScheduled = true;
+  const kind = "release_backlogs";
+  const dueAt = at.monotonic + timerPeriodsMs[kind];
+  return [{ kind: "set_timer", timer: { kind }, at: dueAt }];
+}
+
 /** Removes a request and releases what it occupies at upstreams. */
 export function endRequest(
   state: RelayState,
@@ -387,6 +407,7 @@
     case "wait":
       return [
         recordDecision(state, { kind: "queue", subject, reason, figures }, at),
+        ...scheduleRelease(state, at),
       ];
     case "refuse": {
       const { error, retryAfterMs } = placement;
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -120,6 +120,8 @@
   readonly requestLimits: RequestLimits;
   /** Durations of complete answers, by the name of their route. */
   readonly answerTimes: Map<string, AnswerTimes>;
+  /** Whether a timer is set that releases queued requests. */
+  isReleaseScheduled: boolean;
   readonly copyRate: CopyRate;
   /** Blocks of prompts under which engines ended. */
   readonly suspects: SuspectBlocks;
@@ -201,6 +203,7 @@
     requests: new Map(),
     requestLimits: new RequestLimits(settings.vm),
     answerTimes: new Map(),
+    isReleaseScheduled: false,
     copyRate: new CopyRate(),
     suspects: new SuspectBlocks(epoch),
     reachability: new Reachability(),
