--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -1,6 +1,5 @@
 import type { Configuration } from "@lavenderferry/configuration";
-import type { StoreVersion, Vm } from "@lavenderferry/platform";
-import { eraOf } from "@lavenderferry/platform";
+import type { Vm } from "@lavenderferry/platform";
 import type {
   ConfigurationRecord,
   EngineShare,
@@ -9,7 +8,6 @@
   LengthSketch,
   RequestLimitRecord__Output,
   SuspectBlockRecord,
-  UpstreamNews,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
@@ -24,6 +22,7 @@
 import { readMark, writeMark } from "./mark_codec.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Link } from "./link.ts";
+import { ListRelay } from "./list_relay.ts";
 import type { Mark } from "./marks.ts";
 import { markReasons, Marks } from "./marks.ts";
 import type { Member, MemberRole, MemberState } from "./member.ts";
@@ -42,8 +41,7 @@
 import type { ReaderRank } from "./readers.ts";
 import { countReaders, rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
-import type { ListedUpstreams } from "./upstream_list.ts";
-import { UpstreamList } from "./upstream_list.ts";
+import type { ListedUpstreams, UpstreamList } from "./upstream_list.ts";
 
 /** Identity and settings of one process of the fleet. */
 export interface FleetNodeOptions<Document extends Versioned = Configuration> {
@@ -78,15 +76,6 @@
 /** Mean time between attempts to reach a listed member that is gone. */
 const probeIntervalMs = 5_000;
 
-/** Milliseconds between two announcements of a list that has not changed. */
-const confirmationIntervalMs = 1_000;
-
-/**
- * Age at which a list of upstreams is wanted from any peer, as a share of the
- * time within which changes must be known.
- */
-const wantedAgeShare = 0.5;
-
 /** Longest time between two polls, which bounds how late a timer is. */
 const maxPollIntervalMs = 250;
 
@@ -109,16 +98,10 @@
   readonly #configurations = new Map<number, ConfigurationRecord>();
   readonly #peerWork = new Map<string, Map<string, PeerWork>>();
   readonly #confirmedBy = new Set<string>();
-  /** The platform's list of upstreams, as read here or at a peer. */
-  readonly upstreams: UpstreamList;
+  readonly #listRelay: ListRelay;
   readonly #leaving = new LeavingUpstreams();
   #configurationVersion = 0;
   #configurationConfirmedAt = -Infinity;
-  #retainedUntil = 0;
-  #missedVersion: StoreVersion = 0;
-  #listAnnouncedAt = -Infinity;
-  /** First version of the list after the latest restore of the store. */
-  #eraStart: StoreVersion = Infinity;
   #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
@@ -132,13 +115,14 @@
     this.#readConfiguration = options.readConfiguration ??
       ((document) => readConfiguration(document) as Document | null);
     this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
-    this.upstreams = new UpstreamList((known, later) =>
-      this.#isNewsToPeers(known, later)
+    this.#listRelay = new ListRelay(
+      this.marks,
+      options.freshnessMs ?? Infinity,
     );
     this.#exchange = new Exchange(
       id,
       this.#random,
-      (link, at) => this.#newsFor(link, at),
+      (link, at) => this.#listRelay.newsFor(link, at),
     );
     this.membership = new Membership({
       id,
@@ -171,6 +155,11 @@
     return this.#configurationConfirmedAt;
   }
 
+  /** The platform's list of upstreams, as read here or at a peer. */
+  get upstreams(): UpstreamList {
+    return this.#listRelay.list;
+  }
+
   /** How soon this process reads the platform's store itself. */
   get readerRank(): ReaderRank {
     return rankOf(this.#options.id, this.#readers);
@@ -260,17 +249,14 @@
    * in monotonic milliseconds, unless a later one is known.
    */
   readUpstreams(list: ListedUpstreams, askedAt: number): void {
-    const { changedIn, version } = this.upstreams;
-    if (version > 0 && eraOf(version) < eraOf(list.version)) {
-      this.#eraStart = list.version;
+    if (this.#listRelay.read(list, askedAt)) {
+      this.#exchange.announceList(this.upstreams.version);
     }
-    this.upstreams.read(list, askedAt);
-    this.#announceChanges(changedIn);
   }
 
   /** Sets the monotonic deadline until which unlisted upstreams are retained. */
   retainUnlisted(deadline: number): void {
-    this.#retainedUntil = deadline;
+    this.#listRelay.retainUnlisted(deadline);
   }
 
   /** Sets the latest era of the platform's table that this process has read. */
@@ -525,55 +511,16 @@
     if (news === null) {
       return;
     }
-    link.listVersion = news.version;
-    link.wantsUpstreams = news.wanted;
-    const { changedIn } = this.upstreams;
-    const askedAt = news.ageMs >= 0 ? sentAt - news.ageMs : -Infinity;
-    const outcome = this.upstreams.merge(news, askedAt);
-    const isDue = at.monotonic - this.#listAnnouncedAt >=
-      confirmationIntervalMs;
-    if (outcome === "incomplete") {
-      this.#missedVersion = Math.max(this.#missedVersion, news.version);
-      link.urgent = true;
-    } else if (outcome === "changed" || (outcome === "confirmed" && isDue)) {
-      this.#listAnnouncedAt = at.monotonic;
-      const { retentionMs } = news;
-      this.#updates.upstreams = { ...this.upstreams.listed, retentionMs };
-      this.#announceChanges(changedIn);
-    }
-  }
-
-  #announceChanges(formerlyChangedIn: StoreVersion): void {
-    const { version, changedIn } = this.upstreams;
-    if (changedIn !== formerlyChangedIn) {
-      this.#exchange.announceList(version);
-    }
-  }
-
-  #newsFor(link: Link, { monotonic: now }: Moment): UpstreamNews | null {
-    const { freshnessMs = Infinity } = this.#options;
-    const { version, askedAt } = this.upstreams;
-    return this.upstreams.newsFor(link.listVersion, {
-      now,
-      isWantedByPeer: link.wantsUpstreams,
-      isWanted: now - askedAt >= wantedAgeShare * freshnessMs ||
-        this.#missedVersion > version,
-      retainedUntil: this.#retainedUntil,
-    });
-  }
-
-  /**
-   * Whether a later version of a row outranks a mark that the known version does
-   * not, or shows that the row was written since the store was restored.
-   */
-  #isNewsToPeers(
-    { id, version: known = 0 }: Vm,
-    { version: later = 0 }: Vm,
-  ): boolean {
-    const markVersion = this.marks.get(id)?.version ?? -1;
-    return [markVersion, this.#eraStart].some((version) =>
-      known <= version && version < later
+    const { upstreams, isChanged, isIncomplete } = this.#listRelay.apply(
+      news,
+      link,
+      { at, sentAt },
     );
+    link.urgent ||= isIncomplete;
+    this.#updates.upstreams = upstreams ?? this.#updates.upstreams;
+    if (isChanged) {
+      this.#exchange.announceList(this.upstreams.version);
+    }
   }
 
   get #readers(): readonly Member[] {
--- /dev/null
+++ b/packages/fleet/src/list_relay.ts
@@ -0,0 +1,120 @@
+import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import { eraOf } from "@lavenderferry/platform";
+import type {
+  UpstreamNews,
+  UpstreamNews__Output,
+} from "@lavenderferry/protocol";
+import type { Moment } from "@lavenderferry/runtime";
+import type { RelayedUpstreams } from "./fleet_updates.ts";
+import type { Link } from "./link.ts";
+import type { Marks } from "./marks.ts";
+import type { ListedUpstreams } from "./upstream_list.ts";
+import { UpstreamList } from "./upstream_list.ts";
+
+/**
+ * Age at which a list of upstreams is wanted from any peer, as a share of the
+ * time within which changes must be known.
+ */
+const wantedAgeShare = 0.5;
+
+/** Milliseconds between two reports of a list that has not changed. */
+const confirmationIntervalMs = 1_000;
+
+/** What peers' news of the list of upstreams led to. */
+export interface NewsEffect {
+  /** The list, if it has changed or was confirmed. */
+  readonly upstreams: RelayedUpstreams | null;
+  /** Whether the list has changed, so that other peers must be told. */
+  readonly isChanged: boolean;
+  /** Whether the peer knows changes that it did not send. */
+  readonly isIncomplete: boolean;
+}
+
+/** Passes the platform's list of upstreams on between processes. */
+export class ListRelay {
+  readonly list: UpstreamList;
+  readonly #marks: Marks;
+  readonly #freshnessMs: number;
+  #retainedUntil = 0;
+  #missedVersion: StoreVersion = 0;
+  #reportedAt = -Infinity;
+  /** First version of the list after the latest restore of the store. */
+  #eraStart: StoreVersion = Infinity;
+
+  constructor(marks: Marks, freshnessMs: number) {
+    this.#marks = marks;
+    this.#freshnessMs = freshnessMs;
+    this.list = new UpstreamList((known, later) => this.#isNews(known, later));
+  }
+
+  /**
+   * Applies a list that the store was asked for at `askedAt`, unless a later
+   * one is known; returns whether peers must be told.
+   */
+  read(list: ListedUpstreams, askedAt: number): boolean {
+    const { changedIn, version } = this.list;
+    if (version > 0 && eraOf(version) < eraOf(list.version)) {
+      this.#eraStart = list.version;
+    }
+    this.list.read(list, askedAt);
+    return this.list.changedIn !== changedIn;
+  }
+
+  /** Sets the monotonic deadline until which unlisted upstreams are retained. */
+  retainUnlisted(deadline: number): void {
+    this.#retainedUntil = deadline;
+  }
+
+  /** Returns the news for a peer; `null` before the first read. */
+  newsFor(link: Link, { monotonic: now }: Moment): UpstreamNews | null {
+    const { version, askedAt } = this.list;
+    return this.list.newsFor(link.listVersion, {
+      now,
+      isWantedByPeer: link.wantsUpstreams,
+      isWanted: now - askedAt >= wantedAgeShare * this.#freshnessMs ||
+        this.#missedVersion > version,
+      retainedUntil: this.#retainedUntil,
+    });
+  }
+
+  /**
+   * Applies a peer's news. `sentAt` is when a reply was asked for; `-Infinity`
+   * for a request, which may have been on its way for any time.
+   */
+  apply(
+    news: UpstreamNews__Output,
+    link: Link,
+    { at, sentAt }: { readonly at: Moment; readonly sentAt: number },
+  ): NewsEffect {
+    link.listVersion = news.version;
+    link.wantsUpstreams = news.wanted;
+    const askedAt = news.ageMs >= 0 ? sentAt - news.ageMs : -Infinity;
+    const outcome = this.list.merge(news, askedAt);
+    const isIncomplete = outcome === "incomplete";
+    if (isIncomplete) {
+      this.#missedVersion = Math.max(this.#missedVersion, news.version);
+    }
+    const isChanged = outcome === "changed";
+    const isDue = at.monotonic - this.#reportedAt >= confirmationIntervalMs;
+    if (!isChanged && (outcome !== "confirmed" || !isDue)) {
+      return { upstreams: null, isChanged, isIncomplete };
+    }
+    this.#reportedAt = at.monotonic;
+    const upstreams = { ...this.list.listed, retentionMs: news.retentionMs };
+    return { upstreams, isChanged, isIncomplete };
+  }
+
+  /**
+   * Whether a later version of a row outranks a mark that the known version does
+   * not, or shows that the row was written since the store was restored.
+   */
+  #isNews(
+    { id, version: known = 0 }: Vm,
+    { version: later = 0 }: Vm,
+  ): boolean {
+    const markVersion = this.#marks.get(id)?.version ?? -1;
+    return [markVersion, this.#eraStart].some((version) =>
+      known <= version && version < later
+    );
+  }
+}
