--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -27,6 +27,17 @@
   | "suspects_unwritten"
   | "member_failed";
 
+/** The event that reports the failure of an operation, by its effect. */
+const failureKinds: Readonly<Record<SourceEffect["kind"], SourceFailureKind>> =
+  {
+    follow_routing: "routing_failed",
+    follow_upstreams: "upstreams_failed",
+    list_members: "members_failed",
+    state_member: "member_failed",
+    read_suspects: "suspects_failed",
+    state_suspects: "suspects_unwritten",
+  };
+
 const suspectsSchema = z.array(z.object({
   block: z.string(),
   clearances: z.int().min(0),
@@ -53,34 +64,37 @@
 export class SourceRunner {
   readonly #ports: RelayPorts;
   readonly #settings: RelaySettings;
+  readonly #onCall: (kind: SourceEffect["kind"]) => void;
   readonly #routings = new RowFollower();
   readonly #upstreams = new RowFollower();
   #era: number | null = null;
   #memberVersion: number | null = null;
   #suspectsVersion: number | null = null;
 
-  constructor(ports: RelayPorts, settings: RelaySettings) {
+  /** `onCall` is called with the kind of each operation of the store. */
+  constructor(
+    ports: RelayPorts,
+    settings: RelaySettings,
+    onCall: (kind: SourceEffect["kind"]) => void = () => undefined,
+  ) {
     this.#ports = ports;
     this.#settings = settings;
+    this.#onCall = onCall;
   }
 
   readonly handlers: EffectHandlers<RelayEvent, SourceEffect> = {
-    follow_routing: ({ waits }, dispatch) =>
-      this.#run(this.#followRouting(waits), "routing_failed", dispatch),
-    follow_upstreams: (_effect, dispatch) =>
-      this.#run(this.#followUpstreams(), "upstreams_failed", dispatch),
-    list_members: (_effect, dispatch) =>
-      this.#run(this.#listMembers(), "members_failed", dispatch),
-    state_member: ({ leaving }, dispatch) =>
-      this.#run(this.#writeMember(leaving), "member_failed", dispatch),
-    read_suspects: (_effect, dispatch) =>
-      this.#run(this.#readSuspects(), "suspects_failed", dispatch),
-    state_suspects: ({ records }, dispatch) =>
-      this.#run(
-        this.#writeSuspects(records),
-        "suspects_unwritten",
-        dispatch,
-      ),
+    follow_routing: ({ kind, waits }, dispatch) =>
+      this.#run(kind, this.#followRouting(waits), dispatch),
+    follow_upstreams: ({ kind }, dispatch) =>
+      this.#run(kind, this.#followUpstreams(), dispatch),
+    list_members: ({ kind }, dispatch) =>
+      this.#run(kind, this.#listMembers(), dispatch),
+    state_member: ({ kind, leaving }, dispatch) =>
+      this.#run(kind, this.#writeMember(leaving), dispatch),
+    read_suspects: ({ kind }, dispatch) =>
+      this.#run(kind, this.#readSuspects(), dispatch),
+    state_suspects: ({ kind, records }, dispatch) =>
+      this.#run(kind, this.#writeSuspects(records), dispatch),
   };
 
   /**
@@ -88,10 +102,12 @@
    * the operation has learned one.
    */
   #run(
+    kind: SourceEffect["kind"],
     operation: Promise<RelayEvent>,
-    failureKind: SourceFailureKind,
     dispatch: Dispatch<RelayEvent>,
   ): void {
+    this.#onCall(kind);
+    const failureKind = failureKinds[kind];
     const report = (event: RelayEvent) => {
       const { era } = this.#ports.store;
       if (era !== this.#era && event.kind !== failureKind) {
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -6,6 +6,8 @@
 export interface RelayMetrics {
   readonly registry: Registry;
   readonly counters: Readonly<Record<CounterName, Counter<"reason">>>;
+  /** Operations of the platform's store. */
+  readonly storeCalls: Counter<"reason">;
   /** Milliseconds until the answer, or the first event of a stream. */
   readonly answerMs: Histogram<"route">;
 }
@@ -27,6 +29,11 @@
   ).length;
 }
 
+/** Returns the age of a moment, in milliseconds; `NaN` if it never was. */
+function ageMsOf(moment: number): number {
+  return moment === -Infinity ? Number.NaN : performance.now() - moment;
+}
+
 /** Creates the relay's metrics in a separate registry. */
 export function createRelayMetrics(state: RelayState): RelayMetrics {
   const registry = new Registry();
@@ -38,6 +45,9 @@
     limited_upstreams: () => state.requestLimits.count,
     leaving_upstreams_open: () => countLeavingOpen(state),
     store_era: () => state.storeEra ?? 0,
+    store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
+    upstreams_age_ms: () => ageMsOf(state.fleet.upstreams.askedAt),
+    routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
@@ -66,6 +76,12 @@
       retries: counter("retries"),
       resumptions: counter("resumptions"),
     },
+    storeCalls: new Counter({
+      name: "lavenderferry_relay_store_calls_total",
+      help: "Operations of the platform's store, by kind",
+      labelNames: ["reason"],
+      registers: [registry],
+    }),
     answerMs: new Histogram({
       name: "lavenderferry_relay_answer_ms",
       help: "Milliseconds until the answer, or its first event, by route",
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -72,7 +72,11 @@
       ...callerExchanges.handlers,
       ...new UpstreamRunner(ports.headers, callerExchanges, ports.copier)
         .handlers,
-      ...new SourceRunner(ports, settings).handlers,
+      ...new SourceRunner(
+        ports,
+        settings,
+        (reason) => metrics.storeCalls.inc({ reason }),
+      ).handlers,
       ...peerExchanges.handlers,
       ...createProcessHandlers({
         clock: systemClock,
