test(fleet): news of lists in any order, in part and unreadable

An odd message could keep all upstreams wanted for good or end the retention of unlisted ones: the wish now ends after 2 s, and a retention is bounded and ignored if it is no number. odd_exchange_test plays such news.

--- a/packages/fleet/src/list_relay.ts
+++ b/packages/fleet/src/list_relay.ts
@@ -17,6 +17,12 @@
  */
 const wantedAgeShare = 0.5;
 
+/** Milliseconds for which all upstreams are wanted after changes were missed. */
+const wantedMs = 2_000;
+
+/** Longest retention that is believed of a peer, in milliseconds. */
+const maxRetentionMs = 5_000;
+
 /** Milliseconds between two reports of a list that has not changed. */
 const confirmationIntervalMs = 1_000;
 
@@ -36,7 +42,8 @@
   readonly #marks: Marks;
   readonly #freshnessMs: number;
   #retainedUntil = 0;
-  #missedVersion: StoreVersion = 0;
+  /** Monotonic deadline until which all upstreams are wanted. */
+  #wantedUntil = -Infinity;
   #reportedAt = -Infinity;
   /** First version of the list after the latest restore of the store. */
   #eraStart: StoreVersion = Infinity;
@@ -67,12 +74,12 @@
 
   /** Returns the news for a peer; `null` before the first read. */
   newsFor(link: Link, { monotonic: now }: Moment): UpstreamNews | null {
-    const { version, askedAt } = this.list;
+    const { askedAt } = this.list;
     return this.list.newsFor(link.listVersion, {
       now,
       isWantedByPeer: link.wantsUpstreams,
       isWanted: now - askedAt >= wantedAgeShare * this.#freshnessMs ||
-        this.#missedVersion > version,
+        now < this.#wantedUntil,
       retainedUntil: this.#retainedUntil,
     });
   }
@@ -91,16 +98,21 @@
     const askedAt = news.ageMs >= 0 ? sentAt - news.ageMs : -Infinity;
     const outcome = this.list.merge(news, askedAt);
     const isIncomplete = outcome === "incomplete";
+    const isChanged = outcome === "changed";
     if (isIncomplete) {
-      this.#missedVersion = Math.max(this.#missedVersion, news.version);
+      this.#wantedUntil = at.monotonic + wantedMs;
+    } else if (isChanged) {
+      this.#wantedUntil = -Infinity;
     }
-    const isChanged = outcome === "changed";
     const isDue = at.monotonic - this.#reportedAt >= confirmationIntervalMs;
     if (!isChanged && (outcome !== "confirmed" || !isDue)) {
       return { upstreams: null, isChanged, isIncomplete };
     }
     this.#reportedAt = at.monotonic;
-    const upstreams = { ...this.list.listed, retentionMs: news.retentionMs };
+    const retentionMs = news.retentionMs > 0
+      ? Math.min(news.retentionMs, maxRetentionMs)
+      : 0;
+    const upstreams = { ...this.list.listed, retentionMs };
     return { upstreams, isChanged, isIncomplete };
   }
 
--- a/packages/relay/src/fleet/odd_exchange_test.ts
+++ b/packages/relay/src/fleet/odd_exchange_test.ts
@@ -24,6 +24,20 @@
   ),
 );
 
+const anyNews = fc.record({
+  version: anyNumber,
+  digest: anyNumber,
+  ageMs: anyNumber,
+  wanted: fc.boolean(),
+  hasChanges: fc.boolean(),
+  since: anyNumber,
+  retentionMs: anyNumber,
+  changes: fc.array(fc.record({
+    id: anyText,
+    document: fc.oneof(anyText, fc.json()),
+  })),
+});
+
 /** Any message of a peer that has the types of the protocol. */
 const anyMessage = fc.record({
   epoch: anyText,
@@ -74,6 +88,8 @@
     model: anyText,
     counts: fc.array(anyNumber),
   })),
+  upstreams: fc.oneof(fc.constant(null), anyNews),
+  configurationAgeMs: fc.oneof(fc.constant(undefined), anyNumber),
   configurations: fc.array(fc.record({
     version: anyNumber,
     document: fc.oneof(anyText, fc.json()),
