--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -261,3 +261,50 @@
   t.match(decisions("drop", lost), [{ figures: { begunMs: -1 } }]);
   t.end();
 });
+
+/** Reduces an event of a stream every `periodMs`; returns all effects. */
+function trickle(
+  relay: RelayFixture,
+  attempt: { readonly exchangeId: string; readonly attemptId: string },
+  { periodMs, durationMs }: {
+    readonly periodMs: number;
+    readonly durationMs: number;
+  },
+): readonly RelayEffect[] {
+  const effects: RelayEffect[] = [];
+  const head = { status: 200, headers: [] };
+  for (let elapsed = periodMs; elapsed <= durationMs; elapsed += periodMs) {
+    const events = { bytes: Buffer.from("x"), count: 0, lastEventId: "1" };
+    const event = {
+      kind: "events_received",
+      ...attempt,
+      head,
+      ...events,
+    } as const;
+    effects.push(...relay.reduce(event, periodMs));
+  }
+  return effects;
+}
+
+// Others cut slow streams, and let those go on that sent a byte now and then.
+t.test("a stream lasts until its deadline, however slow it is, and no longer", (t) => {
+  const relay = new RelayFixture();
+  relay.learn([upstreamOf("e1")]);
+  const effects = relay.generate();
+  const [sent] = only(effects, "send_request");
+  const [deadline] = only(effects, "set_timer")
+    .filter(({ timer }) => timer.kind === "request_deadline");
+  const attempt = { exchangeId: "x1", attemptId: sent?.attemptId ?? "" };
+  const slow = trickle(relay, attempt, { periodMs: 5_000, durationMs: 35_000 });
+  t.equal(only(slow, "send_events").length, 7);
+  t.equal(only(slow, "abort_answer").length, 0);
+  t.equal(only(slow, "drop_attempt").length, 0);
+  const leftMs = (deadline?.at ?? 0) - relay.now;
+  t.ok(leftMs > 0 && leftMs < 5_000, "the caller's time");
+  const timer = { kind: "request_deadline", exchangeId: "x1" } as const;
+  const ended = relay.reduce({ kind: "timer_fired", timer }, leftMs);
+  t.equal(only(ended, "abort_answer").length, 1);
+  t.equal(only(ended, "drop_attempt").length, 1);
+  t.equal(relay.state.requests.size, 0);
+  t.end();
+});
