fix(fleet): the work of a peer is forgotten with the link to it

Cause: in a fleet that is no mesh links come and go, and what a peer had last told of its work stayed in placing for ever.

--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -142,6 +142,15 @@
     return this.#confirmedBy.size;
   }
 
+  /**
+   * Whether this process exchanges with all others, and so knows all of their
+   * work in flight.
+   */
+  get exchangesWithAll(): boolean {
+    const { meshSize = 0 } = this.#options;
+    return this.membership.all().length - 1 <= meshSize;
+  }
+
   /** Number of links to peers. */
   get linkCount(): number {
     return this.#exchange.links.length;
@@ -711,7 +720,7 @@
         unreachable[this.#random.integerBelow(Math.max(1, unreachable.length))];
       peers.push(...(probe === undefined ? [] : [probe]));
     }
-    const isMesh = members.length <= 1 + (meshSize ?? Infinity);
+    const isMesh = meshSize === undefined || this.exchangesWithAll;
     this.#exchange.setPeers(peers, {
       at,
       // A reader's news must not be late.
@@ -722,6 +731,18 @@
           : sparseExchangeIntervalMs,
     });
     this.#deleteStaleItems();
+    this.#dropUnlinkedWork();
+  }
+
+  /** Forgets the work of peers that tell of it no more. */
+  #dropUnlinkedWork(): void {
+    const linked = new Set(this.#exchange.links.map(({ id }) => id));
+    for (const id of this.#peerWork.keys()) {
+      if (!linked.has(id)) {
+        this.#peerWork.delete(id);
+        this.#updates.shares.set(id, []);
+      }
+    }
   }
 
   #deleteStaleItems(): void {
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -168,6 +168,35 @@
   return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
 }
 
+// Processes took the work of peers that they had once met for running for ever.
+t.test("the work of a peer is forgotten with the link to it", (t) => {
+  const node = new FleetNode({
+    id: "p0",
+    epoch: "a1",
+    role: "entry",
+    dataCentre: "dc0",
+    region: "region0",
+    seed: 1,
+  }, wallStart);
+  const share = { engine: "e1", running: 3, tokens: 900 };
+  const at = (monotonic: number) => ({
+    monotonic,
+    wall: wallStart + monotonic,
+  });
+  // No link is chosen, as the sender has no address.
+  node.receive(
+    withDefaults({ sender: "p9", epoch: "b1", sequence: 1, shares: [share] }),
+    at(0),
+  );
+  t.strictSame(node.takeUpdates().shares.get("p9"), [share]);
+  node.poll(at(9_000));
+  t.equal(node.takeUpdates().shares.has("p9"), false);
+  node.poll(at(16_000));
+  t.strictSame(node.takeUpdates().shares.get("p9"), []);
+  t.equal(node.loadOf("p9"), undefined);
+  t.end();
+});
+
 function createConfiguration(version: number): Configuration {
   return { ...emptyConfiguration, version };
 }
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -480,3 +480,30 @@
   t.equal(relay.state.requests.size, 0);
   t.end();
 });
+
+// Each process sees an engine as empty that all others have filled with copies.
+t.test("a process that does not know all work in flight orders no copies", (t) => {
+  for (
+    const { memberCount, isCopied } of [
+      { memberCount: 12, isCopied: true },
+      { memberCount: 20, isCopied: false },
+    ]
+  ) {
+    const relay = new RelayFixture();
+    relay.learn([upstreamOf("e1"), upstreamOf("e2")]);
+    const vms = Array.from({ length: memberCount }, (_, index) => ({
+      id: `front-${index + 2}`,
+      role: "entry" as const,
+      dataCentre: "a",
+      region: "north",
+      state: "live" as const,
+      address: `10.0.0.${index}:1`,
+      peers: `10.0.0.${index}:2`,
+      checksFence: false,
+    }));
+    relay.reduce({ kind: "members_learned", vms, unreadable: [] });
+    const [sent] = only(relay.generate(), "send_request");
+    t.equal(sent?.copyTo !== null, isCopied, `${memberCount} peers`);
+  }
+  t.end();
+});
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -351,7 +351,8 @@
 ): string | null {
   const { engines } = pool.service;
   const { demand, upstream, attemptId } = request;
-  if (engines === null || !engines.copies) {
+  // Copies of processes that do not know each other's would fill all memory.
+  if (engines === null || !engines.copies || !state.fleet.exchangesWithAll) {
     return null;
   }
   if (demand.maxTokens < minEventsToCopy * engines.tokensPerEvent) {
