--- a/packages/relay/src/limits/brittle_upstream_test.ts
+++ b/packages/relay/src/limits/brittle_upstream_test.ts
@@ -31,6 +31,7 @@
       runMs: 150 + random.fraction() * 150,
       loss: random.fraction() < 0.5 ? 0 : 0.3,
       path,
+      hasOwnEpochs: process.env["BRITTLE_UPSTREAM_EPOCHS"] === "own",
     };
     const period = {
       rejectionsPerSecond: 1 + random.integerBelow(6),
