--- a/packages/fleet/src/upstream_list_test.ts
+++ b/packages/fleet/src/upstream_list_test.ts
@@ -1,9 +1,6 @@
 import type { Vm } from "@lavenderferry/platform";
 import { toStoreVersion } from "@lavenderferry/platform";
-import type {
-  UpstreamNews,
-  UpstreamNews__Output,
-} from "@lavenderferry/protocol";
+import type { UpstreamNews__Output } from "@lavenderferry/protocol";
 import t from "tap";
 import { UpstreamList } from "./upstream_list.ts";
 
@@ -27,7 +24,6 @@
 function newsOf(
   list: UpstreamList,
   peerVersion: number,
-  change: Partial<UpstreamNews> = {},
   isWantedByPeer = false,
 ): UpstreamNews__Output {
   const news = list.newsFor(peerVersion, {
@@ -37,7 +33,7 @@
     retainedUntil: 0,
   });
   const absent = { hasChanges: false, since: 0, changes: [] };
-  return { ...absent, ...news, ...change } as UpstreamNews__Output;
+  return { ...absent, ...news } as UpstreamNews__Output;
 }
 
 function listOf(vms: readonly Vm[], version: number): UpstreamList {
@@ -87,7 +83,7 @@
   t.equal(receiver.merge(newsOf(sender, 2), 0), "incomplete");
   t.strictSame(idsOf(receiver), ["a", "b"]);
   t.equal(receiver.version, 2);
-  const complete = newsOf(sender, 0, {}, true);
+  const complete = newsOf(sender, 0, true);
   t.equal(receiver.merge(complete, 0), "changed");
   t.strictSame(idsOf(receiver), ["a"]);
   t.end();
@@ -96,7 +92,7 @@
 t.test("nothing goes back, neither by a read nor by news", (t) => {
   const list = listOf([a, b], 9);
   t.notOk(list.read({ vms: [a], version: 8 }, 99));
-  t.equal(list.merge(newsOf(listOf([c], 7), 0, {}, true), 99), "known");
+  t.equal(list.merge(newsOf(listOf([c], 7), 0, true), 99), "known");
   t.strictSame(idsOf(list), ["a", "b"]);
   t.equal(list.askedAt, 0);
   t.end();
@@ -105,7 +101,7 @@
 t.test("news of another era of the store are not believed", (t) => {
   const restored = listOf([c], toStoreVersion(1, 3));
   const list = listOf([a], 9);
-  t.equal(list.merge(newsOf(restored, 0, {}, true), 99), "known");
+  t.equal(list.merge(newsOf(restored, 0, true), 99), "known");
   t.ok(list.read({ vms: [c], version: toStoreVersion(1, 4) }, 5));
   t.strictSame(idsOf(list), ["c"]);
   t.end();
@@ -113,7 +109,7 @@
 
 t.test("a list that was never read takes no news", (t) => {
   const list = new UpstreamList();
-  t.equal(list.merge(newsOf(listOf([a], 3), 0, {}, true), 0), "known");
+  t.equal(list.merge(newsOf(listOf([a], 3), 0, true), 0), "known");
   t.equal(newsOf(list, 0).version, undefined);
   t.end();
 });
@@ -138,7 +134,7 @@
 t.test("a peer gets all upstreams only if it wants them", (t) => {
   const sender = listOf([a, b], 50);
   t.equal(newsOf(sender, 3).hasChanges, false);
-  const news = newsOf(sender, 3, {}, true);
+  const news = newsOf(sender, 3, true);
   t.equal(news.changes.length, 2);
   t.equal(news.since, 0);
   t.end();
