--- a/packages/fleet/src/upstream_list.ts
+++ b/packages/fleet/src/upstream_list.ts
@@ -103,6 +103,7 @@
     if (isFirst) {
       this.#removals = new Map();
       this.#entries = new Map();
+      this.#digest = 0;
       this.#knownSince = version;
     }
     const changes = vms.map((vm) => ({ id: vm.id, vm }));
--- a/packages/fleet/src/upstream_list_test.ts
+++ b/packages/fleet/src/upstream_list_test.ts
@@ -107,6 +107,14 @@
   t.end();
 });
 
+t.test("a list that a restore has emptied is known as such", (t) => {
+  const list = listOf([a], 9);
+  list.read({ vms: [], version: toStoreVersion(1, 4) }, 5);
+  const peer = listOf([], toStoreVersion(1, 3));
+  t.equal(peer.merge(newsOf(list, peer.version), 5), "confirmed");
+  t.end();
+});
+
 t.test("a list that was never read takes no news", (t) => {
   const list = new UpstreamList();
   t.equal(list.merge(newsOf(listOf([a], 3), 0, true), 0), "known");
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -70,7 +70,7 @@
       try {
         return await this.#openStream().send(message);
       } catch (error) {
-        // Set as the stream ends, before its requests fail.
+        // An earlier build has no such call, which ends the stream.
         if (!this.#hasOnlySingleCalls()) {
           throw error;
         }
