--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -2,11 +2,11 @@
 import type { Moment, Random } from "@lavenderferry/runtime";
 import {
   ExchangeBudget,
-  exchangeIntervalMs,
   maxFullStateBytes,
   maxMessageItemBytes,
   messageOverheadBytes,
 } from "./exchange_budget.ts";
+import { exchangeIntervalMs } from "./exchange_intervals.ts";
 import type { ItemKind, ItemValues } from "./item.ts";
 import { forwardedKinds } from "./item.ts";
 import type { Item } from "./item_store.ts";
@@ -56,6 +56,12 @@
 /** Age up to which a change is sent to peers whose links open later. */
 const recentChangeMs = 60_000;
 
+/** Intervals after which a link is silent; above the longest one. */
+const silentIntervals = 1.5;
+
+/** Minimum number of links whose joint silence shows a fault on this side. */
+const minIsolationLinks = 3;
+
 /** Maximum number of links that a process keeps. */
 const maxLinks = 64;
 
@@ -158,6 +164,15 @@
     }
   }
 
+  /** Deletes the items of a kind whose keys are not kept. */
+  retain(kind: ItemKind, isKept: (key: string) => boolean): void {
+    for (const { key } of this.store.ofKind(kind)) {
+      if (!isKept(key)) {
+        this.store.delete(kind, key);
+      }
+    }
+  }
+
   /** Marks links as urgent whose peers have an older configuration version. */
   announceVersion(version: number): void {
     for (const link of this.#links.values()) {
@@ -188,6 +203,15 @@
     return dueAt;
   }
 
+  /** Whether no peer has sent anything, although there are several links. */
+  isSilent(at: Moment): boolean {
+    const { links } = this;
+    return links.length >= minIsolationLinks &&
+      links.every(({ lastReceivedAt, intervalMs }) =>
+        at.monotonic - lastReceivedAt > silentIntervals * intervalMs
+      );
+  }
+
   /** Builds the requests that are due. */
   buildDueRequests(
     header: MessageHeader,
--- a/packages/fleet/src/exchange_budget.ts
+++ b/packages/fleet/src/exchange_budget.ts
@@ -1,4 +1,5 @@
 import type { Moment } from "@lavenderferry/runtime";
+import { exchangeIntervalMs } from "./exchange_intervals.ts";
 import { farPeers, nearPeers } from "./peer_selection.ts";
 
 /** Bytes per second that a process may use for all control messages. */
@@ -10,12 +11,6 @@
  */
 export const exchangeShare = 0.6;
 
-/** Interval between exchanges with one peer. */
-export const exchangeIntervalMs = 1_000;
-
-/** The interval with peers of a large fleet that do not read for others. */
-export const sparseExchangeIntervalMs = 2_000;
-
 /** Bytes of framing and headers around one message. */
 export const messageOverheadBytes = 200;
 
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -1,8 +1,6 @@
 import type { Configuration } from "@lavenderferry/configuration";
 import type { Vm } from "@lavenderferry/platform";
 import type {
-  ConfigurationRecord,
-  EngineShare,
   ExchangeMessage,
   ExchangeMessage__Output,
   LengthSketch,
@@ -15,15 +13,14 @@
 import { DutyDirectory } from "./duty_directory.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
 import { Exchange } from "./exchange.ts";
-import {
-  exchangeIntervalMs,
-  sparseExchangeIntervalMs,
-} from "./exchange_budget.ts";
-import { readMark, writeMark } from "./mark_codec.ts";
+import { ConfigurationHistory } from "./configuration_history.ts";
+import type { FleetNodeOptions } from "./fleet_node_options.ts";
+import { publishShares } from "./publish_shares.ts";
+import { PeerWorkTable } from "./peer_work_table.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { Link } from "./link.ts";
 import { ListRelay } from "./list_relay.ts";
-import type { Mark } from "./marks.ts";
+import { MarkRelay } from "./mark_relay.ts";
 import { markReasons, Marks } from "./marks.ts";
 import type { Member, MemberRole, MemberState } from "./member.ts";
 import { memberStates } from "./member.ts";
@@ -36,40 +33,12 @@
 } from "./fleet_updates.ts";
 import { createUpdates } from "./fleet_updates.ts";
 import { readConfiguration } from "./read_configuration.ts";
-import type { FanOut } from "./peer_selection.ts";
-import { choosePeers } from "./peer_selection.ts";
+import { choosePeers, createIntervals } from "./peer_selection.ts";
 import type { ReaderRank } from "./readers.ts";
-import { countReaders, rankOf, rankReaders } from "./readers.ts";
+import { rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
 import type { ListedUpstreams, UpstreamList } from "./upstream_list.ts";
 
-/** Identity and settings of one process of the fleet. */
-export interface FleetNodeOptions<Document extends Versioned = Configuration> {
-  readonly id: string;
-  readonly epoch: string;
-  readonly role: MemberRole;
-  readonly dataCentre: string;
-  readonly region: string;
-  readonly seed: number;
-  /** Parses a configuration from a peer; returns `null` if it is invalid. */
-  readonly readConfiguration?: (document: unknown) => Document | null;
-  /** Number of configuration versions retained for peers that lag behind. */
-  readonly keptVersions?: number;
-  /** Number of peers that this process calls. */
-  readonly fanOut?: FanOut;
-  /** Number of peers up to which this process calls all of them. */
-  readonly meshSize?: number;
-  /**
-   * Milliseconds within which each process must know of changes in the
-   * platform's store. If set, some processes read it for all, and each calls
-   * at least one of them.
-   */
-  readonly freshnessMs?: number;
-}
-
-/** Number of configuration versions retained for peers that lag behind. */
-const defaultKeptVersions = 8;
-
 /** Number of replies for which a joining process requests the full state. */
 const fullStateReplies = 2;
 
@@ -92,16 +61,14 @@
   readonly marks = new Marks();
   readonly duties = new DutyDirectory();
   readonly #options: FleetNodeOptions<Document>;
-  readonly #readConfiguration: (document: unknown) => Document | null;
   readonly #exchange: Exchange;
   readonly #random: Random;
-  readonly #configurations = new Map<number, ConfigurationRecord>();
-  readonly #peerWork = new Map<string, Map<string, PeerWork>>();
+  readonly #configurations: ConfigurationHistory<Document>;
+  readonly #peerWork = new PeerWorkTable();
   readonly #confirmedBy = new Set<string>();
   readonly #listRelay: ListRelay;
+  readonly #markRelay: MarkRelay;
   readonly #leaving = new LeavingUpstreams();
-  #configurationVersion = 0;
-  #configurationConfirmedAt = -Infinity;
   #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
@@ -112,8 +79,11 @@
   constructor(options: FleetNodeOptions<Document>, startedAt: number) {
     const { id, epoch, role, dataCentre, region, seed } = options;
     this.#options = options;
-    this.#readConfiguration = options.readConfiguration ??
-      ((document) => readConfiguration(document) as Document | null);
+    this.#configurations = new ConfigurationHistory(
+      options.readConfiguration ??
+        ((document) => readConfiguration(document) as Document | null),
+      options.keptVersions,
+    );
     this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
     this.#listRelay = new ListRelay(
       this.marks,
@@ -124,6 +94,7 @@
       this.#random,
       (link, at) => this.#listRelay.newsFor(link, at),
     );
+    this.#markRelay = new MarkRelay(this.marks, this.#exchange);
     this.membership = new Membership({
       id,
       epoch,
@@ -161,7 +132,7 @@
    * platform's newest.
    */
   get configurationConfirmedAt(): number {
-    return this.#configurationConfirmedAt;
+    return this.#configurations.confirmedAt;
   }
 
   /** The platform's list of upstreams, as read here or at a peer. */
@@ -215,8 +186,10 @@
     },
   ): boolean {
     const mark = { upstream, reason, version, at: at.wall };
-    const isNew = this.#applyMark(mark, { at });
-    if (!isNew) {
+    const isNew = this.#markRelay.publish(mark, { at });
+    if (isNew) {
+      this.#updates.marks.push(mark);
+    } else {
       this.marks.renew(mark, at);
     }
     return isNew;
@@ -224,22 +197,9 @@
 
   /** Applies an accepted configuration and announces it to peers without it. */
   applyConfiguration(configuration: Document): void {
-    const { version } = configuration;
-    if (version <= this.#configurationVersion) {
-      return;
+    if (this.#configurations.add(configuration)) {
+      this.#exchange.announceVersion(configuration.version);
     }
-    this.#configurationVersion = version;
-    const document = JSON.stringify(configuration);
-    this.#configurations.set(version, { version, document });
-    const { keptVersions = defaultKeptVersions } = this.#options;
-    for (
-      const oldVersion of [...this.#configurations.keys()].sort((a, b) => a - b)
-    ) {
-      if (this.#configurations.size > keptVersions) {
-        this.#configurations.delete(oldVersion);
-      }
-    }
-    this.#exchange.announceVersion(version);
   }
 
   /**
@@ -247,10 +207,7 @@
    * in monotonic milliseconds.
    */
   confirmConfiguration(confirmedAt: number): void {
-    this.#configurationConfirmedAt = Math.max(
-      this.#configurationConfirmedAt,
-      confirmedAt,
-    );
+    this.#configurations.confirm(confirmedAt);
   }
 
   /**
@@ -275,25 +232,7 @@
 
   /** Publishes this process's work in flight; only changes are sent. */
   setShares(shares: readonly PeerWork[], at: Moment): void {
-    const sharesByEngine = new Map(
-      shares.map((share) => [share.engine, share]),
-    );
-    for (const { key, value } of this.#exchange.store.ofKind("shares")) {
-      const wasBusy = value.running !== 0 || value.tokens !== 0;
-      if (!sharesByEngine.has(key) && wasBusy) {
-        const idle = { engine: key, running: 0, tokens: 0 };
-        this.#exchange.publish("shares", { key, value: idle }, { at });
-      }
-    }
-    for (const [key, share] of sharesByEngine) {
-      const value: EngineShare = { ...share };
-      const known = this.#exchange.store.get("shares", key)?.value;
-      if (
-        known?.running !== share.running || known.tokens !== share.tokens
-      ) {
-        this.#exchange.publish("shares", { key, value }, { at });
-      }
-    }
+    publishShares(this.#exchange, shares, at);
   }
 
   /** Publishes counts of output lengths that changed. */
@@ -345,13 +284,7 @@
 
   /** Returns the requests that a peer reported as running, if it reported. */
   loadOf(id: string): number | undefined {
-    const workByEngine = this.#peerWork.get(id);
-    return workByEngine === undefined
-      ? undefined
-      : [...workByEngine.values()].reduce(
-        (sum, { running }) => sum + running,
-        0,
-      );
+    return this.#peerWork.runningOf(id);
   }
 
   /** Returns the updates received since the last call. */
@@ -397,7 +330,7 @@
     const { full, configurationVersion } = message;
     const header = this.#header(at);
     const reply = this.#exchange.buildReply(link, header, { full, at });
-    const configurations = this.#configurationsAfter(configurationVersion);
+    const configurations = this.#configurations.after(configurationVersion);
     return { ...reply, configurations };
   }
 
@@ -416,7 +349,7 @@
     this.#replyCount += 1;
     const { requestSentAt: sentAt } = link;
     this.#applyMessage(reply, link, { at, stale, sentAt });
-    if (reply.configurationVersion <= this.#configurationVersion) {
+    if (reply.configurationVersion <= this.#configurations.version) {
       this.#confirmedBy.add(peer);
     }
   }
@@ -424,31 +357,20 @@
   /** Records a failed request; repeated failures make the peer suspected. */
   requestFailed(peer: string, at: Moment): void {
     this.#exchange.requestFailed(peer, at);
-    if (!this.#isIsolated(at)) {
+    // The fault is then most likely on this side, not at the peers.
+    if (!this.#exchange.isSilent(at)) {
       this.membership.recordFailure(peer, at);
       this.#publishMembers(at, undefined);
     }
   }
 
-  /**
-   * Returns whether all links are silent. The fault is then most likely on this
-   * side, so failed requests do not count against the peers.
-   */
-  #isIsolated(at: Moment): boolean {
-    const { links } = this.#exchange;
-    const silent = links.filter(({ lastReceivedAt, intervalMs }) =>
-      at.monotonic - lastReceivedAt > silentIntervals * intervalMs
-    );
-    return links.length >= minIsolationLinks && silent.length === links.length;
-  }
-
   #header(at: Moment): MessageHeader {
     const { id, epoch } = this.#options;
-    const confirmedAt = this.#configurationConfirmedAt;
+    const { confirmedAt, version } = this.#configurations;
     return {
       sender: id,
       epoch,
-      configurationVersion: this.#configurationVersion,
+      configurationVersion: version,
       storeEra: this.#storeEra,
       full: this.#replyCount < fullStateReplies,
       ...confirmedAt === -Infinity
@@ -496,20 +418,9 @@
     }
     this.#updates.storeEra = Math.max(this.#updates.storeEra, message.storeEra);
     this.#applyConfigurations(message.configurations);
-    this.#confirmBy(message, sentAt);
+    this.#configurations.confirmBy(message, sentAt);
     this.#applyNews(message.upstreams, link, { at, sentAt });
-    link.urgent ||= message.configurationVersion > this.#configurationVersion;
-  }
-
-  /** A reply is as old as the peer says, counted from when it was asked. */
-  #confirmBy(
-    { configurationVersion, configurationAgeMs }: ExchangeMessage__Output,
-    sentAt: number,
-  ): void {
-    const isSame = configurationVersion === this.#configurationVersion;
-    if (isSame && configurationAgeMs !== undefined && configurationAgeMs >= 0) {
-      this.confirmConfiguration(sentAt - configurationAgeMs);
-    }
+    link.urgent ||= message.configurationVersion > this.#configurations.version;
   }
 
   #applyNews(
@@ -520,11 +431,8 @@
     if (news === null) {
       return;
     }
-    const { upstreams, isChanged, isIncomplete } = this.#listRelay.apply(
-      news,
-      link,
-      { at, sentAt },
-    );
+    const effect = this.#listRelay.apply(news, link, { at, sentAt });
+    const { upstreams, isChanged, isIncomplete } = effect;
     link.urgent ||= isIncomplete;
     this.#updates.upstreams = upstreams ?? this.#updates.upstreams;
     if (isChanged) {
@@ -569,44 +477,16 @@
     }
   }
 
-  /** Applies a mark of a peer; an older one is answered with the known one. */
   #applyPeerMark(
     record: ExchangeMessage__Output["marks"][number],
     { at, link }: { readonly at: Moment; readonly link: Link },
   ): void {
-    const mark = readMark(record, this.marks.listVersion);
-    if (mark === null) {
-      return;
-    }
-    const { upstream, version } = mark;
-    this.#applyMark(mark, { at, from: link.id });
-    const knownVersion = this.marks.get(upstream)?.version ?? 0;
-    if (knownVersion <= version) {
-      link.remove("marks", upstream);
-    } else {
-      link.add("marks", upstream);
+    const mark = this.#markRelay.apply(record, { at, link });
+    if (mark !== null) {
+      this.#updates.marks.push(mark);
     }
   }
 
-  #applyMark(
-    mark: Mark,
-    { at, from }: { readonly at: Moment; readonly from?: string },
-  ): boolean {
-    if (!this.marks.add(mark, at)) {
-      return false;
-    }
-    const { upstream } = mark;
-    const value = writeMark(mark);
-    const origin = from === undefined ? {} : { from };
-    this.#exchange.publish("marks", { key: upstream, value }, {
-      at,
-      urgent: true,
-      ...origin,
-    });
-    this.#updates.marks.push(mark);
-    return true;
-  }
-
   #applyDuty(
     record: DutyHolder,
     { at, from }: { readonly at: Moment; readonly from?: string },
@@ -627,49 +507,23 @@
     from: string,
     shares: ExchangeMessage__Output["shares"],
   ): void {
-    if (shares.length === 0) {
-      return;
+    if (shares.length > 0) {
+      this.#updates.shares.set(from, this.#peerWork.apply(from, shares));
     }
-    const workByEngine = this.#peerWork.get(from) ??
-      new Map<string, PeerWork>();
-    this.#peerWork.set(from, workByEngine);
-    for (const share of shares) {
-      if (share.running === 0 && share.tokens === 0) {
-        workByEngine.delete(share.engine);
-      } else {
-        workByEngine.set(share.engine, share);
-      }
-    }
-    this.#updates.shares.set(from, [...workByEngine.values()]);
   }
 
   #applyConfigurations(
     records: ExchangeMessage__Output["configurations"],
   ): void {
-    for (const { version, document } of records) {
-      const configuration = this.#parseConfiguration(document);
-      if (configuration !== null && version > this.#configurationVersion) {
+    for (const record of records) {
+      const configuration = this.#configurations.readNewer(record);
+      if (configuration !== null) {
         this.applyConfiguration(configuration);
         this.#updates.configurations.push(configuration);
       }
     }
   }
 
-  #parseConfiguration(document: string): Document | null {
-    try {
-      return this.#readConfiguration(JSON.parse(document));
-    } catch {
-      return null;
-    }
-  }
-
-  #configurationsAfter(version: number): ConfigurationRecord[] {
-    return [...this.#configurations]
-      .filter(([stored]) => stored > version)
-      .sort(([a], [b]) => a - b)
-      .map(([, record]) => record);
-  }
-
   #publishMembers(at: Moment, from: string | undefined): void {
     for (const id of this.membership.takeChangedIds()) {
       const record = this.membership.get(id);
@@ -708,7 +562,6 @@
     const members = this.membership.all();
     const { fanOut, meshSize, freshnessMs } = this.#options;
     const readers = freshnessMs === undefined ? [] : this.#readers;
-    const readerTotal = countReaders(readers);
     const peers = [
       ...choosePeers(self, members, { fanOut, meshSize, readers }),
     ];
@@ -721,46 +574,24 @@
       peers.push(...(probe === undefined ? [] : [probe]));
     }
     const isMesh = meshSize === undefined || this.exchangesWithAll;
-    this.#exchange.setPeers(peers, {
-      at,
-      // A reader's news must not be late.
-      intervalMsOf: ({ id }) =>
-        isMesh ||
-          readers.slice(0, readerTotal).some((member) => member.id === id)
-          ? exchangeIntervalMs
-          : sparseExchangeIntervalMs,
-    });
-    this.#deleteStaleItems();
+    const intervalMsOf = createIntervals({ isMesh, readers });
+    this.#exchange.setPeers(peers, { at, intervalMsOf });
+    this.#exchange.retain(
+      "members",
+      (id) => this.membership.get(id) !== undefined,
+    );
+    this.#exchange.retain("marks", (id) => this.marks.get(id) !== undefined);
     this.#dropUnlinkedWork();
   }
 
   /** Forgets the work of peers that tell of it no more. */
   #dropUnlinkedWork(): void {
     const linked = new Set(this.#exchange.links.map(({ id }) => id));
-    for (const id of this.#peerWork.keys()) {
+    for (const id of this.#peerWork.peers()) {
       if (!linked.has(id)) {
         this.#peerWork.delete(id);
         this.#updates.shares.set(id, []);
       }
     }
   }
-
-  #deleteStaleItems(): void {
-    for (const { key } of this.#exchange.store.ofKind("members")) {
-      if (this.membership.get(key) === undefined) {
-        this.#exchange.store.delete("members", key);
-      }
-    }
-    for (const { key } of this.#exchange.store.ofKind("marks")) {
-      if (this.marks.get(key) === undefined) {
-        this.#exchange.store.delete("marks", key);
-      }
-    }
-  }
 }
-
-/** Intervals after which a link is silent; above the longest one. */
-const silentIntervals = 1.5;
-
-/** Minimum number of links whose joint silence shows a fault on this side. */
-const minIsolationLinks = 3;
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -1,4 +1,4 @@
-import { exchangeIntervalMs } from "./exchange_budget.ts";
+import { exchangeIntervalMs } from "./exchange_intervals.ts";
 import type { ItemKind } from "./item.ts";
 import { forwardedKinds, itemKinds } from "./item.ts";
 import type { Item, ItemStore } from "./item_store.ts";
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -7,8 +7,10 @@
 export * from "./exchange_effect.ts";
 export * from "./exchange_event.ts";
 export * from "./exchange_handlers.ts";
+export * from "./exchange_intervals.ts";
 export * from "./exchange_runner.ts";
 export * from "./fleet_node.ts";
+export type { FleetNodeOptions } from "./fleet_node_options.ts";
 export type {
   FleetUpdates,
   LengthCounts,
--- a/packages/fleet/src/peer_selection.ts
+++ b/packages/fleet/src/peer_selection.ts
@@ -1,4 +1,8 @@
 import { hashText, rankByRendezvous } from "@lavenderferry/runtime";
+import {
+  exchangeIntervalMs,
+  sparseExchangeIntervalMs,
+} from "./exchange_intervals.ts";
 import type { Member } from "./member.ts";
 import { countReaders } from "./readers.ts";
 
@@ -131,3 +135,20 @@
   const names = [...new Set(far.map(({ dataCentre }) => dataCentre))].sort();
   return names.find((name) => name > own) ?? names[0];
 }
+
+/**
+ * Returns the interval between exchanges with a peer. In a large fleet it is
+ * longer with peers that are no readers, as they bring less news.
+ */
+export function createIntervals(
+  { isMesh, readers }: {
+    readonly isMesh: boolean;
+    readonly readers: readonly Member[];
+  },
+): (peer: Member) => number {
+  const ids = new Set(
+    readers.slice(0, countReaders(readers)).map(({ id }) => id),
+  );
+  return ({ id }) =>
+    isMesh || ids.has(id) ? exchangeIntervalMs : sparseExchangeIntervalMs;
+}
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,6 +1,6 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { StoreVersion, Vm } from "@lavenderferry/platform";
-import { eraOf, versionInEra } from "@lavenderferry/platform";
+import { eraOf } from "@lavenderferry/platform";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
@@ -23,6 +23,13 @@
 import { count, recordDecision } from "../util/effects.ts";
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
 import { applyUpdates } from "./exchange_part.ts";
+import {
+  recordFailure,
+  recordState,
+  recordStoreState,
+  recordUnreadable,
+  recordUpstream,
+} from "./source_decisions.ts";
 import { readSoon, scheduleRead, scheduleReadAgain } from "./store_reads.ts";
 import { findCloseReason } from "./upstream_closure.ts";
 
@@ -462,55 +469,6 @@
   }, at);
 }
 
-function recordStoreState(
-  state: RelayState,
-  { reason, figures, at }: {
-    readonly reason: "reached" | "restored" | "lost" | "regained";
-    readonly figures: Readonly<Record<string, string | number>>;
-    readonly at: Moment;
-  },
-): RelayEffect {
-  const kind = "member";
-  return recordDecision(state, { kind, subject: "store", reason, figures }, at);
-}
-
-function recordState(
-  state: RelayState,
-  subject: string,
-  { reason, cause = "", at }: {
-    readonly reason: "closed" | "opened";
-    readonly cause?: string;
-    readonly at: Moment;
-  },
-): RelayEffect {
-  const listVersion = versionInEra(state.upstreamsVersion);
-  const figures = { upstream: true, cause, listVersion };
-  return recordDecision(
-    state,
-    { kind: "member", subject, reason, figures },
-    at,
-  );
-}
-
-function recordUpstream(state: RelayState, vm: Vm, at: Moment): RelayEffect {
-  const { id, address, dataCentre, pool = "" } = vm;
-  const version = versionInEra(vm.version ?? 0);
-  const listVersion = versionInEra(state.upstreamsVersion);
-  return recordDecision(state, {
-    kind: "member",
-    subject: id,
-    reason: vm.state,
-    figures: {
-      upstream: true,
-      address,
-      dataCentre,
-      pool,
-      version,
-      listVersion,
-    },
-  }, at);
-}
-
 function isUsed(state: RelayState, id: string): boolean {
   for (
     const { upstream, copyUpstream, move } of state.requests.values()
@@ -560,24 +518,6 @@
   ];
 }
 
-/** Records why an operation of the store failed. */
-function recordFailure(
-  state: RelayState,
-  operation: string,
-  { error: reason, detail, at }: {
-    readonly error: ErrorKind;
-    readonly detail: string;
-    readonly at: Moment;
-  },
-): RelayEffect {
-  const figures = { operation, detail };
-  return recordDecision(
-    state,
-    { kind: "retry", subject: "store", reason, figures },
-    at,
-  );
-}
-
 /** Records each row that has become unreadable since the last read. */
 function recordUnreadableRows(
   state: RelayState,
@@ -590,20 +530,6 @@
     .map((key) => recordUnreadable(state, key, { at }));
 }
 
-function recordUnreadable(
-  state: RelayState,
-  subject: string,
-  { version = -1, at }: { readonly version?: number; readonly at: Moment },
-): RelayEffect {
-  const figures = { version };
-  const reason = "unreadable";
-  return recordDecision(
-    state,
-    { kind: "configure", subject, reason, figures },
-    at,
-  );
-}
-
 function schedule(
   kind: keyof typeof retryDelaysMs,
   delayMs: number,
--- a/packages/relay/src/quarantine/quarantine_part_test.ts
+++ b/packages/relay/src/quarantine/quarantine_part_test.ts
@@ -528,3 +528,36 @@
   t.equal(relay.state.suspects.quarantines.length, 1);
   t.end();
 });
+
+t.test("a process that does not read the store learns quarantines from peers", (t) => {
+  const relay = createRelay();
+  relay.reduce({ kind: "started" });
+  const vms = Array.from({ length: 40 }, (_, index) => ({
+    id: `front-${index + 2}`,
+    role: "entry" as const,
+    dataCentre: "a",
+    region: "north",
+    state: "live" as const,
+    address: `10.0.0.${index}:1`,
+    peers: `10.0.0.${index}:2`,
+    checksFence: false,
+  }));
+  const listed = { kind: "members_learned", vms, unreadable: [] } as const;
+  const effects = relay.reduce(listed);
+  t.not(relay.state.fleet.readerRank, "reader");
+  t.equal(only(effects, "read_suspects").length, 0);
+  const timer = { kind: "exchange" } as const;
+  const sent = only(
+    relay.reduce({ kind: "timer_fired", timer }, 300),
+    "send_exchange",
+  );
+  t.ok(
+    sent.length > 0 && sent.every(({ message }) => message.full),
+    "asks its first peers for all that they know",
+  );
+  relay.receiveExchange({ suspects: [recordOf("bad")] });
+  t.strictSame(failures(start(relay, "bad").effects), [
+    { error: "request_quarantined", notRun: true },
+  ]);
+  t.end();
+});
