test(review): a stream runs at two engines after silent channels

Looked for: a stream that goes on elsewhere although its engine cannot know. How: read what closes the attempt before a resumption; a script lets the open channels to one engine go silent, as DEPLOY.md names it, and lets it drain 3.25 s later. Seen: five of five streams went on at another engine, and the one before still worked on them 400 ms later. Without the silence the rule holds.

--- a/review/standins/engine.js
+++ b/review/standins/engine.js
@@ -1,5 +1,6 @@
 // Stand-ins for model engines and for instances of a plain service.
 import { createServer } from "node:http";
+import { SilentProxy } from "./silent_proxy.js";
 import { readText } from "./util.js";
 
 const heartbeatMs = 1_200;
@@ -41,6 +42,8 @@
       prefillMs: 200,
       workMs: 20,
       models: [{ name: "m", version: 1, adapters: [] }],
+      /** Whether its channels pass through a proxy. */
+      proxied: false,
       ...options,
     };
     this.id = options.id;
@@ -55,6 +58,11 @@
       this.#server.listen(0, "127.0.0.1", resolve)
     );
     this.address = `127.0.0.1:${this.#server.address().port}`;
+    if (this.options.proxied) {
+      this.proxy = new SilentProxy(this.address);
+      await this.proxy.start();
+      this.address = this.proxy.address;
+    }
     enginesByAddress.set(this.address, this);
     this.writeRow();
     this.#heartbeat = setInterval(() => this.writeRow(), heartbeatMs);
