--- a/review/1/run.js
+++ b/review/1/run.js
@@ -10,8 +10,8 @@
 import { Store } from "../standins/store.js";
 import { createRandom, sleep } from "../standins/util.js";
 
-/** Engines, of which one at a time fails requests: a share of 0.143. */
-const engineCount = 7;
+/** Model engines, of which one at a time fails requests: a share of 0.125. */
+const engineCount = 8;
 
 /** The disruption `srv_grey`: its dose, length and the time between two. */
 const greyShare = 0.4;
@@ -23,8 +23,16 @@
 const leaveMs = 2_000;
 const successorMs = 4_000;
 
-const streamsPerRelay = 14;
-const playMs = 80_000;
+/** A process that ends is started again after a short delay. */
+const restartMs = 500;
+
+/** The site's load, with a `burst` of 1.7 of its short requests. */
+const streamsPerRelay = 20;
+const deskRequestsPerSecond = 47;
+const playMs = 95_000;
+
+/** Requests of the rule that one machine may lose. */
+const allowedLosses = 3;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record) => {
   const random = createRandom(Number(process.env.SEED ?? 1));
@@ -42,60 +50,103 @@
   for (let number = 1; number <= engineCount; number++) {
     await addEngine(`m${number}`);
   }
-  for (const id of ["d1", "d2"]) {
-    await addEngine(id, { service: "desk", models: null, slots: 6 });
+  for (const id of ["d1", "d2", "d3"]) {
+    const options = { service: "desk", models: null, slots: 6, workMs: 85 };
+    await addEngine(id, options);
   }
-  const relays = [
-    new Relay("front-a-1", { store: store.address }),
-    new Relay("front-a-2", { store: store.address }),
-  ];
+  const relays = [1, 2].map((number) =>
+    new Relay(`front-a-${number}`, { store: store.address, restartMs })
+  );
   await Promise.all(relays.map((relay) => relay.start()));
   record.add("relays are ready");
   await sleep(3_000);
 
   const startedAt = performance.now();
+  const lost = [];
+  const lossesOf = (relay) =>
+    lost.filter((answer) => answer.relay === relay).length;
+  const findLossy = () =>
+    relays.find((relay) => lossesOf(relay) > allowedLosses);
   const isOver = () =>
-    performance.now() - startedAt > playMs ||
-    relays.some(({ exits }) => exits.length > 0);
+    performance.now() - startedAt > playMs || findLossy() !== undefined;
   const answers = [];
-  const runClient = async (relay) => {
+  const judge = (answer) => {
+    answers.push(answer);
+    const isAtSoundEngine = engines.some(({ arrivals, isGrey, state }) =>
+      isGrey !== true && state === "ready" &&
+      arrivals.some(({ id, outcome }) => id === answer.id && outcome === "run")
+    );
+    // The caller has got no byte of an answer and has not given up.
+    const isLost = answer.kept && answer.status === null &&
+      answer.error !== null && answer.error !== "time budget";
+    if (isLost && isAtSoundEngine) {
+      lost.push(answer);
+      record.add(
+        `${answer.id} on ${answer.path}, sent at ` +
+          `${
+            record.secondsOf(answer.sentAt)
+          } over a kept channel and passed on ` +
+          `to a sound engine, was closed without an answer by ` +
+          `${answer.relay.name}: ${answer.error}`,
+      );
+    }
+  };
+  const look = async (client, relay) => {
+    const answer = await client.send({ method: "GET", path: "/look/1" });
+    judge(Object.assign(answer, { relay }));
+    return answer;
+  };
+  /** Books and looks, each client over a channel that it keeps. */
+  const runDeskClient = async (relay, periodMs) => {
+    let client = new Client(relay.front);
+    await sleep(random() * periodMs);
+    while (!isOver()) {
+      const started = performance.now();
+      const answer = random() < 0.3 ? await look(client, relay) : Object.assign(
+        await client.send({ path: "/book/1", body: `slot ${random()}` }),
+        { relay },
+      );
+      if (answer.path === "/book/1") {
+        judge(answer);
+      }
+      if (answer.error !== null) {
+        client.close();
+        client = new Client(relay.front);
+        await sleep(1_000);
+      }
+      await sleep(Math.max(0, periodMs - performance.now() + started));
+    }
+    client.close();
+  };
+  const runStreamClient = async (relay) => {
     await sleep(random() * 3_000);
     while (!isOver()) {
       const client = new Client(relay.front);
-      for (let count = 0; count < 3 && !isOver(); count++) {
-        const look = await client.send({
-          method: "GET",
-          path: `/look/${count}`,
-          deadlineMs: 3_000,
-        });
-        look.relay = relay;
-        answers.push(look);
-        const write = await client.send({
-          id: newId("s"),
-          path: "/write/x",
-          deadlineMs: 39_000,
-          headers: {
-            "lavenderferry-model": "m",
-            "lavenderferry-token-counts": "3000,880",
-            "lavenderferry-prompt-prefix": `aa:79,${newId("p")}:2921`,
-          },
-          body: `prompt ${random()}`,
-        });
-        write.relay = relay;
-        answers.push(write);
-        if (write.error !== null) {
-          break;
-        }
-        if (write.status !== 200) {
-          await sleep(400);
-        }
-      }
+      await look(client, relay);
+      const answer = await client.send({
+        id: newId("s"),
+        path: "/write/x",
+        deadlineMs: 39_000,
+        headers: {
+          "lavenderferry-model": "m",
+          "lavenderferry-token-counts": "3000,880",
+          "lavenderferry-prompt-prefix": `aa:79,${newId("p")}:2921`,
+        },
+        body: `prompt ${random()}`,
+      });
+      judge(Object.assign(answer, { relay }));
       client.close();
+      await sleep(answer.status === 200 ? 0 : 1_000);
     }
   };
+  const deskClients = 8;
   for (const relay of relays) {
     for (let number = 0; number < streamsPerRelay; number++) {
-      void runClient(relay);
+      void runStreamClient(relay);
+    }
+    for (let number = 0; number < deskClients; number++) {
+      const total = relays.length * deskClients;
+      void runDeskClient(relay, total * 1_000 / deskRequestsPerSecond);
     }
   }
 
@@ -160,34 +211,25 @@
   record.add(`${length} answers ended, ${complete} of them complete`);
   const ended = relays.filter(({ exits }) => exits.length > 0);
   for (const relay of ended) {
-    const [{ at, code, signal }] = relay.exits;
-    record.add(
-      `${relay.name} ended by itself at ${record.secondsOf(at)}, ` +
-        `code ${code}, signal ${signal}`,
-    );
-    record.add(relay.stderr.split("\n")[0]);
+    for (const { at, code, signal, error } of relay.exits) {
+      record.add(
+        `${relay.name} ended by itself at ${record.secondsOf(at)}, ` +
+          `code ${code}, signal ${signal}: ${error}`,
+      );
+    }
   }
-  // Requests from kept channels that were passed on to sound engines, and whose
-  // channels the relay closed as it ended.
-  const lost = answers.filter((answer) =>
-    answer.kept && !answer.complete &&
-    answer.relay.exits.some(({ at }) =>
-      answer.endedAt >= at - 300 && answer.endedAt <= at + 500
-    ) &&
-    engines.some(({ arrivals, isGrey, state }) =>
-      isGrey !== true && state === "ready" &&
-      arrivals.some(({ id, outcome }) => id === answer.id && outcome === "run")
-    )
+  const cut = answers.filter(({ status, complete }) =>
+    status === 200 && !complete
   );
-  for (const { id, text, error } of lost) {
-    const events = text.split("\n\n").length - 1;
-    record.add(`${id} was lost after ${events} events: ${error}`);
-  }
+  record.add(`${cut.length} answers were cut after they had begun`);
   if (ended.length === 0 && complete < 20) {
     throw new Error("Too few answers to judge");
   }
-  return lost.length > 3
-    ? `LOST: ${ended.map(({ name }) => name).join()} ended by itself, and ` +
-      `${lost.length} requests of kept channels at sound engines were lost`
-    : null;
+  const count = ended.reduce((sum, { exits }) => sum + exits.length, 0);
+  const lossy = findLossy();
+  return lossy === undefined
+    ? null
+    : `LOST: processes ended by themselves ${count} times, and ` +
+      `${lossesOf(lossy)} requests of kept channels at sound engines got no ` +
+      `answer from ${lossy.name}`;
 });
--- a/review/standins/relay.js
+++ b/review/standins/relay.js
@@ -6,7 +6,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { findPorts, isFree, waitUntil } from "./util.js";
+import { findPorts, waitUntil } from "./util.js";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 
@@ -30,13 +30,12 @@
   }
 
   async start() {
+    // Peers and metrics take two ports that follow each other.
     this.ports ??= await findPorts(6);
-    const [front, ready, control, directory] = this.ports;
+    const [front, ready, control, directory, internal] = this.ports;
     this.front = `127.0.0.1:${front}`;
     this.ready = `127.0.0.1:${ready}`;
     this.directory = `127.0.0.1:${directory}`;
-    // Peers and metrics take two ports that follow each other.
-    this.internal ??= await findPair();
     const bounds = {
       seedLagS: 3,
       reuseDelayS: 2,
@@ -68,7 +67,7 @@
       `ip = "127.0.0.1"`,
       `zone = "${this.options.zone}"`,
       `region = "north"`,
-      `internalPorts = [${this.internal},${this.internal + 15}]`,
+      `internalPorts = [${internal},${internal + 1}]`,
       `seeds = []`,
       `bootstrap = true`,
       `lossCounts = false`,
@@ -152,17 +151,6 @@
   }
 }
 
-/** Finds a port that is free now together with the one after it. */
-async function findPair() {
-  for (let attempt = 0; attempt < 100; attempt++) {
-    const first = 20_000 + 2 * Math.floor(5_000 * Math.random());
-    if (await isFree(first) && await isFree(first + 1)) {
-      return first;
-    }
-  }
-  throw new Error("No two ports that follow each other are free");
-}
-
 /** Ends all relays that were started and removes the temporary folder. */
 export function endAll() {
   for (const { process: child, options } of relays) {
--- a/review/standins/util.js
+++ b/review/standins/util.js
@@ -23,19 +23,28 @@
   }
 }
 
-/** Finds loopback ports that are free now. */
+/** Ports below those that the system gives to outgoing connections. */
+const firstPort = 12_000;
+const portCount = 18_000;
+
+const taken = new Set();
+
+/** Finds a number of loopback ports in a row that are free now. */
 export async function findPorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer();
-    await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-    servers.push(server);
+  for (let attempt = 0; attempt < 1_000; attempt++) {
+    const first = firstPort + Math.floor(portCount * Math.random());
+    const ports = Array.from({ length: count }, (_, index) => first + index);
+    const free = await Promise.all(
+      ports.map((port) => !taken.has(port) && isFree(port)),
+    );
+    if (free.every((isPortFree) => isPortFree)) {
+      for (const port of ports) {
+        taken.add(port);
+      }
+      return ports;
+    }
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
+  throw new Error(`No ${count} ports in a row are free`);
 }
 
 /** Whether a loopback port is free now. */
