--- a/review/2/run.js
+++ b/review/2/run.js
@@ -84,6 +84,11 @@
     judged += 1;
     const isStale = isKey ? answer.status === 200 : answer.status === 404;
     if (isStale) {
+      if (stale.length === 0) {
+        for (const { name, proxy } of relays) {
+          record.add(`${proxy.open} new channels of ${name} to the store work`);
+        }
+      }
       stale.push({ relay, kind });
       record.add(
         `${kind} at ${relay.name}, sent ` +
@@ -103,6 +108,9 @@
     await sleep(100);
   }
   await sleep(500);
+  for (const { name, proxy } of relays) {
+    record.add(`${proxy.open} channels of ${name} to the store are open now`);
+  }
   record.add(`${judged} requests were judged, ${stale.length} of them stale`);
   const ran = stale.filter(({ kind }) => kind === "revoked key").length;
   return stale.length > 0
--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,5 +1,6 @@
 // The open channels to a model engine go silent; later it leaves as planned.
 // See claim.txt.
+import { request } from "node:http";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Client, newId } from "../standins/client.js";
@@ -20,6 +21,23 @@
 /** Milliseconds of the rule within which the engine before has to stop. */
 const stopMs = 400;
 
+/** Asks an engine for its report over a new channel; returns the status. */
+function askForReport({ address }) {
+  return new Promise((resolve) => {
+    const call = request(
+      `http://${address}/report`,
+      { agent: false },
+      (answer) => {
+        answer.resume();
+        resolve(answer.statusCode);
+      },
+    );
+    call.on("error", (error) => resolve(error.code));
+    call.setTimeout(1_000, () => call.destroy());
+    call.end();
+  });
+}
+
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record) => {
   const store = new Store();
   await store.start();
@@ -97,6 +115,8 @@
     }
     await sleep(20);
   }
+  const status = await askForReport(first);
+  record.add(`${first.id} answers ${status} over a new channel`);
   record.add(`${seen.size} streams went on elsewhere`);
   if (seen.size === 0) {
     throw new Error("No stream went on elsewhere");
