--- a/review/1/run.js
+++ b/review/1/run.js
@@ -6,10 +6,13 @@
 import { config } from "../standins/config.js";
 import { Engine } from "../standins/engine.js";
 import { Relay } from "../standins/relay.js";
-import { runCase, trouble } from "../standins/run_case.js";
+import { runCase } from "../standins/run_case.js";
 import { Store } from "../standins/store.js";
 import { createRandom, sleep } from "../standins/util.js";
 
+/** Whether the run includes the disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
 /** Model engines, of which one at a time fails requests: a share of 0.125. */
 const engineCount = 8;
 
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -5,11 +5,14 @@
 import { config, route } from "../standins/config.js";
 import { Engine } from "../standins/engine.js";
 import { Relay } from "../standins/relay.js";
-import { runCase, trouble } from "../standins/run_case.js";
+import { runCase } from "../standins/run_case.js";
 import { SilentProxy } from "../standins/silent_proxy.js";
 import { Store } from "../standins/store.js";
 import { sleep } from "../standins/util.js";
 
+/** Whether the run includes the disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
 const relayCount = 3;
 
 /** Bounds of the sheet, as in the settings. */
--- a/review/standins/run_case.js
+++ b/review/standins/run_case.js
@@ -1,9 +1,6 @@
 import { endAll } from "./relay.js";
 import { Record } from "./record.js";
 
-/** Whether the run includes the disruption. */
-export const trouble = process.env.TROUBLE !== "0";
-
 /** Longest run, in milliseconds. */
 const limitMs = 115_000;
 
