test(review): one spoilt answer ends a process

Looked for answers of faulty engines that the relay cannot write to its callers: a stand-in changed bytes of answers at random, and all ends of the process were recorded. Two kinds of end were seen: a head written twice (case 1), and a head that Node parses but refuses to write, because of a blank in a header's name or a status below 100.

--- a/review/standins/engine.js
+++ b/review/standins/engine.js
@@ -29,6 +29,8 @@
   extraHeaders = {};
   /** Called for each request that would run; may return a status to fail it. */
   onRun = () => null;
+  /** Called for each answer; may return the bytes to send in its place. */
+  onAnswer = () => null;
   /** Called for each request before it runs; may refuse it. */
   onAdmit = () => null;
 
@@ -189,11 +191,17 @@
     run.timer = setTimeout(() => {
       this.runs.delete(id);
       const text = `${id} ran\n`;
-      response.writeHead(200, {
+      const headers = {
         ...sealed,
         "content-type": "text/plain",
         "content-length": text.length,
-      }).end(text);
+      };
+      const bytes = this.onAnswer({ id, headers, text });
+      if (bytes !== null) {
+        response.socket.end(bytes);
+        return;
+      }
+      response.writeHead(200, headers).end(text);
     }, this.options.workMs);
     response.on("close", () => {
       clearTimeout(run.timer);
