test(review): one answer without end ends a process

The heap reaches its limit within about a second, long before the limit on the answer's bytes; the process ends by SIGABRT.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.js"
--- a/review/standins/engine.js
+++ b/review/standins/engine.js
@@ -29,7 +29,10 @@
   extraHeaders = {};
   /** Called for each request that would run; may return a status to fail it. */
   onRun = () => null;
-  /** Called for each answer; may return the bytes to send in its place. */
+  /**
+   * Called for each answer; may return `bytes` to send in its place, and bytes
+   * to repeat after them until the caller closes (`endless`).
+   */
   onAnswer = () => null;
   /** Called for each request before it runs; may refuse it. */
   onAdmit = () => null;
@@ -196,9 +199,9 @@
         "content-type": "text/plain",
         "content-length": text.length,
       };
-      const bytes = this.onAnswer({ id, headers, text });
-      if (bytes !== null) {
-        response.socket.end(bytes);
+      const replacement = this.onAnswer({ id, headers, text });
+      if (replacement !== null) {
+        sendBytes(response.socket, replacement);
         return;
       }
       response.writeHead(200, headers).end(text);
@@ -317,3 +320,22 @@
     }).end(bytes);
   }
 }
+
+/** Bytes that are written at a time to a caller that gets them without end. */
+const blockBytes = 65_536;
+
+/** Sends bytes that the HTTP server would not send. */
+function sendBytes(socket, { bytes, endless }) {
+  if (endless === undefined) {
+    socket.end(bytes);
+    return;
+  }
+  socket.write(bytes);
+  const block = endless.repeat(Math.ceil(blockBytes / endless.length));
+  const pump = () => {
+    if (!socket.destroyed) {
+      socket.write(block, () => setImmediate(pump));
+    }
+  };
+  pump();
+}
