test(review): cases 1 and 2 read TROUBLE themselves

Looked at each case's run.js for the switch: a file that cases 1 and 2 share read it, so neither did. They read it now and pass it on.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -4,6 +4,9 @@
 import { playSpoiltAnswers } from "../standins/play_spoilt_answers.js";
 import { runCase } from "../standins/run_case.js";
 
+/** Whether the run includes the disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
 /**
  * Returns an answer in which one byte of a header's name or of the status is
  * wrong; id, proof, length and body are right.
@@ -24,5 +27,5 @@
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
-  (record) => playSpoiltAnswers(record, spoil),
+  (record) => playSpoiltAnswers(record, { trouble, spoil }),
 );
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -4,6 +4,9 @@
 import { playSpoiltAnswers } from "../standins/play_spoilt_answers.js";
 import { runCase } from "../standins/run_case.js";
 
+/** Whether the run includes the disruption. */
+const trouble = process.env.TROUBLE !== "0";
+
 /** Bytes of the body that the engine sends at a time, each as one chunk. */
 const chunk = "no answer\n";
 
@@ -24,5 +27,5 @@
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
-  (record) => playSpoiltAnswers(record, spoil),
+  (record) => playSpoiltAnswers(record, { trouble, spoil }),
 );
--- a/review/standins/play_spoilt_answers.js
+++ b/review/standins/play_spoilt_answers.js
@@ -6,9 +6,6 @@
 import { Store } from "./store.js";
 import { createRandom, sleep } from "./util.js";
 
-/** Whether the run includes the disruption. */
-const trouble = process.env.TROUBLE !== "0";
-
 /** Engines of the site; one of three is a share of 0.33. */
 const modelCount = 8;
 const deskIds = ["d1", "d2", "d3"];
@@ -33,9 +30,10 @@
 /**
  * Runs the site's load on two machines while an engine spoils some answers.
  * `spoil` gets an answer and the number of those that were spoilt before, and
- * returns a text for the record and what is sent in its place.
+ * returns a text for the record and what is sent in its place. Without
+ * `trouble`, none is spoilt.
  */
-export async function playSpoiltAnswers(record, spoil) {
+export async function playSpoiltAnswers(record, { trouble, spoil }) {
   const random = createRandom(Number(process.env.SEED ?? 1));
   const store = new Store();
   await store.start();
