fix(relay): an exception on one exchange ends that exchange only

Callers saw: one byte of an answer's head was wrong, and the process that relayed it ended.

Cause: Node's parser accepts a blank in a header's name and the status 000, and its writer throws on both. Nothing checked a head that was received, and an exception of the handler of `send_answer` or `send_events` reached `endOnUncaughtException`, which is for faults of the state.

Why this works: a head is checked where it is read, with the functions by which Node's writer checks it, so the reducer holds no answer that cannot be written. Beside that, an exception while an exchange is read or written ends that exchange: 502 with `notRun` unknown, or a cut. Handlers' events are reduced after they return and reads dispatch after each step, so exceptions of the reducer are not caught.

--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -2,10 +2,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import { errorKinds, problemMediaType, toProblem } from "@lavenderferry/errors";
-import type { EffectHandlers } from "@lavenderferry/runtime";
+import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { HeaderCodec } from "../ports.ts";
 import type { CallerEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
+import { containFailures } from "./contain_failures.ts";
 
 /** A caller's complete request, and the response to write the answer to. */
 export interface CallerExchange {
@@ -44,16 +45,45 @@
     return this.#exchanges.delete(id);
   }
 
-  readonly handlers: EffectHandlers<RelayEvent, CallerEffect> = {
+  /**
+   * Ends an exchange on which an effect threw an exception. The request may have
+   * run, so its caller gets a failure that promises nothing; an answer that has
+   * begun is cut.
+   */
+  readonly failExchange = (
+    { kind: effect, exchangeId }: {
+      readonly kind: string;
+      readonly exchangeId: string;
+    },
+    error: unknown,
+    dispatch: Dispatch<RelayEvent>,
+  ): void => {
+    const exchange = this.#exchanges.get(exchangeId);
+    this.#exchanges.delete(exchangeId);
+    if (exchange?.response.headersSent === false) {
+      const { response, requestId } = exchange;
+      const failure = { error: "upstream_invalid", notRun: "unknown" } as const;
+      this.sendFailure(response, { ...failure, requestId });
+    } else {
+      exchange?.response.destroy();
+    }
+    const detail = String(error);
+    dispatch({ kind: "relaying_failed", exchangeId, effect, detail });
+  };
+
+  readonly handlers: EffectHandlers<RelayEvent, CallerEffect> = containFailures<
+    RelayEvent,
+    CallerEffect
+  >({
     send_answer: ({ exchangeId, answer }) => {
-      const response = this.#takeResponse(exchangeId);
+      const response = this.#exchanges.get(exchangeId)?.response;
       if (response === undefined) {
         return;
       }
       const { status, headers, body } = answer;
       const lengthHeader = ["content-length", String(body.length)];
       this.#writeHead(response, status, [...headers, ...lengthHeader]);
-      this.#end(response, body);
+      this.#end(exchangeId, response, body);
     },
     send_events: ({ exchangeId, head, bytes }, dispatch) => {
       const response = this.#exchanges.get(exchangeId)?.response;
@@ -71,25 +101,29 @@
       }
     },
     finish_events: ({ exchangeId, head }) => {
-      const response = this.#takeResponse(exchangeId);
-      if (response !== undefined && !response.headersSent) {
-        this.#writeHead(response, head.status, head.headers);
+      const response = this.#exchanges.get(exchangeId)?.response;
+      if (response === undefined) {
+        return;
       }
-      if (response !== undefined) {
-        this.#end(response);
+      if (!response.headersSent) {
+        this.#writeHead(response, head.status, head.headers);
       }
+      this.#end(exchangeId, response);
     },
     send_failure: ({ exchangeId, error, notRun, retryAfterMs }) => {
-      const requestId = this.#exchanges.get(exchangeId)?.requestId;
-      const response = this.#takeResponse(exchangeId);
-      if (response !== undefined) {
+      const exchange = this.#exchanges.get(exchangeId);
+      if (exchange !== undefined) {
+        const { response, requestId } = exchange;
         this.sendFailure(response, { error, notRun, retryAfterMs, requestId });
+        this.#exchanges.delete(exchangeId);
       }
     },
     abort_answer: ({ exchangeId }) => {
-      this.#takeResponse(exchangeId)?.destroy();
+      const response = this.#exchanges.get(exchangeId)?.response;
+      this.#exchanges.delete(exchangeId);
+      response?.destroy();
     },
-  };
+  }, this.failExchange);
 
   /** Answers with a problem document and the status of the error's kind. */
   sendFailure(response: ServerResponse, failure: {
@@ -115,7 +149,7 @@
       String(body.length),
       ...this.#codec.writeFailure(retryAfterMs),
     ]);
-    this.#end(response, body);
+    this.#endResponse(response, body);
   }
 
   /**
@@ -131,7 +165,13 @@
     await Promise.allSettled(written);
   }
 
-  #end(response: ServerResponse, body?: Buffer): void {
+  /** Ends the answer of an exchange, which is then over. */
+  #end(exchangeId: string, response: ServerResponse, body?: Buffer): void {
+    this.#endResponse(response, body);
+    this.#exchanges.delete(exchangeId);
+  }
+
+  #endResponse(response: ServerResponse, body?: Buffer): void {
     this.#writing.add(response);
     response.once("close", () => this.#writing.delete(response));
     response.end(body);
@@ -145,11 +185,4 @@
     const connectionHeader = this.closing ? ["connection", "close"] : [];
     response.writeHead(status, [...headers, ...connectionHeader]);
   }
-
-  /** Removes an exchange and returns its response. */
-  #takeResponse(id: string): ServerResponse | undefined {
-    const response = this.#exchanges.get(id)?.response;
-    this.#exchanges.delete(id);
-    return response;
-  }
 }
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import { randomBytes } from "node:crypto";
 import type { Dispatch } from "@lavenderferry/runtime";
+import { announce } from "@lavenderferry/runtime";
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
@@ -50,7 +51,17 @@
         connectionsCheckingInterval: connectionCheckPeriodMs,
         noDelay: true,
       },
-      (request, response) => this.#receive(request, response),
+      (request, response) => {
+        // Writes to a connection that has just closed end with an error.
+        response.on("error", () => undefined);
+        try {
+          this.#receive(request, response);
+        } catch (error) {
+          // What one caller sends must not end the exchanges of others.
+          announce("unreadable_request", { error: String(error) });
+          response.destroy();
+        }
+      },
     );
   }
 
--- a/packages/relay/src/http/side_server.ts
+++ b/packages/relay/src/http/side_server.ts
@@ -94,6 +94,11 @@
 
 function serverOf(application: ReturnType<typeof polka>): Server {
   return createServer((request, response) => {
-    void application.handler(request as never, response as never);
+    try {
+      void application.handler(request as never, response as never);
+    } catch (error) {
+      announce("unreadable_request", { error: String(error) });
+      response.destroy();
+    }
   });
 }
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -11,7 +11,9 @@
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
+import { containFailures } from "./contain_failures.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
+import { isWritableHead } from "./is_writable_head.ts";
 
 /** Milliseconds that establishing a connection may take. */
 const connectTimeoutMs = 800;
@@ -87,28 +89,39 @@
     this.#copier = copier;
   }
 
-  readonly handlers: EffectHandlers<RelayEvent, UpstreamEffect> = {
-    send_request: (effect, dispatch) => this.#send(effect, dispatch),
-    drop_attempt: ({ attemptId }) => {
-      const attempt = this.#attempts.get(attemptId);
-      this.#attempts.delete(attemptId);
-      if (attempt !== undefined) {
-        attempt.dropped = true;
-        attempt.request.destroy();
+  readonly handlers: EffectHandlers<RelayEvent, UpstreamEffect> =
+    containFailures<RelayEvent, UpstreamEffect>({
+      send_request: (effect, dispatch) => this.#send(effect, dispatch),
+      drop_attempt: ({ attemptId }) => {
+        const attempt = this.#attempts.get(attemptId);
+        this.#attempts.delete(attemptId);
+        if (attempt !== undefined) {
+          attempt.dropped = true;
+          attempt.request.destroy();
+        }
+      },
+      check_copy: (effect, dispatch) =>
+        this.#requestReport(effect, "copy_checked", dispatch),
+      ...engineCheckHandlers,
+      list_runs: (effect, dispatch) =>
+        this.#requestReport(effect, "runs_listed", dispatch),
+      copy_generation: (effect, dispatch) => {
+        const { attemptId, exchangeId } = effect;
+        void this.#copier.copy(effect).then((outcome) =>
+          dispatch({
+            kind: "generation_copied",
+            attemptId,
+            exchangeId,
+            outcome,
+          })
+        );
+      },
+    }, (effect, error, dispatch) => {
+      if (!("exchangeId" in effect)) {
+        throw error;
       }
-    },
-    check_copy: (effect, dispatch) =>
-      this.#requestReport(effect, "copy_checked", dispatch),
-    ...engineCheckHandlers,
-    list_runs: (effect, dispatch) =>
-      this.#requestReport(effect, "runs_listed", dispatch),
-    copy_generation: (effect, dispatch) => {
-      const { attemptId, exchangeId } = effect;
-      void this.#copier.copy(effect).then((outcome) =>
-        dispatch({ kind: "generation_copied", attemptId, exchangeId, outcome })
-      );
-    },
-  };
+      this.#exchanges.failExchange(effect, error, dispatch);
+    });
 
   #requestReport(
     { attemptId, exchangeId, address }: Extract<
@@ -214,9 +227,14 @@
   readonly onEnd: () => void;
 }
 
-/** Reads the answer to one attempt and dispatches exactly one final event. */
+/**
+ * Reads the answer to one attempt and dispatches exactly one final event. An
+ * exception while it reads fails this attempt only.
+ */
 class AnswerReader {
   readonly #options: AnswerReaderOptions;
+  /** Events of the current step. */
+  readonly #found: RelayEvent[] = [];
   readonly #splitter = new EventSplitter();
   readonly #chunks: Buffer[] = [];
   #length = 0;
@@ -252,20 +270,42 @@
     request.on("information", () => {
       this.#interimAnswers += 1;
       if (this.#interimAnswers > maxInterimAnswers) {
-        this.#fail(request, "too_many_interim_answers");
+        this.#step(request, () => {
+          this.#fail(request, "too_many_interim_answers");
+        });
       }
     });
-    request.on("response", (response) => this.#readAnswer(request, response));
+    request.on("response", (response) => {
+      this.#step(request, () => this.#readAnswer(request, response));
+    });
     request.on("error", (error: Error & { readonly code?: string }) => {
       clearTimeout(connectTimer);
-      this.#endDisconnected(error.code ?? "connection_lost");
+      this.#step(request, () => {
+        this.#endDisconnected(error.code ?? "connection_lost");
+      });
     });
     request.on("close", () => {
       clearTimeout(connectTimer);
-      this.#endDisconnected("connection_lost");
+      this.#step(request, () => this.#endDisconnected("connection_lost"));
     });
   }
 
+  /**
+   * Runs one step of reading; an exception fails the attempt. What the step has
+   * found is dispatched after it, as an exception of the reducer is no fault of
+   * the answer.
+   */
+  #step(request: ClientRequest, read: () => void): void {
+    try {
+      read();
+    } catch (error) {
+      this.#fail(request, "unreadable_answer", String(error));
+    }
+    for (const event of this.#found.splice(0)) {
+      this.#options.dispatch(event);
+    }
+  }
+
   #reportConnected(): void {
     const { target: { id: upstream, isPeer }, dispatch } = this.#options;
     if (!isPeer) {
@@ -305,12 +345,14 @@
       this.#fail(request, `status_${status}`);
     } else {
       const headers = codec.writeAnswer(response.rawHeaders);
+      const head = { status, headers };
+      if (!isWritableHead(head)) {
+        this.#fail(request, "invalid_head");
+        return;
+      }
       // Other statuses carry a plain body, also on routes that stream.
       const isEventStream = streaming && status === streamStatus;
-      this.#readBody(request, response, {
-        head: { status, headers },
-        isEventStream,
-      });
+      this.#readBody(request, response, { head, isEventStream });
     }
   }
 
@@ -340,19 +382,19 @@
   #reportUpstream(
     { isLeaving, requestsPerSecond, signed }: AnswerMetadata,
   ): void {
-    const { target: { id: upstream, isLimited }, dispatch } = this.#options;
+    const { target: { id: upstream, isLimited } } = this.#options;
     if (isLeaving) {
-      dispatch({ kind: "leaving_reported", upstream });
+      this.#found.push({ kind: "leaving_reported", upstream });
     }
     if (requestsPerSecond !== null || (isLimited && signed)) {
-      dispatch({ kind: "limit_reported", upstream, requestsPerSecond });
+      this.#found.push({ kind: "limit_reported", upstream, requestsPerSecond });
     }
   }
 
   #reportPause(status: number, { pauseMs }: AnswerMetadata): void {
     if (status === unavailableStatus && pauseMs > 0) {
-      const { target: { id: upstream }, dispatch } = this.#options;
-      dispatch({ kind: "pause_requested", upstream, pauseMs });
+      const { target: { id: upstream } } = this.#options;
+      this.#found.push({ kind: "pause_requested", upstream, pauseMs });
     }
   }
 
@@ -360,11 +402,11 @@
     status: number,
     { rejectionsPerSecond, notExecuted, signed }: AnswerMetadata,
   ): void {
-    const { target: { id: upstream, isBrittle }, dispatch } = this.#options;
+    const { target: { id: upstream, isBrittle } } = this.#options;
     if (rejectionsPerSecond !== null || (isBrittle && signed)) {
       const isRejection = notExecuted && status === unavailableStatus;
       const report = { upstream, rejectionsPerSecond, isRejection };
-      dispatch({ kind: "brittle_reported", ...report });
+      this.#found.push({ kind: "brittle_reported", ...report });
     }
   }
 
@@ -377,20 +419,14 @@
     },
   ): void {
     response.on("data", (chunk: Buffer) => {
-      if (this.#ended) {
-        return;
-      }
-      if (isEventStream) {
-        this.#dispatchEvents(head, chunk);
-        if (this.#splitter.partialEvent.length > maxEventBytes) {
-          this.#fail(request, "event_too_large");
-        }
-        return;
-      }
-      this.#length += chunk.length;
-      this.#chunks.push(chunk);
-      if (this.#length > maxAnswerBytes) {
-        this.#fail(request, "answer_too_large");
+      if (!this.#ended) {
+        this.#step(request, () => {
+          if (isEventStream) {
+            this.#readEvents(request, head, chunk);
+          } else {
+            this.#readChunk(request, chunk);
+          }
+        });
       }
     });
     const framed = isFramed(response);
@@ -403,36 +439,46 @@
         wasReset = response.socket.remoteAddress === undefined;
       });
     }
-    response.on("error", () => this.#endDisconnected("connection_lost"));
+    response.on("error", () => {
+      this.#step(request, () => this.#endDisconnected("connection_lost"));
+    });
     response.on("end", () => {
-      if (!response.complete || wasReset) {
-        this.#endDisconnected("connection_lost");
-      } else if (!isEventStream) {
-        const body = Buffer.concat(this.#chunks);
-        this.#end({ kind: "answer_received", answer: { ...head, body } });
-      } else if (!framed && !this.#hasEvents && !isResumption) {
-        // A lost connection can look like the end of an unframed answer.
-        this.#endDisconnected("empty_stream");
-      } else if (this.#splitter.partialEvent.length > 0) {
-        this.#endDisconnected("partial_event");
-      } else {
-        this.#end({ kind: "stream_ended", head, framed });
-      }
+      this.#step(request, () => {
+        if (!response.complete || wasReset) {
+          this.#endDisconnected("connection_lost");
+        } else if (!isEventStream) {
+          const body = Buffer.concat(this.#chunks);
+          this.#end({ kind: "answer_received", answer: { ...head, body } });
+        } else if (!framed && !this.#hasEvents && !isResumption) {
+          // A lost connection can look like the end of an unframed answer.
+          this.#endDisconnected("empty_stream");
+        } else if (this.#splitter.partialEvent.length > 0) {
+          this.#endDisconnected("partial_event");
+        } else {
+          this.#end({ kind: "stream_ended", head, framed });
+        }
+      });
     });
   }
 
-  #dispatchEvents(head: AnswerHead, chunk: Buffer): void {
+  #readChunk(request: ClientRequest, chunk: Buffer): void {
+    this.#length += chunk.length;
+    this.#chunks.push(chunk);
+    if (this.#length > maxAnswerBytes) {
+      this.#fail(request, "answer_too_large");
+    }
+  }
+
+  #readEvents(request: ClientRequest, head: AnswerHead, chunk: Buffer): void {
     const batch = this.#splitter.push(chunk);
     if (batch !== null) {
       this.#hasEvents = true;
-      const { attemptId, exchangeId, dispatch } = this.#options;
-      dispatch({
-        kind: "events_received",
-        attemptId,
-        exchangeId,
-        head,
-        ...batch,
-      });
+      const { attemptId, exchangeId } = this.#options;
+      const kind = "events_received";
+      this.#found.push({ kind, attemptId, exchangeId, head, ...batch });
+    }
+    if (this.#splitter.partialEvent.length > maxEventBytes) {
+      this.#fail(request, "event_too_large");
     }
   }
 
@@ -445,8 +491,12 @@
     );
   }
 
-  #fail(request: ClientRequest, reason: string): void {
-    this.#end({ kind: "attempt_failed", reason });
+  #fail(request: ClientRequest, reason: string, detail?: string): void {
+    this.#end({
+      kind: "attempt_failed",
+      reason,
+      ...(detail === undefined ? {} : { detail }),
+    });
     request.destroy();
   }
 
@@ -455,10 +505,10 @@
       return;
     }
     this.#ended = true;
-    const { attempt, attemptId, exchangeId, dispatch, onEnd } = this.#options;
+    const { attempt, attemptId, exchangeId, onEnd } = this.#options;
     onEnd();
     if (!attempt.dropped) {
-      dispatch({ ...end, attemptId, exchangeId } as RelayEvent);
+      this.#found.push({ ...end, attemptId, exchangeId } as RelayEvent);
     }
   }
 }
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -141,9 +141,20 @@
   readonly requestsPerSecond: number | null;
 }
 
+/** An effect on one exchange with a caller threw an exception. */
+export interface RelayingFailed {
+  readonly kind: "relaying_failed";
+  readonly exchangeId: string;
+  /** Kind of the effect. */
+  readonly effect: string;
+  /** Message of the exception, for the log. */
+  readonly detail: string;
+}
+
 /** Events of requests, their attempts and their copies. */
 export type RequestEvent =
   | RequestReceived
+  | RelayingFailed
   | { readonly kind: "caller_disconnected"; readonly exchangeId: string }
   | {
     readonly kind: "attempt_refused";
@@ -161,6 +172,8 @@
     readonly attemptId: string;
     readonly exchangeId: string;
     readonly reason: string;
+    /** What was invalid, for the log. */
+    readonly detail?: string;
     /** Whether the connection was lost, other than after an invalid answer. */
     readonly connectionLost?: boolean;
   }
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -61,7 +61,12 @@
   RelayState,
   Exclude<
     RequestEvent,
-    { readonly kind: "request_received" | "caller_disconnected" }
+    {
+      readonly kind:
+        | "request_received"
+        | "caller_disconnected"
+        | "relaying_failed";
+    }
   >,
   RelayEffect
 > = {
@@ -363,6 +368,7 @@
     begunMs: begunMs(request, at),
     runs: request.runs,
     sends: request.sends,
+    ...(event.detail === undefined ? {} : { detail: event.detail }),
   };
   const endEffects = endAttempt(state, request, { outcome: "failed", at });
   if (!canRetry) {
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -1,7 +1,11 @@
 import type { Demand } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
-import type { RequestEvent, RequestReceived } from "../relay_event.ts";
+import type {
+  RelayingFailed,
+  RequestEvent,
+  RequestReceived,
+} from "../relay_event.ts";
 import type { Route } from "../routing/routing.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
@@ -74,8 +78,36 @@
         ...releaseBacklogs(state, at),
       ];
     },
+    relaying_failed: endFailedExchange,
   };
 
+/** Ends a request whose exchange with the caller is already closed. */
+function endFailedExchange(
+  state: RelayState,
+  { exchangeId, effect, detail, at }: Timed<RelayingFailed>,
+): readonly RelayEffect[] {
+  const request = state.requests.get(exchangeId);
+  const effects = request === undefined
+    ? []
+    : endRequest(state, request, { outcome: "failed", at });
+  return [
+    recordDecision(state, {
+      kind: "drop",
+      subject: request?.requestId ?? exchangeId,
+      reason: "relaying_failed",
+      figures: {
+        effect,
+        detail,
+        upstream: request?.upstream ?? "",
+        events: request?.events ?? -1,
+      },
+    }, at),
+    count("refusals", "upstream_invalid"),
+    ...effects,
+    ...releaseBacklogs(state, at),
+  ];
+}
+
 /** Fails a request that has reached its deadline. */
 export function expireRequest(
   state: RelayState,
