fix(relay): a request that cannot be sent closes no upstream

Callers saw: one request with a blank in a header's name, or a tab in its path, and requests of others were refused, as the process had closed its upstreams.

Cause: Node parses such a request and throws when it is to be sent. `#send` took each exception for an upstream that is out of reach, so the upstream was closed, up to three others were tried, and the process could take itself for isolated.

What is left counts against an upstream only if its own address or instance is at fault.

--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -8,6 +8,7 @@
 import type { SocketAddress } from "@lavenderferry/fleet";
 import { digestContent } from "../requests/request_fingerprint.ts";
 import { listen } from "../util/listen.ts";
+import { areWritableHeaders } from "./are_writable_headers.ts";
 import type { CallerExchanges } from "./caller_exchanges.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
 
@@ -65,6 +66,12 @@
     );
   }
 
+  /** Port on which the server listens; 0 before that. */
+  get port(): number {
+    const address = this.#server.address();
+    return address === null || typeof address === "string" ? 0 : address.port;
+  }
+
   listen(socket: SocketAddress): Promise<void> {
     return listen(this.#server, socket);
   }
@@ -93,7 +100,9 @@
     const metadata = codec.readRequest(request.headers);
     const { requestId } = metadata;
     const { host } = request.headers;
-    if (requestId === null || host === undefined) {
+    if (
+      requestId === null || host === undefined || !isSendable(request)
+    ) {
       request.resume();
       exchanges.sendFailure(response, { error: "bad_request", notRun: true });
       return;
@@ -155,6 +164,14 @@
   }
 }
 
+/** Characters that Node refuses to send in a path. */
+const unsendablePathPattern = /[^\u0021-\u00ff]/;
+
+/** Whether Node can send a request that it has received. */
+function isSendable({ url = "/", rawHeaders }: IncomingMessage): boolean {
+  return !unsendablePathPattern.test(url) && areWritableHeaders(rawHeaders);
+}
+
 /** Returns the name in a Host header, without its port. */
 function hostNameOf(host: string): string {
   return host.replace(/:\d+$/, "").toLowerCase();
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -13,6 +13,7 @@
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 import { containFailures } from "./contain_failures.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
+import { isHeaderValue } from "./is_header_value.ts";
 import { isWritableHead } from "./is_writable_head.ts";
 
 /** Milliseconds that establishing a connection may take. */
@@ -30,6 +31,11 @@
 /** Largest event of a stream. */
 const maxEventBytes = 262_144;
 
+/** Longest id of an event, in characters. */
+const maxEventIdLength = 1_024;
+
+const maxPort = 65_535;
+
 /** Largest body of a refusal after which its connection is used again. */
 const maxRefusalBytes = 65_536;
 
@@ -148,7 +154,7 @@
       request = this.#createRequest(effect, exchange);
     } catch (error) {
       // Node refuses addresses, paths and header values that it cannot send.
-      const reason = "unreachable";
+      const reason = isUsable(effect) ? "unsendable" : "unreachable";
       const detail = String(error);
       const kind = "attempt_refused";
       dispatch({ kind, attemptId, exchangeId, reason, detail });
@@ -472,6 +478,10 @@
   #readEvents(request: ClientRequest, head: AnswerHead, chunk: Buffer): void {
     const batch = this.#splitter.push(chunk);
     if (batch !== null) {
+      if (!isEventId(batch.lastEventId ?? "")) {
+        this.#fail(request, "invalid_event_id");
+        return;
+      }
       this.#hasEvents = true;
       const { attemptId, exchangeId } = this.#options;
       const kind = "events_received";
@@ -513,6 +523,17 @@
   }
 }
 
+/** Whether Node can send requests to a target, as far as its own fields go. */
+function isUsable({ target }: SendRequest): boolean {
+  const { port } = parseSocketAddress(target.address);
+  return port > 0 && port <= maxPort && isHeaderValue(target.instance);
+}
+
+/** Whether an id can be stated when the stream is resumed. */
+function isEventId(id: string): boolean {
+  return id.length <= maxEventIdLength && isHeaderValue(id);
+}
+
 /** Removes the mark of a request that a peer has forwarded. */
 function withoutForwardedHeader(raw: readonly string[]): readonly string[] {
   const retained: string[] = [];
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -26,6 +26,8 @@
   misdirected: "misdirected",
   /** The connection failed before anything was sent. */
   unreachable: "unreachable",
+  /** The request contains what cannot be sent to any upstream. */
+  unsendable: "unsendable",
   /** A peer to which the request was forwarded refused it. */
   peer_refused: "peer_refused",
 } as const;
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -235,6 +235,9 @@
     return [];
   }
   const { at, reason, detail = "" } = event;
+  if (reason === "unsendable") {
+    return dropUnsendable(state, request, { detail, at });
+  }
   if (isAtPeer(request)) {
     return handleRefusedPeer(state, request, event);
   }
@@ -309,6 +312,31 @@
   ];
 }
 
+/** Ends a request that no upstream can be sent. */
+function dropUnsendable(
+  state: RelayState,
+  request: RelayedRequest,
+  { detail, at }: { readonly detail: string; readonly at: Moment },
+): readonly RelayEffect[] {
+  const { exchangeId, requestId: subject, runs, upstream, events } = request;
+  const notRun = runs === 0 && request.resumption === null;
+  endAttempt(state, request, { outcome: "refused", at });
+  state.requests.delete(exchangeId);
+  return [
+    recordDecision(state, {
+      kind: "drop",
+      subject,
+      reason: "unsendable",
+      figures: { upstream, events, runs, detail },
+    }, at),
+    ...failRequest(request, {
+      error: "internal",
+      notRun: notRun ? true : "unknown",
+    }),
+    ...releaseBacklogs(state, at),
+  ];
+}
+
 /** Retries a refused resumption. Called when its retry timer fires. */
 export function retryResumption(
   state: RelayState,
