fix(relay): what all exchanges hold in memory has one limit

Cause: each chunk was kept as it arrived, as an object and the block that it was read into. The limit of 8 MB counted the bytes that were sent, of one answer. The heap of 96 MB is full long before.

Events copied all that they held for each chunk.

Why this works: bytes are collected in one block.

--- a/packages/proof/src/mod.ts
+++ b/packages/proof/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./harness/eventually.ts";
 export * from "./harness/operator.ts";
 export * from "./harness/program.ts";
+export * from "./harness/restartable_program.ts";
 export * from "./harness/sample_statement.ts";
 export * from "./harness/system.ts";
 export * from "./history/check_history.ts";
--- a/packages/relay/src/http/answer_reader.ts
+++ b/packages/relay/src/http/answer_reader.ts
@@ -1,21 +1,30 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Dispatch } from "@lavenderferry/runtime";
+import { ChunkBuffer, costOfChunk } from "@lavenderferry/runtime";
+import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { AnswerMetadata, HeaderCodec } from "../ports.ts";
 import type { Target } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { isHeaderValue } from "./is_header_value.ts";
 import { isWritableHead } from "./is_writable_head.ts";
+import { readInTurns } from "./read_in_turns.ts";
 
 /** Milliseconds that establishing a connection may take. */
 const connectTimeoutMs = 800;
 
-/** Largest answer that is not an event stream. */
+/** Largest answer that is not an event stream, each chunk's cost included. */
 const maxAnswerBytes = 8_388_608;
 
-/** Largest event of a stream. */
+/** Largest event of a stream, each chunk's cost included. */
 const maxEventBytes = 262_144;
 
+/** Bytes for which each event of a stream counts besides its own. */
+const eventCostBytes = 512;
+
+/** Largest stream, each event's cost included. */
+const maxStreamBytes = 67_108_864;
+
 /** Longest id of an event, in characters. */
 const maxEventIdLength = 1_024;
 
@@ -61,6 +70,7 @@
   readonly target: Target;
   readonly codec: HeaderCodec;
   readonly attempt: Attempt;
+  readonly budget: ByteBudget;
   readonly dispatch: Dispatch<RelayEvent>;
   readonly onEnd: () => void;
 }
@@ -74,8 +84,10 @@
   /** Events of the current step. */
   readonly #found: RelayEvent[] = [];
   readonly #splitter = new EventSplitter();
-  readonly #chunks: Buffer[] = [];
-  #length = 0;
+  readonly #body = new ChunkBuffer();
+  /** Bytes that this answer holds, out of those of the process. */
+  #account: ByteAccount | null = null;
+  #streamCost = 0;
   #interimAnswers = 0;
   #connected = false;
   #hasEvents = false;
@@ -256,7 +268,11 @@
       readonly isEventStream: boolean;
     },
   ): void {
-    response.on("data", (chunk: Buffer) => {
+    if (Number(response.headers["content-length"]) > maxAnswerBytes) {
+      this.#fail(request, "answer_too_large");
+      return;
+    }
+    readInTurns(response, (chunk) => {
       if (!this.#ended) {
         this.#step(request, () => {
           if (isEventStream) {
@@ -285,7 +301,7 @@
         if (!response.complete || wasReset) {
           this.#endDisconnected("connection_lost");
         } else if (!isEventStream) {
-          const body = Buffer.concat(this.#chunks);
+          const body = this.#body.take();
           this.#end({ kind: "answer_received", answer: { ...head, body } });
         } else if (!framed && !this.#hasEvents && !isResumption) {
           // A lost connection can look like the end of an unframed answer.
@@ -300,9 +316,9 @@
   }
 
   #readChunk(request: ClientRequest, chunk: Buffer): void {
-    this.#length += chunk.length;
-    this.#chunks.push(chunk);
-    if (this.#length > maxAnswerBytes) {
+    this.#body.push(chunk);
+    this.#hold(request, this.#body.capacity);
+    if (this.#body.cost > maxAnswerBytes) {
       this.#fail(request, "answer_too_large");
     }
   }
@@ -319,11 +335,23 @@
       const kind = "events_received";
       this.#found.push({ kind, attemptId, exchangeId, head, ...batch });
     }
-    if (this.#splitter.partialEvent.length > maxEventBytes) {
+    this.#hold(request, this.#splitter.capacity);
+    this.#streamCost += chunk.length + eventCostBytes * (batch?.count ?? 1);
+    if (this.#splitter.cost > maxEventBytes) {
       this.#fail(request, "event_too_large");
+    } else if (this.#streamCost > maxStreamBytes) {
+      this.#fail(request, "stream_too_large");
     }
   }
 
+  /** States what the answer holds; it fails if the process holds too much. */
+  #hold(request: ClientRequest, bytes: number): void {
+    this.#account ??= this.#options.budget.open(() => {
+      this.#step(request, () => this.#fail(request, "memory_limit"));
+    });
+    this.#account.set(bytes);
+  }
+
   /** Ends an attempt whose connection failed or was never established. */
   #endDisconnected(reason: string): void {
     this.#end(
@@ -347,6 +375,9 @@
       return;
     }
     this.#ended = true;
+    this.#account?.close();
+    this.#body.clear();
+    this.#splitter.clear();
     const { attempt, attemptId, exchangeId, onEnd } = this.#options;
     onEnd();
     if (!attempt.dropped) {
@@ -362,10 +393,10 @@
 
 /** Reads the body of a refusal to its end, or closes its connection. */
 function discardBody(request: ClientRequest, response: IncomingMessage): void {
-  let length = 0;
-  response.on("data", (chunk: Buffer) => {
-    length += chunk.length;
-    if (length > maxRefusalBytes) {
+  let cost = 0;
+  readInTurns(response, (chunk) => {
+    cost += costOfChunk(chunk);
+    if (cost > maxRefusalBytes) {
       request.destroy();
     }
   });
--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import { errorKinds, problemMediaType, toProblem } from "@lavenderferry/errors";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
 import type { CallerEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
@@ -19,17 +20,25 @@
 /** Bytes buffered for a slow caller above which its stream is aborted. */
 const maxBufferedBytes = 1_048_576;
 
+/** Bytes from which those buffered for a caller are held to account. */
+const minAccountedBytes = 16_384;
+
 /** Holds the open requests of callers and writes their answers. */
 export class CallerExchanges {
   readonly #exchanges = new Map<string, CallerExchange>();
   readonly #codec: HeaderCodec;
+  readonly #budget: ByteBudget;
+  /** Accounts of the bytes buffered for callers. */
+  readonly #buffered = new Map<ServerResponse, ByteAccount>();
   /** Ended responses whose last bytes the system has not accepted yet. */
   readonly #writing = new Set<ServerResponse>();
   /** Whether answers ask callers to close their connections. */
   closing = false;
 
-  constructor(codec: HeaderCodec) {
+  /** `budget` bounds what is buffered for all callers. */
+  constructor(codec: HeaderCodec, budget: ByteBudget) {
     this.#codec = codec;
+    this.#budget = budget;
   }
 
   get(id: string): CallerExchange | undefined {
@@ -94,6 +103,7 @@
         this.#writeHead(response, head.status, head.headers);
       }
       response.write(bytes);
+      this.#accountBuffered(response);
       if (response.writableLength > maxBufferedBytes) {
         response.destroy();
         this.#exchanges.delete(exchangeId);
@@ -175,6 +185,26 @@
     this.#writing.add(response);
     response.once("close", () => this.#writing.delete(response));
     response.end(body);
+    this.#accountBuffered(response);
+  }
+
+  /** States what is buffered for a caller, until its answer is written. */
+  #accountBuffered(response: ServerResponse): void {
+    const known = this.#buffered.get(response);
+    const bytes = response.writableLength;
+    if (known === undefined && bytes < minAccountedBytes) {
+      return;
+    }
+    const account = known ?? this.#budget.open(() => response.destroy());
+    if (known === undefined) {
+      this.#buffered.set(response, account);
+      response.on("drain", () => account.set(response.writableLength));
+      response.once("close", () => {
+        this.#buffered.delete(response);
+        account.close();
+      });
+    }
+    account.set(bytes);
   }
 
   #writeHead(
--- a/packages/relay/src/http/caller_exchanges_test.ts
+++ b/packages/relay/src/http/caller_exchanges_test.ts
@@ -1,8 +1,10 @@
 import { createServer, request as sendRequest } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { buffer } from "node:stream/consumers";
 import type { Test } from "tap";
 import t from "tap";
+import { ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
 import { CallerExchanges } from "./caller_exchanges.ts";
 
@@ -12,8 +14,8 @@
 const codec = { writeFailure: () => [] } as unknown as HeaderCodec;
 
 /** Opens an exchange; returns it with the caller's paused answer. */
-async function openExchange(t: Test) {
-  const exchanges = new CallerExchanges(codec);
+async function openExchange(t: Test, budget = new ByteBudget(Infinity)) {
+  const exchanges = new CallerExchanges(codec, budget);
   const server = createServer((request, response) => {
     receive({ request, response });
   });
@@ -76,3 +78,18 @@
   const { exchanges } = await openExchange(t);
   await t.resolves(exchanges.waitUntilWritten(60_000));
 });
+
+// Each caller that stopped reading had a bound of its own, the process had none.
+t.test("answers that callers do not read are bounded together", async (t) => {
+  const budget = new ByteBudget(1.5 * bodyBytes);
+  const first = await openExchange(t, budget);
+  first.exchanges.handlers.send_answer(answerOf(bodyBytes), () => undefined);
+  const firstAnswer = await first.answer;
+  const second = await openExchange(t, budget);
+  const { handlers } = second.exchanges;
+  handlers.send_answer(answerOf(bodyBytes + 1), () => undefined);
+  await t.rejects(buffer(await second.answer), "the larger one is cut");
+  const { length } = await buffer(firstAnswer);
+  t.equal(length, bodyBytes, "the smaller one is read whole");
+  t.equal(budget.heldBytes, 0);
+});
--- a/packages/relay/src/http/event_splitter_test.ts
+++ b/packages/relay/src/http/event_splitter_test.ts
@@ -34,3 +34,15 @@
   t.equal(splitter.partialEvent.toString(), "id: 2\nda");
   t.end();
 });
+
+// Each chunk copied all of the event so far, which kept the process busy.
+t.test("an event in tiny chunks is kept in one block", (t) => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from("x");
+  for (let count = 0; count < 400_000; count++) {
+    splitter.push(chunk);
+  }
+  t.equal(splitter.partialEvent.length, 400_000);
+  t.equal(splitter.capacity, 2 ** 19);
+  t.end();
+});
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -2,20 +2,24 @@
 import { createServer } from "node:http";
 import { randomBytes } from "node:crypto";
 import type { Dispatch } from "@lavenderferry/runtime";
-import { announce } from "@lavenderferry/runtime";
+import { announce, ChunkBuffer } from "@lavenderferry/runtime";
+import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
 import { digestContent } from "../requests/request_fingerprint.ts";
 import { listen } from "../util/listen.ts";
 import { areWritableHeaders } from "./are_writable_headers.ts";
-import type { CallerExchanges } from "./caller_exchanges.ts";
+import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
+import { readInTurns } from "./read_in_turns.ts";
 
 /** Dependencies of the callers' server. */
 export interface FrontServerOptions {
   readonly codec: HeaderCodec;
   readonly exchanges: CallerExchanges;
+  /** Bounds what all requests hold. */
+  readonly budget: ByteBudget;
   readonly dispatch: Dispatch<RelayEvent>;
 }
 
@@ -28,6 +32,12 @@
 /** Time-out of request headers until a routing sets the limit. */
 const defaultHeadersTimeoutMs = 3_000;
 
+/**
+ * Retry delay for callers whose request does not fit into memory, in
+ * milliseconds.
+ */
+const memoryRetryMs = 500;
+
 /** Random bytes at the start of exchange ids. */
 const idPrefixBytes = 6;
 
@@ -107,7 +117,7 @@
       exchanges.sendFailure(response, { error: "bad_request", notRun: true });
       return;
     }
-    this.#readBody(request, response, (body) => {
+    this.#readBody(id, { request, response }, (body) => {
       exchanges.add(id, { request, response, requestId, body });
       response.on("close", () => {
         if (exchanges.remove(id)) {
@@ -136,32 +146,75 @@
     });
   }
 
-  /** Reads a body; an incomplete one is dropped with its connection. */
+  /**
+   * Reads a body; an incomplete one is dropped with its connection. Its bytes
+   * are held to account until the answer has ended. If the process holds too
+   * much, the request is refused, or fails if it was dispatched.
+   */
   #readBody(
-    request: IncomingMessage,
-    response: ServerResponse,
+    id: string,
+    { request, response }: Pick<CallerExchange, "request" | "response">,
     onBody: (body: Buffer) => void,
   ): void {
-    const chunks: Buffer[] = [];
+    const { budget, exchanges } = this.#options;
+    const body = new ChunkBuffer();
+    const maxBytes = this.#maxBodyBytes;
+    let account: ByteAccount | null = null;
     let length = 0;
-    request.on("data", (chunk: Buffer) => {
+    let isRead = false;
+    let isRefused = false;
+    const openAccount = () => {
+      const opened = budget.open(() => {
+        isRefused = !isRead;
+        body.clear();
+        this.#failHeld(id, response, isRead);
+      });
+      response.once("close", opened.close);
+      return opened;
+    };
+    readInTurns(request, (chunk) => {
       length += chunk.length;
-      if (length <= this.#maxBodyBytes) {
-        chunks.push(chunk);
+      if (length <= maxBytes && !isRefused) {
+        body.push(chunk);
+        account ??= openAccount();
+        account.set(body.capacity);
+      } else {
+        body.clear();
+        account?.set(0);
       }
     });
     request.on("end", () => {
-      if (length <= this.#maxBodyBytes) {
-        onBody(Buffer.concat(chunks));
+      isRead = true;
+      if (isRefused) {
+        return;
+      }
+      if (length <= maxBytes) {
+        onBody(body.take());
         return;
       }
-      const { exchanges } = this.#options;
       const error = "body_too_large";
       exchanges.sendFailure(response, { error, notRun: true });
     });
     // The caller aborted an incomplete request; nothing was relayed.
     request.on("error", () => response.destroy());
   }
+
+  /** Ends the request that holds most once the process holds too much. */
+  #failHeld(
+    id: string,
+    response: ServerResponse,
+    wasDispatched: boolean,
+  ): void {
+    const { dispatch, exchanges } = this.#options;
+    if (wasDispatched) {
+      const effect = { kind: "hold_request", exchangeId: id };
+      exchanges.failExchange(effect, new Error("Memory limit"), dispatch);
+    } else {
+      const failure = { error: "overloaded", notRun: true } as const;
+      const retryAfterMs = memoryRetryMs;
+      exchanges.sendFailure(response, { ...failure, retryAfterMs });
+    }
+  }
 }
 
 /** Characters that Node refuses to send in a path. */
--- a/packages/relay/src/http/unsendable_request_test.ts
+++ b/packages/relay/src/http/unsendable_request_test.ts
@@ -4,6 +4,7 @@
   codec,
   sendAttempt,
   startUpstream,
+  unlimitedBudget,
 } from "../fixtures/upstream_socket.ts";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEvent } from "../relay_event.ts";
@@ -22,7 +23,8 @@
     const dispatched: RelayEvent[] = [];
     const server = new FrontServer({
       codec,
-      exchanges: new CallerExchanges(codec),
+      exchanges: new CallerExchanges(codec, unlimitedBudget),
+      budget: unlimitedBudget,
       dispatch: (event) => dispatched.push(event),
     });
     await server.listen({ ip: "127.0.0.1", port: 0 });
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -2,6 +2,7 @@
 import { Agent, request as sendRequest } from "node:http";
 import { engineCheckHandlers, parseSocketAddress } from "@lavenderferry/fleet";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import type { ByteBudget } from "../memory/byte_budget.ts";
 import type { GenerationCopier, HeaderCodec } from "../ports.ts";
 import type { UpstreamEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
@@ -22,6 +23,15 @@
 
 type SendRequest = Extract<UpstreamEffect, { kind: "send_request" }>;
 
+/** Dependencies of the runner of effects on upstreams. */
+export interface UpstreamRunnerOptions {
+  readonly codec: HeaderCodec;
+  readonly exchanges: CallerExchanges;
+  readonly copier: GenerationCopier;
+  /** Bounds what all answers hold. */
+  readonly budget: ByteBudget;
+}
+
 /**
  * Sends requests to upstreams and reads their answers. It uses Node's own HTTP
  * client, which distinguishes truncated answers from complete ones even if they
@@ -31,6 +41,7 @@
   readonly #codec: HeaderCodec;
   readonly #exchanges: CallerExchanges;
   readonly #copier: GenerationCopier;
+  readonly #budget: ByteBudget;
   readonly #attempts = new Map<string, Attempt>();
   /** Keeps connections alive for requests that may be repeated. */
   readonly #keepAliveAgent = new Agent({
@@ -39,14 +50,11 @@
     timeout: idleTimeoutMs,
   });
 
-  constructor(
-    codec: HeaderCodec,
-    exchanges: CallerExchanges,
-    copier: GenerationCopier,
-  ) {
-    this.#codec = codec;
-    this.#exchanges = exchanges;
-    this.#copier = copier;
+  constructor(options: UpstreamRunnerOptions) {
+    this.#codec = options.codec;
+    this.#exchanges = options.exchanges;
+    this.#copier = options.copier;
+    this.#budget = options.budget;
   }
 
   readonly handlers: EffectHandlers<RelayEvent, UpstreamEffect> =
@@ -125,6 +133,7 @@
       requestId: exchange.requestId,
       codec: this.#codec,
       attempt,
+      budget: this.#budget,
       dispatch,
       onEnd: () => this.#attempts.delete(attemptId),
     }).read(request);
--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -2,14 +2,11 @@
 import { createServer } from "node:net";
 import t from "tap";
 import {
-  codec,
-  idleCopier,
+  createRunner,
   sendAttempt,
   startUpstream,
 } from "../fixtures/upstream_socket.ts";
 import type { RelayEvent } from "../relay_event.ts";
-import { CallerExchanges } from "./caller_exchanges.ts";
-import { UpstreamRunner } from "./upstream_runner.ts";
 
 const signed = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n";
 
@@ -135,8 +132,7 @@
 });
 
 t.test("an engine has ended if nothing listens at its address", async (t) => {
-  const exchanges = new CallerExchanges(codec);
-  const { handlers } = new UpstreamRunner(codec, exchanges, idleCopier);
+  const { handlers } = createRunner();
   const check = (address: string) =>
     new Promise<RelayEvent>((resolve) =>
       handlers.check_engine(
@@ -178,8 +174,7 @@
 });
 
 t.test("an engine whose address cannot be used is silent", async (t) => {
-  const exchanges = new CallerExchanges(codec);
-  const { handlers } = new UpstreamRunner(codec, exchanges, idleCopier);
+  const { handlers } = createRunner();
   const event = await new Promise((resolve) =>
     handlers.check_engine(
       { kind: "check_engine", upstream: "e1", address: "127.0.0.1:99999" },
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -19,6 +19,7 @@
   createReadinessServer,
 } from "./http/side_server.ts";
 import { UpstreamRunner } from "./http/upstream_runner.ts";
+import { ByteBudget } from "./memory/byte_budget.ts";
 import type { RelayPorts } from "./ports.ts";
 import { createRelayMetrics } from "./process/metrics.ts";
 import { createProcessHandlers } from "./process/process_runner.ts";
@@ -58,7 +59,8 @@
   });
   const peerClients = new PeerClients(credentials);
   const peerExchanges = new ExchangeRunner(peerClients);
-  const callerExchanges = new CallerExchanges(ports.headers);
+  const budget = new ByteBudget(settings.heldBytes);
+  const callerExchanges = new CallerExchanges(ports.headers, budget);
   const metrics = createRelayMetrics(state);
   const loop: Loop<RelayState, RelayEvent, RelayEffect> = new Loop<
     RelayState,
@@ -70,8 +72,12 @@
     reduce: reduceRelay,
     handlers: {
       ...callerExchanges.handlers,
-      ...new UpstreamRunner(ports.headers, callerExchanges, ports.copier)
-        .handlers,
+      ...new UpstreamRunner({
+        codec: ports.headers,
+        exchanges: callerExchanges,
+        copier: ports.copier,
+        budget,
+      }).handlers,
       ...new SourceRunner(
         ports,
         settings,
@@ -92,6 +98,7 @@
   const frontServer: FrontServer = new FrontServer({
     codec: ports.headers,
     exchanges: callerExchanges,
+    budget,
     dispatch,
   });
   const peerServer = new PeerServer(
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -23,6 +23,8 @@
    * routing and of the upstreams.
    */
   readonly freshnessMs: number;
+  /** Bytes that all requests and answers in progress may hold in memory. */
+  readonly heldBytes: number;
   /** Burst of retries per window, across all processes of the fleet. */
   readonly retryBurst: number;
   /** Retries allowed per first attempt. */
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -1,4 +1,5 @@
 /** Reducer loop, clocks, logs and random numbers that all programs share. */
+export * from "./chunk_buffer.ts";
 export * from "./clock.ts";
 export * from "./decision_log.ts";
 export * from "./decisions.ts";
