fix(relay): a plain answer to a stream that has begun fails its attempt

Callers saw: an engine took over a stream and answered with its own 500, and the process that relayed it ended: requests on kept connections at sound upstreams got no answer, and all its streams were cut (review/3, LOST).

Cause: `forwardAnswer` did not look at the request's phase and wrote a second head to a caller that had got one, which throws ERR_HTTP_HEADERS_SENT.

Why this works: such answers have a table of handlers by phase. To a stream that has begun they are a failed attempt, so it goes on from another copy or is cut.

--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -31,7 +31,7 @@
 } from "./place_request.ts";
 import type { AnswerTime } from "./answer_times.ts";
 import { AnswerTimes } from "./answer_times.ts";
-import type { RelayedRequest } from "./relayed_request.ts";
+import type { RelayedRequest, RequestPhase } from "./relayed_request.ts";
 
 type Event<Kind extends RequestEvent["kind"]> = Timed<
   Extract<RequestEvent, { kind: Kind }>
@@ -73,7 +73,7 @@
   ...movePart,
   attempt_refused: handleRefusedAttempt,
   attempt_failed: handleFailedAttempt,
-  answer_received: forwardAnswer,
+  answer_received: handleAnswer,
   events_received: forwardEvents,
   stream_ended: finishStream,
 };
@@ -89,24 +89,54 @@
   return request?.attemptId === attemptId ? request : undefined;
 }
 
-function forwardAnswer(
+type AnswerHandler = (
+  state: RelayState,
+  request: RelayedRequest,
+  event: Event<"answer_received">,
+) => readonly RelayEffect[];
+
+/** Handlers of answers that are no stream, by the phase of their request. */
+const answerHandlers: Readonly<Record<RequestPhase, AnswerHandler>> = {
+  waiting: () => [],
+  sent: forwardAnswer,
+  // A resumed stream has a status already, so this is no part of its answer.
+  streaming: failAnswer,
+};
+
+function handleAnswer(
   state: RelayState,
   event: Event<"answer_received">,
 ): readonly RelayEffect[] {
   const request = findCurrentRequest(state, event);
-  if (request === undefined) {
-    return [];
-  }
-  const { answer, at, attemptId, exchangeId } = event;
+  return request === undefined
+    ? []
+    : answerHandlers[request.phase](state, request, event);
+}
+
+/** Handles an answer as a failure of its attempt. */
+function failAnswer(
+  state: RelayState,
+  _request: RelayedRequest,
+  { answer, at, attemptId, exchangeId }: Event<"answer_received">,
+): readonly RelayEffect[] {
+  return handleFailedAttempt(state, {
+    kind: "attempt_failed",
+    attemptId,
+    exchangeId,
+    reason: `status_${answer.status}`,
+    at,
+  });
+}
+
+function forwardAnswer(
+  state: RelayState,
+  request: RelayedRequest,
+  event: Event<"answer_received">,
+): readonly RelayEffect[] {
+  const { answer, at, exchangeId } = event;
   const failed = answer.status >= minServerErrorStatus;
   if (failed && !isAtPeer(request) && canRunAgain(state, request, at)) {
-    return handleFailedAttempt(state, {
-      kind: "attempt_failed",
-      attemptId,
-      exchangeId,
-      reason: `status_${answer.status}`,
-      at,
-    });
+    return failAnswer(state, request, event);
   }
   const ms = Math.round(at.monotonic - request.demand.arrivedAt);
   const { upstream, runs, sends } = request;
