fix(relay): a silent generation is stopped before it goes on elsewhere

Cause: the generation went on from its copy once the connection before was closed, and a silent connection does not carry the close.

Why this works: a stream without an event for 600 ms goes on from its copy only after its engine was asked to stop it over a new connection, which all calls to engines use. If the engine does not know it, or is out of reach there too, nothing works on it that could be reached. The same call stops a silent stream whose caller has left, and a move whose last answer was lost no longer waits for the end of its stream.

--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest } from "node:http";
 import { Agent, request as sendRequest } from "node:http";
+import { setTimeout } from "node:timers/promises";
 import { engineCheckHandlers, parseSocketAddress } from "@lavenderferry/fleet";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import type { ByteBudget } from "../memory/byte_budget.ts";
@@ -21,6 +22,9 @@
 
 const maxPort = 65_535;
 
+/** Milliseconds in which an engine sees that a connection was closed. */
+const closeDelayMs = 50;
+
 type SendRequest = Extract<UpstreamEffect, { kind: "send_request" }>;
 
 /** Dependencies of the runner of effects on upstreams. */
@@ -73,6 +77,7 @@
       ...engineCheckHandlers,
       list_runs: (effect, dispatch) =>
         this.#requestReport(effect, "runs_listed", dispatch),
+      stop_generation: (effect) => void this.#stopGeneration(effect),
       copy_generation: (effect, dispatch) => {
         const { attemptId, exchangeId } = effect;
         void this.#copier.copy(effect).then((outcome) =>
@@ -104,6 +109,20 @@
     );
   }
 
+  async #stopGeneration(
+    { requestId, from, to }: Extract<
+      UpstreamEffect,
+      { kind: "stop_generation" }
+    >,
+  ): Promise<void> {
+    await setTimeout(closeDelayMs);
+    const copy = { requestId, from, to, stop: true };
+    const outcome = await this.#copier.copy(copy);
+    if ("handle" in outcome && outcome.handle !== null) {
+      await this.#copier.release(from, outcome.handle);
+    }
+  }
+
   #send(effect: SendRequest, dispatch: Dispatch<RelayEvent>): void {
     const { attemptId, exchangeId, target, streaming } = effect;
     const exchange = this.#exchanges.get(exchangeId);
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -15,6 +15,8 @@
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
+import { requestCopy } from "./request_copy.ts";
+import { isSilent, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
 
 type GenerationCopied = Extract<RequestEvent, { kind: "generation_copied" }>;
@@ -121,6 +123,9 @@
   }
   const tokens = contextTokens(pool, request);
   if (keptTokens !== null && keptTokens >= minKeptShare * tokens) {
+    if (isSilent(request, at)) {
+      return stopBeforeResumption(state, request, at);
+    }
     const reason = "leaving";
     const effects = resumeFromCopy(state, request, { reason, report, at });
     if (effects !== null) {
@@ -342,6 +347,7 @@
     copyCount: 1,
     excludedEngines,
     streamEnded,
+    hasCopy: false,
   };
   request.move = move;
   const figures = {
@@ -361,23 +367,6 @@
   ];
 }
 
-function requestCopy(
-  state: RelayState,
-  request: RelayedRequest,
-  { to, phase }: Move,
-): RelayEffect {
-  const { attemptId, exchangeId, requestId, upstream } = request;
-  return {
-    kind: "copy_generation",
-    attemptId,
-    exchangeId,
-    requestId,
-    from: state.upstreams.get(upstream)?.address ?? "",
-    to: state.upstreams.get(to)?.address ?? "",
-    stop: phase === "stopping",
-  };
-}
-
 function handleCopyOutcome(
   state: RelayState,
   event: Timed<GenerationCopied>,
@@ -392,6 +381,14 @@
   ) {
     return [];
   }
+  if (move.hasCopy && outcome.kind !== "copied" && outcome.kind !== "busy") {
+    // It was asked to stop, runs no more, or its engine is out of reach.
+    const reason = "leaving";
+    const effects = resumeFromCopy(state, request, { reason, at });
+    if (effects !== null) {
+      return effects;
+    }
+  }
   switch (outcome.kind) {
     case "copied":
       if (move.copyCount === 1) {
@@ -508,8 +505,9 @@
 
 /**
  * Handles a failed move. If the stream has not ended, the generation is still
- * running, as its engine was not asked to stop it or refused to. Otherwise the
- * generation is resumed from its copy, or is lost if there is none.
+ * running, as its engine was not asked to stop it or refused to; the end of one
+ * that its engine does not know may have been lost. Otherwise the generation is
+ * resumed from its copy, or is lost if there is none.
  */
 function failMove(
   state: RelayState,
@@ -526,7 +524,9 @@
   const { to, phase } = move;
   const figures = { upstream, to, events, phase, outcome: reason, detail };
   const decision = { subject: requestId, reason: "copy_failed", figures };
-  if (!move.streamEnded) {
+  const hasEnded = move.streamEnded ||
+    (reason === "not_running" && isSilent(request, at));
+  if (!hasEnded) {
     releaseMove(state, request, at);
     return [
       recordDecision(state, { ...decision, kind: "retry", reason }, at),
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -52,11 +52,23 @@
 }
 
 function evacuate(relay: RelayFixture, afterMs: number) {
+  continueStream(relay, afterMs);
   const timer = { kind: "evacuate", exchangeId: "x1" } as const;
-  return answerListRuns(
-    relay,
-    relay.reduce({ kind: "timer_fired", timer }, afterMs),
-  );
+  return answerListRuns(relay, relay.reduce({ kind: "timer_fired", timer }, 0));
+}
+
+/** Receives a part of a stream that is not silent. */
+function continueStream(relay: RelayFixture, afterMs: number): void {
+  const { attemptId = "" } = relay.state.requests.get("x1") ?? {};
+  relay.reduce({
+    kind: "events_received",
+    attemptId,
+    exchangeId: "x1",
+    head,
+    bytes: Buffer.alloc(0),
+    count: 0,
+    lastEventId: null,
+  }, afterMs);
 }
 
 /** Reports how many tokens the engine with the copy keeps. */
--- /dev/null
+++ b/packages/relay/src/moves/silence.ts
@@ -0,0 +1,83 @@
+import type { Moment } from "@lavenderferry/runtime";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
+import type { RelayState } from "../state.ts";
+import { recordDecision } from "../util/effects.ts";
+import { requestCopy } from "./request_copy.ts";
+
+/**
+ * Milliseconds without an event after which the connection of a stream may have
+ * gone silent, so that it does not carry its own close either. Events come every
+ * few ten milliseconds; a sound engine rarely pauses for so long.
+ */
+const silenceMs = 600;
+
+/** Whether the connection of a stream may have gone silent. */
+export function isSilent(
+  { phase, lastProgressAt }: RelayedRequest,
+  at: Moment,
+): boolean {
+  return phase === "streaming" && at.monotonic - lastProgressAt >= silenceMs;
+}
+
+/**
+ * Asks the engine of a generation to stop it, over a new connection, before the
+ * generation goes on from its copy: the close of a silent connection does not
+ * reach the engine, which would work on.
+ */
+export function stopBeforeResumption(
+  state: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { copyUpstream, upstream, events, requestId } = request;
+  const move: Move = {
+    to: copyUpstream ?? "",
+    phase: "stopping",
+    copyRequestedAt: at.monotonic,
+    // The copy that is kept already is the first one.
+    copyCount: 2,
+    excludedEngines: [],
+    streamEnded: false,
+    hasCopy: true,
+  };
+  request.move = move;
+  const silentMs = Math.round(at.monotonic - request.lastProgressAt);
+  const figures = { from: upstream, upstream: move.to, events, silentMs };
+  return [
+    recordDecision(state, {
+      kind: "choose",
+      subject: requestId,
+      reason: "stop_silent",
+      figures,
+    }, at),
+    requestCopy(state, request, move),
+  ];
+}
+
+/**
+ * Asks the engine of a request that ends to stop its generation, over a new
+ * connection. An engine that has seen the old one close runs it no more.
+ */
+export function stopSilentGeneration(
+  { pools, upstreams }: RelayState,
+  request: RelayedRequest,
+  at: Moment,
+): readonly RelayEffect[] {
+  const { service, upstream, copyUpstream, requestId } = request;
+  const source = upstreams.get(upstream);
+  const movesGenerations = pools.get(service)?.service.engines?.moves === true;
+  if (!movesGenerations || source === undefined || !isSilent(request, at)) {
+    return [];
+  }
+  const target = upstreams.get(copyUpstream ?? "") ??
+    [...upstreams.values()].find(({ id, pool, state }) =>
+      id !== upstream && pool === service && state === "live"
+    );
+  return target === undefined ? [] : [{
+    kind: "stop_generation",
+    requestId,
+    from: source.address,
+    to: target.address,
+  }];
+}
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -82,6 +82,8 @@
 export interface GenerationCopier {
   /** Fetches the report of an engine; never rejects. */
   report(address: string): Promise<EngineReport>;
+  /** Frees the memory that an engine keeps by a handle; never rejects. */
+  release(address: string, handle: string): Promise<void>;
   /** Resolves once the copy has completed or failed; never rejects. */
   copy(copy: {
     /** Address of the engine that runs the generation. */
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -62,6 +62,15 @@
     readonly exchangeId: string;
     readonly address: string;
   }
+  | {
+    /** Stops a generation that no caller waits for, and frees its memory. */
+    readonly kind: "stop_generation";
+    readonly requestId: string;
+    /** Address of the engine that may run the generation. */
+    readonly from: string;
+    /** Address of an engine that may receive its memory for the moment. */
+    readonly to: string;
+  }
   | {
     /** Copies a running generation's memory to another engine. */
     readonly kind: "copy_generation";
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -7,6 +7,7 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
+import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
@@ -109,7 +110,10 @@
     pool?.dispatcher.withdraw(request.demand.requestId);
     return [];
   }
-  return endAttempt(state, request, { outcome, at });
+  const stopEffects = outcome === "finished"
+    ? []
+    : stopSilentGeneration(state, request, at);
+  return [...endAttempt(state, request, { outcome, at }), ...stopEffects];
 }
 
 /**
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -52,6 +52,11 @@
   readonly excludedEngines: readonly string[];
   /** Whether the engine closed the stream, as it does after a stop. */
   readonly streamEnded: boolean;
+  /**
+   * Whether the generation only has to be stopped, as the engine that it moves
+   * to keeps a copy already.
+   */
+  readonly hasCopy: boolean;
 }
 
 /** State of a request between a caller and its upstreams. */
