fix(platform): signals are received before the program is loaded

Cause: `main.ts` set its handlers once the program was loaded and all sockets listened. Exceptions before that were not handled either, SIGHUP wrote to standard output, whose errors had no listener, and a settings file that was being written ended the process.

The users kept no logs, so it is not shown that this is what they saw.

A bundle in one file with the rest loaded later did not start (a module was not initialized), hence several files.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,14 +1,17 @@
-// Bundles the relay for the users' platform into one file, because a restarted
-// process loads one file faster than hundreds of modules.
-import { copyFileSync, mkdirSync } from "node:fs";
+// Bundles the relay for the users' platform, because a restarted process loads a
+// few files faster than hundreds of modules. The first file is small, so that the
+// process receives signals before it loads the others.
+import { copyFileSync, mkdirSync, rmSync } from "node:fs";
 import { build } from "esbuild";
 
+rmSync("target/bin", { recursive: true, force: true });
 mkdirSync("target/proto", { recursive: true });
 copyFileSync("packages/protocol/proto/peer.proto", "target/proto/peer.proto");
 await build({
-  entryPoints: ["platform/src/main.ts"],
-  outfile: "target/bin/lavenderferry.js",
+  entryPoints: [{ in: "platform/src/main.ts", out: "lavenderferry" }],
+  outdir: "target/bin",
   bundle: true,
+  splitting: true,
   platform: "node",
   target: "node20",
   format: "esm",
--- a/packages/proof/src/harness/restartable_program.ts
+++ b/packages/proof/src/harness/restartable_program.ts
@@ -53,13 +53,40 @@
     return this.#peakKb * bytesPerKb / bytesPerMb;
   }
 
+  /** Whether the program has a handler for a signal, by its number. */
+  catches(signalNumber: number): boolean {
+    const [, mask = "0"] = /SigCgt:\s*([0-9a-f]+)/.exec(this.#status) ?? [];
+    // Until the program replaces it, the child is a copy of this process.
+    const isStarted = this.#args.every((arg) =>
+      this.#read("cmdline").includes(arg)
+    );
+    return isStarted &&
+      (BigInt(`0x${mask}`) >> BigInt(signalNumber - 1)) % 2n === 1n;
+  }
+
+  /** What the system says of the process; empty if it does not run. */
+  get #status(): string {
+    return this.#read("status");
+  }
+
+  /** Reads a file of the process; empty if it does not run. */
+  #read(name: string): string {
+    try {
+      return readFileSync(`/proc/${this.#child?.pid ?? 0}/${name}`, "utf8");
+    } catch {
+      return "";
+    }
+  }
+
   /** Starts the program, unless it runs; returns before it listens. */
   start(): void {
     if (this.#child !== null) {
       return;
     }
     const startedAt = performance.now();
-    const child = spawn(process.execPath, this.#args, {
+    // A test runner adds options, which load code with handlers of signals.
+    const words = ["-u", "NODE_OPTIONS", process.execPath, ...this.#args];
+    const child = spawn("env", words, {
       stdio: ["ignore", "ignore", "pipe"],
       env: { PATH: process.env["PATH"], ...this.#env, UV_USE_IO_URING: "0" },
     });
@@ -100,12 +127,7 @@
   }
 
   #sampleMemory(): void {
-    try {
-      const path = `/proc/${this.#child?.pid ?? 0}/status`;
-      const [, kb] = /RssAnon:\s*(\d+)/.exec(readFileSync(path, "utf8")) ?? [];
-      this.#peakKb = Math.max(this.#peakKb, Number(kb ?? 0));
-    } catch {
-      // The program has just ended.
-    }
+    const [, kb = 0] = /RssAnon:\s*(\d+)/.exec(this.#status) ?? [];
+    this.#peakKb = Math.max(this.#peakKb, Number(kb));
   }
 }
