--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -29,7 +29,7 @@
 import type { RelaySettings } from "./settings.ts";
 import type { RelayState } from "./state.ts";
 import { createRelayState } from "./state.ts";
-import { listen } from "./util/listen.ts";
+import { listen, waitUntilFree } from "./util/listen.ts";
 
 const epochBytes = 6;
 const metricsPath = "/metrics";
@@ -105,7 +105,10 @@
     createPeerMethods(state, peerExchanges, dispatch),
     credentials.server,
   );
-  await peerServer.listen(settings.peers.ip, settings.peers.port);
+  const { ip, port } = settings.peers;
+  // A server of gRPC that could not listen once never does.
+  await waitUntilFree(settings.peers);
+  await peerServer.listen(ip, port);
   const readinessServer = createReadinessServer(state, ports.readinessPath);
   await listen(readinessServer, settings.readiness);
   const addressServer = createAddressServer(state, ports.addresses);
