--- a/packages/proof/src/harness/restartable_program.ts
+++ b/packages/proof/src/harness/restartable_program.ts
@@ -16,8 +16,8 @@
 export interface ProgramEnd {
   readonly code: number | null;
   readonly signal: NodeJS.Signals | null;
-  /** Signal by which the harness asked for the end; `null`: it did not. */
-  readonly wanted: NodeJS.Signals | null;
+  /** Signals by which the harness asked for the end. */
+  readonly wanted: readonly NodeJS.Signals[];
   /** Start of what the program wrote to its standard error. */
   readonly error: string;
   /** Milliseconds since its start. */
@@ -31,7 +31,7 @@
   readonly #args: readonly string[];
   readonly #env: Readonly<Record<string, string>>;
   #child: ChildProcess | null = null;
-  #wanted: NodeJS.Signals | null = null;
+  #wanted: readonly NodeJS.Signals[] = [];
   #peakKb = 0;
 
   /** `args` are those of Node, `env` is the whole environment but for PATH. */
@@ -91,7 +91,7 @@
       env: { PATH: process.env["PATH"], ...this.#env, UV_USE_IO_URING: "0" },
     });
     this.#child = child;
-    this.#wanted = null;
+    this.#wanted = [];
     const sampler = setInterval(() => this.#sampleMemory(), samplePeriodMs);
     let error = "";
     child.stderr.on("data", (chunk: Buffer) => {
@@ -112,7 +112,7 @@
 
   /** Sends a signal that is expected to end the program. */
   stop(signal: "SIGTERM" | "SIGKILL"): void {
-    this.#wanted = signal;
+    this.#wanted = [...this.#wanted, signal];
     this.#child?.kill(signal);
   }
 
