perf(relay): a generation that only rests is not moved before it is resumed

A stream without an event for 600 ms was stopped by a move, which copies its memory, also if its engine only rested and would have seen the connection close. Now the engine's report is fetched first, over a new connection: the generation is stopped if events were made that did not arrive, or if there is no report.

--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -75,6 +75,8 @@
       check_copy: (effect, dispatch) =>
         this.#requestReport(effect, "copy_checked", dispatch),
       ...engineCheckHandlers,
+      check_run: (effect, dispatch) =>
+        this.#requestReport(effect, "run_checked", dispatch),
       list_runs: (effect, dispatch) =>
         this.#requestReport(effect, "runs_listed", dispatch),
       stop_generation: (effect) => void this.#stopGeneration(effect),
@@ -99,9 +101,9 @@
   #requestReport(
     { attemptId, exchangeId, address }: Extract<
       UpstreamEffect,
-      { kind: "check_copy" | "list_runs" }
+      { kind: "check_copy" | "check_run" | "list_runs" }
     >,
-    kind: "copy_checked" | "runs_listed",
+    kind: "copy_checked" | "run_checked" | "runs_listed",
     dispatch: Dispatch<RelayEvent>,
   ): void {
     void this.#copier.report(address).then((report) =>
--- a/packages/relay/src/moves/evacuation_test.ts
+++ b/packages/relay/src/moves/evacuation_test.ts
@@ -99,6 +99,7 @@
       const runs = this.generations.map(({ id }) => ({
         requestId: id,
         tokens,
+        events: eventsBeforeNotice,
       }));
       const report = { keptTokens: 0, freeTokens: 0, runs, detail: "" };
       const kind = "runs_listed";
--- a/packages/relay/src/moves/move_delay_test.ts
+++ b/packages/relay/src/moves/move_delay_test.ts
@@ -3,9 +3,9 @@
 import { moveDelayMs } from "./move_delay.ts";
 
 const runs = [
-  { requestId: "c", tokens: 3_600 },
-  { requestId: "a", tokens: 1_800 },
-  { requestId: "b", tokens: 1_800 },
+  { requestId: "c", tokens: 3_600, events: 1 },
+  { requestId: "a", tokens: 1_800, events: 1 },
+  { requestId: "b", tokens: 1_800, events: 1 },
 ];
 
 t.test("smaller generations are moved first, with ties broken by id", (t) => {
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -16,11 +16,12 @@
 import { count, recordDecision } from "../util/effects.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { requestCopy } from "./request_copy.ts";
-import { isSilent, stopBeforeResumption } from "./silence.ts";
+import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
 
 type GenerationCopied = Extract<RequestEvent, { kind: "generation_copied" }>;
 type CopyChecked = Extract<RequestEvent, { kind: "copy_checked" }>;
+type RunChecked = Extract<RequestEvent, { kind: "run_checked" }>;
 type RunsListed = Extract<RequestEvent, { kind: "runs_listed" }>;
 
 /**
@@ -68,11 +69,12 @@
 /** Event handlers that move generations off engines that are leaving. */
 export const movePart: EventHandlers<
   RelayState,
-  GenerationCopied | CopyChecked | RunsListed,
+  GenerationCopied | CopyChecked | RunChecked | RunsListed,
   RelayEffect
 > = {
   copy_checked: (state, event) => handleCopyCheck(state, event),
   generation_copied: (state, event) => handleCopyOutcome(state, event),
+  run_checked: (state, event) => handleRunCheck(state, event),
   runs_listed: (state, event) => scheduleMove(state, event),
 };
 
@@ -123,8 +125,10 @@
   }
   const tokens = contextTokens(pool, request);
   if (keptTokens !== null && keptTokens >= minKeptShare * tokens) {
-    if (isSilent(request, at)) {
-      return stopBeforeResumption(state, request, at);
+    const source = state.upstreams.get(request.upstream);
+    if (isSilent(request, at) && source !== undefined) {
+      const { address } = source;
+      return [{ kind: "check_run", attemptId, exchangeId, address }];
     }
     const reason = "leaving";
     const effects = resumeFromCopy(state, request, { reason, report, at });
@@ -146,6 +150,29 @@
   ];
 }
 
+/**
+ * Resumes a generation without events from its copy, but stops it first if its
+ * engine goes on with it, or does not report.
+ */
+function handleRunCheck(
+  state: RelayState,
+  { exchangeId, attemptId, report, at }: Timed<RunChecked>,
+): readonly RelayEffect[] {
+  const request = state.requests.get(exchangeId);
+  if (request?.attemptId !== attemptId || request.move !== null) {
+    return [];
+  }
+  if (!isSilent(request, at)) {
+    return [scheduleEvacuation(exchangeId, at.monotonic)];
+  }
+  if (mayRunOn(request, report)) {
+    return stopBeforeResumption(state, request, at);
+  }
+  const reason = "leaving";
+  return resumeFromCopy(state, request, { reason, at }) ??
+    [retryEvacuation(exchangeId, at)];
+}
+
 /**
  * Starts the move of a generation once its delay has passed. If the delay is
  * not known yet, lists the engine's generations to compute it.
--- a/packages/relay/src/moves/silence.ts
+++ b/packages/relay/src/moves/silence.ts
@@ -1,5 +1,6 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
+import type { EngineReport } from "../relay_event.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
@@ -20,6 +21,25 @@
   return phase === "streaming" && at.monotonic - lastProgressAt >= silenceMs;
 }
 
+/**
+ * Events by which an engine must be ahead of what has arrived. A few are always
+ * under way.
+ */
+const minEventsAhead = 3;
+
+/**
+ * Whether an engine may go on with a generation of which no events arrive. One
+ * that only rests ends with its connection.
+ */
+export function mayRunOn(
+  { requestId, events }: RelayedRequest,
+  { runs, detail }: EngineReport,
+): boolean {
+  const run = runs.find((run) => run.requestId === requestId);
+  return detail !== "" ||
+    (run !== undefined && run.events >= events + minEventsAhead);
+}
+
 /**
  * Asks the engine of a generation to stop it, over a new connection, before the
  * generation goes on from its copy: the close of a silent connection does not
--- a/packages/relay/src/moves/silent_connection_test.ts
+++ b/packages/relay/src/moves/silent_connection_test.ts
@@ -1,10 +1,11 @@
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import { createRunner } from "../fixtures/upstream_socket.ts";
-import type { CopyOutcome } from "../relay_event.ts";
+import type { CopyOutcome, EngineReport } from "../relay_event.ts";
 
 const engines = ["e1", "e22", "e333"].map((id) => upstreamOf(id));
-const report = { keptTokens: 4_000, freeTokens: 0, runs: [], detail: "" };
+const runs = [{ requestId: "r1", tokens: 4_000, events: 90 }];
+const report = { keptTokens: 4_000, freeTokens: 0, runs, detail: "" };
 
 /** Starts a generation with a complete copy, silent for `silentMs`. */
 function startSilent(silentMs: number) {
@@ -37,8 +38,11 @@
   };
 }
 
-/** Lets the generation's engine leave; returns what follows the copy's check. */
-function leave({ relay, attemptId, upstream }: ReturnType<typeof startSilent>) {
+/** Lets the generation's engine leave; returns what follows the checks. */
+function leave(
+  { relay, attemptId, upstream }: ReturnType<typeof startSilent>,
+  engineReport: EngineReport = report,
+) {
   relay.list(
     engines.map((vm) =>
       vm.id === upstream ? { ...vm, state: "leaving" as const } : vm
@@ -47,7 +51,16 @@
   const exchangeId = "x1";
   const timer = { kind: "evacuate", exchangeId } as const;
   relay.reduce({ kind: "timer_fired", timer });
-  return relay.reduce({ kind: "copy_checked", attemptId, exchangeId, report });
+  const checked = relay.reduce({
+    kind: "copy_checked",
+    attemptId,
+    exchangeId,
+    report,
+  });
+  const [check] = only(checked, "check_run");
+  return check === undefined
+    ? checked
+    : relay.reduce({ ...check, kind: "run_checked", report: engineReport });
 }
 
 // The close of a silent connection did not reach the engine, so that the stream
@@ -94,6 +107,24 @@
   });
 }
 
+// A generation that rests was moved before it was resumed, though its connection
+// carried the close.
+for (const run of [[], [{ requestId: "r1", tokens: 4_000, events: 3 }]]) {
+  t.test(`a generation is resumed at once if ${run.length} run rests`, (t) => {
+    const effects = leave(startSilent(3_000), { ...report, runs: run });
+    t.strictSame(only(effects, "copy_generation"), []);
+    t.equal(only(effects, "send_request").length, 1);
+    t.end();
+  });
+}
+
+t.test("a silent generation is stopped if its engine does not report", (t) => {
+  const silent = { ...report, runs: [], detail: "timed out" };
+  const effects = leave(startSilent(3_000), silent);
+  t.match(only(effects, "copy_generation"), [{ stop: true }]);
+  t.end();
+});
+
 t.test("a generation that is not silent goes on without a call", (t) => {
   const effects = leave(startSilent(100));
   t.strictSame(only(effects, "copy_generation"), []);
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -55,6 +55,13 @@
     readonly address: string;
   }
   | EngineCheck
+  | {
+    /** Fetches the report of the engine of a stream that brings no events. */
+    readonly kind: "check_run";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    readonly address: string;
+  }
   | {
     /** Fetches the list of generations that a generation's engine runs. */
     readonly kind: "list_runs";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -82,6 +82,8 @@
   readonly requestId: string;
   /** Tokens of the prompt and of the answer so far. */
   readonly tokens: number;
+  /** Events of the answer so far. */
+  readonly events: number;
 }
 
 /** Report of an engine about its memory and its generations. */
@@ -192,6 +194,13 @@
     /** Report of the engine that keeps the copy. */
     readonly report: EngineReport;
   }
+  | {
+    readonly kind: "run_checked";
+    readonly attemptId: string;
+    readonly exchangeId: string;
+    /** Report of the engine that may run the generation. */
+    readonly report: EngineReport;
+  }
   | {
     readonly kind: "runs_listed";
     readonly attemptId: string;
