--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -18,6 +18,7 @@
     },
     "dataCentre": "lodz-a",
     "freshnessMs": 5000,
+    "heldBytes": 12500000,
     "metrics": Object {
       "ip": "10.1.0.19",
       "port": 7201,
