--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -157,7 +157,8 @@
   const unknownKey = routeTable.requiresKeys && workspace === undefined;
   if (route === undefined || (unknownKey && !route.keyless)) {
     const error = route === undefined ? "not_found" : "unauthenticated";
-    const figures = { version, host, path: path.slice(0, 64) };
+    const ageMs = routingAgeMs(state, at);
+    const figures = { version, ageMs, host, path: path.slice(0, 64) };
     return [
       recordDecision(
         state,
@@ -250,6 +251,14 @@
   return arrivedAt + boundMs <= lastAnswerAt;
 }
 
+/** Milliseconds since the routing was known to be the newest; -1 if never. */
+function routingAgeMs({ fleet }: RelayState, at: Moment): number {
+  const { configurationConfirmedAt: confirmedAt } = fleet;
+  return confirmedAt === -Infinity
+    ? -1
+    : Math.round(at.monotonic - confirmedAt);
+}
+
 /** Milliseconds until the process exits; -1 if no stop is planned. */
 function stopsInMs({ stopping, stopDeadline }: RelayState, at: Moment): number {
   return stopping ? Math.round(stopDeadline - at.monotonic) : -1;
--- a/packages/standins/src/proxy/proxy_server.ts
+++ b/packages/standins/src/proxy/proxy_server.ts
@@ -26,12 +26,19 @@
 
 const stallPollMs = 10;
 
+/** A connection through the proxy. */
+interface Connection {
+  /** Whether it carries nothing any more, not even its end. */
+  isSilent: boolean;
+}
+
 /** A TCP proxy that applies `faults` to its connections. */
 export class ProxyServer {
   readonly #host: string;
   readonly #port: number;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #connections = new Set<Connection>();
   /** Faults of new and open connections; may be replaced at any time. */
   faults: LinkFaults = healthyLink;
 
@@ -60,6 +67,13 @@
     }
   }
 
+  /** Makes every open connection silent for good; new ones work. */
+  silenceConnections(): void {
+    for (const connection of this.#connections) {
+      connection.isSilent = true;
+    }
+  }
+
   /** Resets every open connection and stops listening. */
   close(): void {
     this.resetConnections();
@@ -77,27 +91,47 @@
       allowHalfOpen: true,
     });
     const pair = [downstream, upstream];
+    const connection = { isSilent: false };
+    this.#connections.add(connection);
+    const destroyPair = () => {
+      if (!connection.isSilent) {
+        pair.forEach((endpoint) => endpoint.destroy());
+      }
+    };
     for (const socket of pair) {
       this.#sockets.add(socket);
-      socket.on("error", () => pair.forEach((endpoint) => endpoint.destroy()));
+      socket.on("error", destroyPair);
       socket.on("close", () => {
         this.#sockets.delete(socket);
-        pair.forEach((endpoint) => endpoint.destroy());
+        this.#connections.delete(connection);
+        destroyPair();
       });
     }
-    void this.#pump(downstream, upstream, "to_upstream");
-    void this.#pump(upstream, downstream, "from_upstream");
+    void this.#pump(downstream, upstream, {
+      direction: "to_upstream",
+      connection,
+    });
+    void this.#pump(upstream, downstream, {
+      direction: "from_upstream",
+      connection,
+    });
   }
 
   async #pump(
     source: Socket,
     target: Socket,
-    direction: "to_upstream" | "from_upstream",
+    { direction, connection }: {
+      readonly direction: "to_upstream" | "from_upstream";
+      readonly connection: Connection;
+    },
   ): Promise<void> {
     let bytes = 0;
     try {
       for await (const chunk of source) {
         await this.#waitForLink(direction);
+        if (connection.isSilent) {
+          continue;
+        }
         bytes += (chunk as Buffer).length;
         const limit = this.faults.resetAfterBytes;
         if (direction === "from_upstream" && limit !== null && bytes > limit) {
@@ -107,9 +141,13 @@
         }
         target.write(chunk as Buffer);
       }
-      target.end();
+      if (!connection.isSilent) {
+        target.end();
+      }
     } catch {
-      target.destroy();
+      if (!connection.isSilent) {
+        target.destroy();
+      }
     }
   }
 
--- a/packages/standins/src/proxy/proxy_server_test.ts
+++ b/packages/standins/src/proxy/proxy_server_test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import type { Test } from "tap";
 import t from "tap";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { listen, sendJson } from "../util/http_server.ts";
 import polka from "polka";
 import { healthyLink, ProxyServer } from "./proxy_server.ts";
@@ -60,6 +60,21 @@
   });
 }
 
+t.test("open connections that go silent carry nothing, new ones work", async (t) => {
+  const [proxy, url] = await startLink(t);
+  const agent = new Agent({ connections: 1 });
+  t.teardown(() => agent.destroy());
+  const send = () =>
+    request(url, {
+      dispatcher: agent,
+      signal: AbortSignal.timeout(requestTimeoutMs),
+    });
+  await (await send()).body.dump();
+  proxy.silenceConnections();
+  await t.rejects(send());
+  t.equal((await send()).statusCode, 200);
+});
+
 t.test("a delayed link passes every byte", async (t) => {
   const [proxy, url] = await startLink(t);
   proxy.faults = { ...healthyLink, delayMs: 5 };
