fix(relay): knowledge of the store is confirmed in time over silent connections

Cause: each read of the store had a bound of its own, and none followed from the age that knowledge may have. A poll was held for 2.5 s and given up 1.2 s later, the next one followed after 0.4 s and could be given another silent connection of the same pool, for 1.2 s more; the list of upstreams took as long. Class of fault: a wait on a connection of which nothing is known.

After a read without an answer no connection of that time is used again. A read that was given up is sent again at once; after a second failure the store is taken for the cause, and answers may take 1.2 s as before.

--- a/packages/platform/src/http_transport.ts
+++ b/packages/platform/src/http_transport.ts
@@ -1,4 +1,4 @@
-import { Pool } from "undici";
+import { StoreConnections } from "./store_connections.ts";
 import type { Operation, Reply, Transport } from "./transport.ts";
 
 interface EncodedRequest {
@@ -46,10 +46,10 @@
 
 /** Sends operations as JSON over HTTP. */
 export class HttpTransport implements Transport {
-  readonly #pool: Pool;
+  readonly #connections: StoreConnections;
 
   constructor(url: string, connections: number) {
-    this.#pool = new Pool(url, { connections });
+    this.#connections = new StoreConnections(url, connections);
   }
 
   async send(operation: Operation, signal: AbortSignal): Promise<Reply> {
@@ -57,19 +57,21 @@
       operation: Operation,
     ) => EncodedRequest;
     const { path, body } = encode(operation);
-    const response = await this.#pool.request({
+    const request = {
       method: "POST",
       path,
       headers: { "content-type": "application/json" },
       body: JSON.stringify(body),
       signal,
+    } as const;
+    return await this.#connections.send(request, async (response) => {
+      const status = response.statusCode;
+      const era = readEra(response.headers[eraHeader]);
+      return { status, body: await response.body.json(), era };
     });
-    const status = response.statusCode;
-    const era = readEra(response.headers[eraHeader]);
-    return { status, body: await response.body.json(), era };
   }
 
   async close(): Promise<void> {
-    await this.#pool.destroy();
+    await this.#connections.close();
   }
 }
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./platform_client.ts";
 export * from "./row_follower.ts";
 export * from "./socket_address_schema.ts";
+export { StoreConnections } from "./store_connections.ts";
 export * from "./store_version.ts";
 export * from "./table.ts";
 export * from "./transport.ts";
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -17,6 +17,7 @@
   ChangeFeed,
   Changes,
   CommitResult,
+  FeedWait,
   Json,
   Priority,
   Row,
@@ -112,6 +113,8 @@
   readonly operation: Operation;
   readonly priority: Priority;
   readonly timeoutMs: number;
+  /** Monotonic milliseconds at which it is given up in any case. */
+  readonly deadline?: number;
 }
 
 /** Client of the platform's table, objects and VM list. */
@@ -192,20 +195,20 @@
   async changes(
     prefix: string,
     after: StoreVersion | null,
-    waitMs: number,
+    wait: FeedWait,
   ): Promise<Changes> {
     if (after !== null && eraOf(after) < this.#era) {
       return { rows: [], version: after, lost: true };
     }
     if (after === null) {
-      return await this.#readChanges(prefix, after, waitMs);
+      return await this.#readChanges(prefix, after, wait);
     }
     return await new Promise((resolve, reject) => {
       const end = () => {
         resolve({ rows: [], version: after, lost: true });
       };
       this.#waitingFeeds.add(end);
-      this.#readChanges(prefix, after, waitMs).then(resolve, reject)
+      this.#readChanges(prefix, after, wait).then(resolve, reject)
         .finally(() => this.#waitingFeeds.delete(end));
     });
   }
@@ -213,7 +216,7 @@
   async #readChanges(
     prefix: string,
     after: StoreVersion | null,
-    waitMs: number,
+    { waitMs, deadline = Infinity }: FeedWait,
   ): Promise<Changes> {
     const operation = {
       kind: "changes",
@@ -227,6 +230,7 @@
       operation,
       priority: "configuration",
       timeoutMs: this.#timeoutMs + waitMs,
+      deadline,
     });
     const { era } = reply;
     const { rows, version, lost } = changesSchema.parse(reply.body) as Changes;
@@ -342,10 +346,11 @@
   /** Queues an operation; if it fails unsent, the error has `notRun: true`. */
   async #enqueue(queued: QueuedOperation): Promise<DatedReply> {
     const { queue, operation, priority, timeoutMs } = queued;
+    const { deadline: givenUpAt = Infinity } = queued;
     if (queue.size >= maxQueuedOperations) {
       throw this.#refuse("The queue of operations for the platform is full");
     }
-    const deadline = performance.now() + timeoutMs;
+    const deadline = Math.min(givenUpAt, performance.now() + timeoutMs);
     const send = () => {
       if (performance.now() >= deadline) {
         throw this.#refuse(
@@ -356,7 +361,8 @@
         throw this.#refuse("The circuit to the platform is open");
       }
       this.#adjustConcurrency();
-      return this.#send(operation, timeoutMs);
+      const remainingMs = Math.ceil(givenUpAt - performance.now());
+      return this.#send(operation, Math.min(timeoutMs, remainingMs));
     };
     return await queue.add(send, { priority: priorities[priority] });
   }
--- a/packages/platform/src/restored_follower_test.ts
+++ b/packages/platform/src/restored_follower_test.ts
@@ -95,7 +95,9 @@
     this.#delivery = delivery;
     const { after } = this.follower;
     try {
-      this.follower.applyChanges(await this.#client.changes("a/", after, 0));
+      this.follower.applyChanges(
+        await this.#client.changes("a/", after, { waitMs: 0 }),
+      );
       return true;
     } catch {
       return false;
--- a/packages/platform/src/restored_table_test.ts
+++ b/packages/platform/src/restored_table_test.ts
@@ -53,16 +53,16 @@
 t.test("a follower of a restored table is told to read all rows", async (t) => {
   const answers: Answers = { changes: changesIn(1, 9) };
   const { client, sent } = createClient(answers);
-  const first = await client.changes("a/", null, 0);
+  const first = await client.changes("a/", null, { waitMs: 0 });
   t.match(first, { version: toStoreVersion(1, 9), lost: false });
   // The restored table has counted past the version, so the feed goes on.
   answers.changes = changesIn(2, 30);
-  const missed = await client.changes("a/", first.version, 0);
+  const missed = await client.changes("a/", first.version, { waitMs: 0 });
   t.match(missed, { lost: true }, "the first answer of the new era");
-  const outdated = await client.changes("a/", first.version, 0);
+  const outdated = await client.changes("a/", first.version, { waitMs: 0 });
   t.match(outdated, { lost: true }, "an outdated version is not asked for");
   t.equal(sent.length, 2);
-  t.match(await client.changes("a/", null, 0), {
+  t.match(await client.changes("a/", null, { waitMs: 0 }), {
     rows: [{ version: toStoreVersion(2, 4) }],
     version: toStoreVersion(2, 30),
     lost: false,
@@ -74,7 +74,7 @@
   const { client } = createClient(answers);
   await client.read(["k"], "leases");
   t.equal(client.era, 2);
-  t.match(await failureOf(client.changes("a/", null, 0)), {
+  t.match(await failureOf(client.changes("a/", null, { waitMs: 0 })), {
     kind: "store_unavailable",
   });
   t.equal(client.era, 2);
@@ -120,9 +120,9 @@
   for (const era of [undefined, maxEra + 1]) {
     const answers: Answers = { changes: changesIn(3, 9) };
     const { client } = createClient(answers);
-    await client.changes("a/", null, 0);
+    await client.changes("a/", null, { waitMs: 0 });
     answers.changes = changesIn(era, 10);
-    const { version } = await client.changes("a/", null, 0);
+    const { version } = await client.changes("a/", null, { waitMs: 0 });
     t.equal(version, toStoreVersion(3, 10));
   }
 });
@@ -159,9 +159,9 @@
   const never = new Promise<Reply>(() => undefined);
   const answers: Answers = { read: rowsIn(1), changes: changesIn(1, 9) };
   const { client } = createClient(answers);
-  const { version } = await client.changes("a/", null, 0);
+  const { version } = await client.changes("a/", null, { waitMs: 0 });
   answers.changes = never;
-  const feed = client.changes("a/", version, 2_500);
+  const feed = client.changes("a/", version, { waitMs: 2_500 });
   answers.read = rowsIn(2);
   await client.read(["k"], "leases");
   t.match(await feed, { rows: [], lost: true });
--- a/packages/platform/src/table.ts
+++ b/packages/platform/src/table.ts
@@ -94,15 +94,26 @@
   readonly lost: boolean;
 }
 
+/** How long a read of changes may take. */
+export interface FeedWait {
+  /** Milliseconds for which the store may wait for a change. */
+  readonly waitMs: number;
+  /**
+   * Monotonic milliseconds at which the read is given up; by default the wait
+   * plus the client's time-out later.
+   */
+  readonly deadline?: number | undefined;
+}
+
 /** A table whose changes can be read by long polling. */
 export interface ChangeFeed {
   /**
-   * Returns the rows under a prefix that changed after a version. Waits up to
-   * `waitMs` for a change; with `null`, returns all rows at once.
+   * Returns the rows under a prefix that changed after a version; with `null`,
+   * returns all rows at once.
    */
   changes(
     prefix: string,
     after: StoreVersion | null,
-    waitMs: number,
+    wait: FeedWait,
   ): Promise<Changes>;
 }
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -30,7 +30,7 @@
   recordUnreadable,
   recordUpstream,
 } from "./source_decisions.ts";
-import { readSoon, scheduleRead, scheduleReadAgain } from "./store_reads.ts";
+import { readAgain, readSoon, scheduleRead } from "./store_reads.ts";
 import { findCloseReason } from "./upstream_closure.ts";
 
 /** Milliseconds until a failed operation is retried. */
@@ -103,7 +103,7 @@
   routing_failed: (state, event) => [
     recordFailure(state, "follow_routing", event),
     count("retries", event.error),
-    scheduleReadAgain(state, "routing", event.at),
+    readAgain(state, "routing", event),
   ],
   upstreams_learned: (state, { vms, version, unreadable, askedAt, at }) => {
     const outageEffects = endOutage(state, at);
@@ -118,7 +118,8 @@
   },
   upstreams_failed: (state, event) => {
     const { error, detail, at } = event;
-    const figures = { error, detail };
+    const ageMs = Math.round(at.monotonic - state.fleet.upstreams.askedAt);
+    const figures = { error, detail, ageMs };
     // Logged once per outage, because this operation is retried constantly.
     const outageStart = state.outageStartedAt === null
       ? [recordStoreState(state, { reason: "lost", figures, at })]
@@ -127,7 +128,7 @@
     return [
       ...outageStart,
       count("retries", error),
-      scheduleReadAgain(state, "upstreams", at),
+      readAgain(state, "upstreams", event),
     ];
   },
   members_learned: (state, { vms, unreadable, at }) => {
--- a/packages/relay/src/fleet/source_part_test.ts
+++ b/packages/relay/src/fleet/source_part_test.ts
@@ -2,6 +2,7 @@
 import { toStoreVersion } from "@lavenderferry/platform";
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import type { RelayEffect } from "../relay_effect.ts";
 
 const d1 = upstreamOf("d1", { pool: "desk", role: "service", slots: 6 });
 const d2 = upstreamOf("d22", { pool: "desk", role: "service", slots: 6 });
@@ -182,6 +183,25 @@
   t.end();
 });
 
+t.test("a read that was not answered is sent again at once, a refused one later", (t) => {
+  const failure = { error: "store_unavailable", detail: "" } as const;
+  for (const source of ["routing", "upstreams"] as const) {
+    const relay = new RelayFixture();
+    relay.learn([d1]);
+    const fail = (isUnanswered: boolean) =>
+      relay.reduce({ kind: `${source}_failed`, ...failure, isUnanswered });
+    const kind = `follow_${source}` as const;
+    const isRead = (effects: readonly RelayEffect[]) =>
+      effects.some((effect) => effect.kind === kind);
+    const [read] = only(fail(true), kind);
+    t.equal(read?.heldUntil, relay.now, "the store answers at once");
+    t.notOk(isRead(fail(true)), "the store is silent, not the connection");
+    relay.learn([d1]);
+    t.notOk(isRead(fail(false)), "the store has answered");
+  }
+  t.end();
+});
+
 for (const absence of ["read from the list", "announced by a peer"]) {
   const title = `an upstream that leaves is closed after an absence ${absence}`;
   t.test(title, (t) => {
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -5,7 +5,7 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
 import { z } from "zod";
 import type { RelayPorts } from "../ports.ts";
-import type { SourceEffect } from "../relay_effect.ts";
+import type { FollowLimits, SourceEffect } from "../relay_effect.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { RelaySettings } from "../settings.ts";
 
@@ -45,18 +45,6 @@
   changedAt: z.number(),
 }));
 
-/**
- * Milliseconds for which the store may hold a long poll for a newer routing. A
- * dead connection is detected after this time plus the client's time-out.
- */
-const routingWaitMs = 2_500;
-
-/**
- * Milliseconds for which the store may hold a long poll for changed upstreams.
- * They change so often that it usually answers at once.
- */
-const upstreamsWaitMs = 1_000;
-
 /**
  * Reads routings, upstreams and members from the platform's store, and writes
  * this process's own member row.
@@ -83,10 +71,10 @@
   }
 
   readonly handlers: EffectHandlers<RelayEvent, SourceEffect> = {
-    follow_routing: ({ kind, waits }, dispatch) =>
-      this.#run(kind, this.#followRouting(waits), dispatch),
-    follow_upstreams: ({ kind }, dispatch) =>
-      this.#run(kind, this.#followUpstreams(), dispatch),
+    follow_routing: (effect, dispatch) =>
+      this.#run(effect.kind, this.#followRouting(effect), dispatch),
+    follow_upstreams: (effect, dispatch) =>
+      this.#run(effect.kind, this.#followUpstreams(effect), dispatch),
     list_members: ({ kind }, dispatch) =>
       this.#run(kind, this.#listMembers(), dispatch),
     state_member: ({ kind, leaving }, dispatch) =>
@@ -123,14 +111,13 @@
     );
   }
 
-  async #followRouting(waits: boolean): Promise<RelayEvent> {
+  async #followRouting(limits: FollowLimits): Promise<RelayEvent> {
     const { rows } = this.#ports;
-    const waitMs = waits ? routingWaitMs : 0;
-    const prefix = rows.routingPrefix;
-    const { changed, confirmedAt } = await this.#follow(this.#routings, {
-      prefix,
-      waitMs,
-    });
+    const { changed, confirmedAt } = await this.#follow(
+      this.#routings,
+      rows.routingPrefix,
+      limits,
+    );
     const row = this.#routings.rows.get(rows.routingKey);
     if (!changed || row === undefined) {
       return { kind: "routing_unchanged", confirmedAt };
@@ -142,12 +129,13 @@
       : { kind: "routing_learned", routing, confirmedAt };
   }
 
-  async #followUpstreams(): Promise<RelayEvent> {
+  async #followUpstreams(limits: FollowLimits): Promise<RelayEvent> {
     const { rows } = this.#ports;
-    const { confirmedAt: askedAt } = await this.#follow(this.#upstreams, {
-      prefix: rows.upstreamPrefix,
-      waitMs: upstreamsWaitMs,
-    });
+    const { confirmedAt: askedAt } = await this.#follow(
+      this.#upstreams,
+      rows.upstreamPrefix,
+      limits,
+    );
     const vms: Vm[] = [];
     const unreadable: string[] = [];
     for (const [key, { value, version }] of this.#upstreams.rows) {
@@ -169,17 +157,25 @@
    */
   async #follow(
     follower: RowFollower,
-    { prefix, waitMs }: { readonly prefix: string; readonly waitMs: number },
+    prefix: string,
+    limits: FollowLimits,
   ): Promise<{ readonly changed: boolean; readonly confirmedAt: number }> {
     const { store } = this.#ports;
     const { after } = follower;
     const askedAt = performance.now();
-    // A full read does not wait for changes, so it can time out sooner.
-    const heldMs = after === null ? 0 : waitMs;
-    const changes = await store.changes(prefix, after, heldMs);
+    // A full read does not wait for changes, but may have much to transfer.
+    const isFull = after === null;
+    const heldMs = isFull
+      ? 0
+      : Math.max(0, Math.floor(limits.heldUntil - askedAt));
+    const deadline = isFull ? undefined : limits.deadline ?? undefined;
+    const changes = await store.changes(prefix, after, {
+      waitMs: heldMs,
+      deadline,
+    });
     const changed = follower.applyChanges(changes);
-    if (changes.lost && after !== null) {
-      return await this.#follow(follower, { prefix, waitMs });
+    if (changes.lost && !isFull) {
+      return await this.#follow(follower, prefix, limits);
     }
     // The store answers a poll either at once on a change, or at its end.
     const wasHeld = changes.rows.length === 0 &&
@@ -268,9 +264,10 @@
   }
 }
 
-/** Returns an error's kind and its message, or its text if that is empty. */
+/** Returns the fields of a failed operation's event. */
 function toFailureFields(thrown: unknown) {
   const failure = toFailure(thrown);
+  const { kind: error, notRun } = failure;
   const detail = failure.message === "" ? String(thrown) : failure.message;
-  return { error: failure.kind, detail };
+  return { error, detail, isUnanswered: notRun !== true };
 }
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -2,6 +2,7 @@
 import type {
   Changes,
   CommitResult,
+  FeedWait,
   Row,
   Write,
 } from "@lavenderferry/platform";
@@ -22,9 +23,13 @@
 interface ChangesQuery {
   readonly prefix: string;
   readonly after: number | null;
-  readonly waitMs: number;
+  /** Whether the store may wait for a change. */
+  readonly isHeld: boolean;
 }
 
+/** Milliseconds for which reads of changes may be held. */
+const heldMs = 60_000;
+
 /** Creates a runner whose store gives these answers in turn. */
 function createRunner(answers: {
   readonly changes?: readonly (Changes | Error)[];
@@ -37,8 +42,8 @@
   const commits = [...answers.commits ?? []];
   const store = {
     era: 0,
-    changes: (prefix: string, after: number | null, waitMs: number) => {
-      queries.push({ prefix, after, waitMs });
+    changes: (prefix: string, after: number | null, { waitMs }: FeedWait) => {
+      queries.push({ prefix, after, isHeld: waitMs > 0 && waitMs <= heldMs });
       const next = changes.shift();
       return next instanceof Error || next === undefined
         ? Promise.reject(next ?? new Error("No answer is left"))
@@ -78,7 +83,11 @@
   const eras: number[] = [];
   const follow = () =>
     resultOf((dispatch) =>
-      handlers.follow_upstreams({ kind: "follow_upstreams" }, dispatch)
+      handlers.follow_upstreams({
+        kind: "follow_upstreams",
+        heldUntil: performance.now() + heldMs,
+        deadline: null,
+      }, dispatch)
     );
   const writeMember = (leaving: boolean) =>
     resultOf((dispatch) =>
@@ -106,8 +115,8 @@
   t.match(await follow(), { kind: "upstreams_learned", vms: [{}] });
   await follow();
   t.match(queries, [
-    { prefix: "servers/", after: null, waitMs: 0 },
-    { prefix: "servers/", after: 5, waitMs: 1_000 },
+    { prefix: "servers/", after: null, isHeld: false },
+    { prefix: "servers/", after: 5, isHeld: true },
   ]);
 });
 
@@ -132,7 +141,7 @@
   });
   await follow();
   t.match(await follow(), { vms: [{}] });
-  t.match(queries.at(-1), { after: null, waitMs: 0 });
+  t.match(queries.at(-1), { after: null, isHeld: false });
   t.equal(queries.length, 3);
 });
 
--- a/packages/relay/src/fleet/store_reads.ts
+++ b/packages/relay/src/fleet/store_reads.ts
@@ -11,6 +11,8 @@
 export interface SharedRead {
   /** Monotonic milliseconds of the next read, or of the next check. */
   dueAt: number;
+  /** Number of reads that have failed since the last one that did not. */
+  failures: number;
 }
 
 /**
@@ -21,9 +23,31 @@
 const minReadPeriodMs = 250;
 const maxReadPeriodMs = 1_500;
 
-/** Longest period of reads for others, as a share of the time allowed. */
+/** Longest periods of reads, as shares of the time allowed. */
+const ownPeriodShare = 0.5;
 const relayedPeriodShare = 0.3;
 
+/**
+ * Time for which the store may hold a read until there is a change, as a share of
+ * the time allowed. Upstreams change so often that it usually answers at once.
+ */
+const heldShares: Readonly<Record<SharedSource, number>> = {
+  routing: 0.5,
+  upstreams: 0.2,
+};
+
+/**
+ * Time for an answer, as a share of the time allowed. A read whose connection is
+ * silent and another one over a new connection both end in the time allowed.
+ */
+const answerShare = 0.25;
+
+/**
+ * Failed reads after which an answer may take as long as the store's client
+ * allows, since the store is then more likely slow than a connection silent.
+ */
+const maxQuickFailures = 1;
+
 /**
  * Age at which a process that does not read for others reads the store itself,
  * as a share of the time within which it must know of changes.
@@ -41,6 +65,12 @@
   other: 800,
 };
 
+/** Kinds of the effects, and of the timers, that read a source. */
+const readKinds = {
+  routing: "follow_routing",
+  upstreams: "follow_upstreams",
+} as const;
+
 /** Relative jitter of periods and delays. */
 const jitterShare = 0.3;
 
@@ -74,30 +104,41 @@
 function readPeriodMs({ fleet, settings }: RelayState): number {
   const live = fleet.membership.all().filter(({ state }) => state === "live");
   const readers = countReaders(live);
-  const periodMs = Math.min(
+  const share = live.length === readers ? ownPeriodShare : relayedPeriodShare;
+  return Math.min(
     maxReadPeriodMs,
+    share * settings.freshnessMs,
     Math.max(minReadPeriodMs, readers * readPeriodMsPerReader),
   );
-  return live.length === readers
-    ? periodMs
-    : Math.min(periodMs, relayedPeriodShare * settings.freshnessMs);
 }
 
-/** Schedules the next read of a source, after one that has ended. */
+/** Schedules the next read of a source, after one that has succeeded. */
 export function scheduleRead(
   state: RelayState,
   source: SharedSource,
   at: Moment,
 ): RelayEffect {
+  state.reads[source].failures = 0;
   return scheduleAt(state, source, nextDueAt(state, source, at));
 }
 
-/** Schedules a read of a source after one that has failed. */
-export function scheduleReadAgain(
+/**
+ * Reads a source again after a read that has failed: at once, over a new
+ * connection, if the first one since a success was not answered, else later.
+ */
+export function readAgain(
   state: RelayState,
   source: SharedSource,
-  at: Moment,
+  { isUnanswered = false, at }: {
+    readonly isUnanswered?: boolean | undefined;
+    readonly at: Moment;
+  },
 ): RelayEffect {
+  const read = state.reads[source];
+  read.failures += 1;
+  if (isUnanswered && read.failures === 1) {
+    return startRead(state, source, at);
+  }
   const delayMs = retryDelaysMs[state.fleet.readerRank];
   const jitteredMs = state.random.jitter(delayMs, jitterShare);
   return scheduleAt(state, source, at.monotonic + jitteredMs);
@@ -147,18 +188,28 @@
   const nextAt = isReader ? dueAt : nextDueAt(state, source, at);
   return nextAt > Math.max(dueAt, at.monotonic)
     ? [scheduleAt(state, source, nextAt)]
-    : [startRead(state, source)];
+    : [startRead(state, source, at)];
 }
 
-/** Starts a read of a source. */
+/**
+ * Starts a read of a source. The store may hold it until there is a change, unless
+ * the last one has failed or this process reads only what it has not heard of.
+ */
 export function startRead(
   state: RelayState,
   source: SharedSource,
+  at: Moment,
 ): RelayEffect {
-  state.reads[source].dueAt = Infinity;
-  return source === "routing"
-    ? { kind: "follow_routing", waits: state.fleet.readerRank === "reader" }
-    : { kind: "follow_upstreams" };
+  const { fleet, reads, settings: { freshnessMs } } = state;
+  const read = reads[source];
+  read.dueAt = Infinity;
+  const isHeld = fleet.readerRank === "reader" && read.failures === 0;
+  const heldMs = isHeld ? heldShares[source] * freshnessMs : 0;
+  const heldUntil = at.monotonic + heldMs;
+  const deadline = read.failures > maxQuickFailures
+    ? null
+    : heldUntil + answerShare * freshnessMs;
+  return { kind: readKinds[source], heldUntil, deadline };
 }
 
 function scheduleAt(
@@ -167,6 +218,6 @@
   dueAt: number,
 ): RelayEffect {
   state.reads[source].dueAt = dueAt;
-  const kind = source === "routing" ? "follow_routing" : "follow_upstreams";
-  return { kind: "set_timer", timer: { kind, dueAt }, at: dueAt };
+  const timer = { kind: readKinds[source], dueAt };
+  return { kind: "set_timer", timer, at: dueAt };
 }
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -33,8 +33,8 @@
   RelayEffect
 > = {
   started: (state, { at }) => [
-    startRead(state, "routing"),
-    startRead(state, "upstreams"),
+    startRead(state, "routing", at),
+    startRead(state, "upstreams", at),
     { kind: "list_members" },
     { kind: "state_member", leaving: false },
     scheduleExchange(state, at),
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -119,14 +119,21 @@
   }
   | { readonly kind: "abort_answer"; readonly exchangeId: string };
 
+/** How long a read of what changes may take, in monotonic milliseconds. */
+export interface FollowLimits {
+  /** Until when the store may wait for a change. */
+  readonly heldUntil: number;
+  /**
+   * When the read is given up, as its connection may be silent; `null`: after the
+   * time-out of the store's client.
+   */
+  readonly deadline: number | null;
+}
+
 /** Effects that call the platform's store. */
 export type SourceEffect =
-  | {
-    /** Reads the routing; may wait for a newer one than was read before. */
-    readonly kind: "follow_routing";
-    readonly waits: boolean;
-  }
-  | { readonly kind: "follow_upstreams" }
+  | { readonly kind: "follow_routing" } & FollowLimits
+  | { readonly kind: "follow_upstreams" } & FollowLimits
   | { readonly kind: "list_members" }
   | {
     /** Writes this process's own member row. */
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -240,6 +240,8 @@
   readonly error: ErrorKind;
   /** Error message for the log. */
   readonly detail: string;
+  /** Whether the store gave no answer, so that its connection may be silent. */
+  readonly isUnanswered?: boolean;
 }
 
 /** Events of the platform's store. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -198,7 +198,10 @@
         return parsed.success ? parsed.data : null;
       },
     }, startedAt),
-    reads: { routing: { dueAt: 0 }, upstreams: { dueAt: 0 } },
+    reads: {
+      routing: { dueAt: 0, failures: 0 },
+      upstreams: { dueAt: 0, failures: 0 },
+    },
     readsForAll: true,
     requests: new Map(),
     requestLimits: new RequestLimits(settings.vm),
