fix(platform): a long poll holds up no other read after an outage

After an outage of the store the list of upstreams was not read for up to the length of a poll, so that requests may go to an upstream that has left.

Cause: after an outage the concurrency rises from 1, and is only looked at when an operation is sent.

Evidence: without the place for the poll the new test fails, as the read is answered after the poll, and it passes now. A poll that is sent adds a place for itself; the store does no work for it, so its protection stays as it was.

--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -129,6 +129,8 @@
   readonly #operations = { reads: 0, writes: 0, refused: 0 };
   /** Callbacks that end the feeds that are being read. */
   readonly #waitingFeeds = new Set<() => void>();
+  /** Long polls that were sent; the store does no work for them. */
+  #polls = 0;
   #era = 0;
   #unreadableVms = 0;
 
@@ -360,9 +362,12 @@
       if (!this.#circuit.allow(performance.now())) {
         throw this.#refuse("The circuit to the platform is open");
       }
+      const isPoll = operation.kind === "changes" && operation.waitMs > 0;
+      this.#polls += isPoll ? 1 : 0;
       this.#adjustConcurrency();
       const remainingMs = Math.ceil(givenUpAt - performance.now());
-      return this.#send(operation, Math.min(timeoutMs, remainingMs));
+      return this.#send(operation, Math.min(timeoutMs, remainingMs))
+        .finally(() => (this.#polls -= isPoll ? 1 : 0));
     };
     return await queue.add(send, { priority: priorities[priority] });
   }
@@ -389,15 +394,15 @@
     return era > maxEra ? this.#era : era;
   }
 
-  /** Raises the concurrency gradually after an outage. */
+  /**
+   * Raises the concurrency gradually after an outage. Long polls need a place
+   * each, as they would leave none to other reads at the start.
+   */
   #adjustConcurrency(): void {
     const share = this.#circuit.concurrencyShare(performance.now());
     const concurrency = Math.max(1, Math.ceil(this.#concurrency * share));
-    for (const queue of [this.#reads, this.#writes]) {
-      if (queue.concurrency !== concurrency) {
-        queue.concurrency = concurrency;
-      }
-    }
+    setConcurrency(this.#reads, concurrency + this.#polls);
+    setConcurrency(this.#writes, concurrency);
   }
 
   async #send(operation: Operation, timeoutMs: number): Promise<DatedReply> {
@@ -460,6 +465,12 @@
   return { ...write, ifVersion: version };
 }
 
+function setConcurrency(queue: PQueue, concurrency: number): void {
+  if (queue.concurrency !== concurrency) {
+    queue.concurrency = concurrency;
+  }
+}
+
 function createQueue(concurrency: number, perSecond: number): PQueue {
   return new PQueue({
     concurrency,
--- a/packages/platform/src/platform_client_test.ts
+++ b/packages/platform/src/platform_client_test.ts
@@ -135,6 +135,55 @@
   t.equal(store.paths.length, 6);
 });
 
+/** Repeats reads until the circuit admits one and it is answered. */
+async function readUntilAnswered(client: PlatformClient): Promise<void> {
+  for (;;) {
+    try {
+      await client.read(["k"], "leases");
+      return;
+    } catch {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+}
+
+// The poll took the only place until the concurrency was raised again.
+t.test("a long poll holds up no other read after an outage", async (t) => {
+  let isDown = true;
+  const rows = { status: 200, body: { rows: [null] } };
+  const unchanged = { rows: [], version: 1, lost: false };
+  const heldMs = 1_000;
+  const client = new PlatformClient({
+    seed: 1,
+    timeoutMs: 500,
+    transport: {
+      send: async ({ kind }) => {
+        if (isDown) {
+          throw new Error("The store is down");
+        }
+        if (kind !== "changes") {
+          return rows;
+        }
+        await new Promise((resolve) => setTimeout(resolve, heldMs));
+        return { status: 200, body: unchanged };
+      },
+      close: () => Promise.resolve(),
+    },
+  });
+  while (client.circuit !== "open") {
+    await expectFailure(client.read(["k"], "leases"));
+  }
+  isDown = false;
+  await readUntilAnswered(client);
+  const order: string[] = [];
+  const poll = client.changes("a/", 1, { waitMs: heldMs })
+    .then(() => order.push("poll"));
+  await client.read(["k"], "leases");
+  order.push("read");
+  await poll;
+  t.strictSame(order, ["read", "poll"]);
+});
+
 t.test("queued operations are sent in order of priority", async (t) => {
   const store = await startStore(t, { concurrency: 1 });
   store.answer = sendCommitted;
