fix(relay): the store is asked in time after a long outage

What callers saw: 404 on an added route for longer than 3 s after an outage of the store.

Cause: after a long outage the circuit stays open for up to 2 s. A try that was sent just before the store is back takes 1.2 s, the pause 2 s and the retry of the reader up to 0.5 s, together more than contactMs. Class of fault: bounds of single waits that do not follow from the age that knowledge may have.

--- a/packages/platform/src/circuit.ts
+++ b/packages/platform/src/circuit.ts
@@ -20,7 +20,7 @@
  */
 export const firstOpenMs = 250;
 
-/** Longest time for which the circuit stays open. */
+/** Default of the longest time for which the circuit stays open. */
 export const maxOpenMs = 2_000;
 
 /**
@@ -39,6 +39,7 @@
  */
 export class Circuit {
   readonly #fraction: () => number;
+  readonly #maxOpenMs: number;
   #state: CircuitState = circuitStates.closed;
   #failures = 0;
   #openings = 0;
@@ -46,8 +47,9 @@
   #closedAt = -Infinity;
 
   /** Expects a source of random numbers from 0 up to, but not including, 1. */
-  constructor(fraction: () => number) {
+  constructor(fraction: () => number, longestOpenMs = maxOpenMs) {
     this.#fraction = fraction;
+    this.#maxOpenMs = longestOpenMs;
   }
 
   /** State; an open circuit stays `open` until `allow` admits a probe. */
@@ -98,7 +100,7 @@
       return;
     }
     this.#state = circuitStates.open;
-    const baseMs = Math.min(maxOpenMs, firstOpenMs * 2 ** this.#openings);
+    const baseMs = Math.min(this.#maxOpenMs, firstOpenMs * 2 ** this.#openings);
     const jitterFactor = 1 - jitterShare * this.#fraction();
     this.#probeAt = now + baseMs * jitterFactor;
     this.#openings += 1;
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -50,6 +50,8 @@
   readonly readsPerSecond?: number;
   /** Maximum number of writes that this process sends in a second. */
   readonly writesPerSecond?: number;
+  /** Longest time, in milliseconds, without a probe while the platform is down. */
+  readonly maxOpenMs?: number;
   /** Seed of the jitter of retries and probes. */
   readonly seed?: number;
 }
@@ -150,7 +152,10 @@
       options.writesPerSecond ?? defaultWritesPerSecond,
     );
     this.#random = new Random(options.seed ?? Date.now());
-    this.#circuit = new Circuit(() => this.#random.fraction());
+    this.#circuit = new Circuit(
+      () => this.#random.fraction(),
+      options.maxOpenMs,
+    );
   }
 
   /** State of the circuit breaker for the platform. */
--- a/packages/relay/src/fleet/routing_age_test.ts
+++ b/packages/relay/src/fleet/routing_age_test.ts
@@ -4,6 +4,7 @@
 import { ReaderFleet } from "../fixtures/reader_fleet.ts";
 
 const seeds = Number(process.env["ROUTING_AGE_SEEDS"] ?? 4);
+const outageSeeds = 100;
 const firstSeed = Number(process.env["ROUTING_AGE_SEED"] ?? 1);
 
 /** Sizes of fleets: a process alone, small ones, and one with few readers. */
@@ -24,6 +25,9 @@
 /** Milliseconds for which processes are stopped or refused by the store. */
 const faultMs = 1_500;
 
+/** Longest outage of the store, in milliseconds. */
+const maxOutageMs = 15_000;
+
 /** What happens at a moment of a play, to one relay or to all. */
 interface Step {
   readonly at: number;
@@ -156,6 +160,29 @@
   t.end();
 });
 
+// The last try before the store was back and the pause after it took too long.
+t.test("a routing is not older than the bounds after an outage of the store", (t) => {
+  for (let seed = 1; seed <= outageSeeds; seed++) {
+    const random = new Random(seed);
+    const fleet = new ReaderFleet({ seed, relayCount: 1, freshnessMs });
+    fleet.run(settleMs);
+    for (const id of fleet.relays.keys()) {
+      fleet.setFault(id, { isCutFromStore: true });
+    }
+    const outageMs = random.integerBelow(maxOutageMs);
+    fleet.run(outageMs);
+    const version = fleet.changeRouting();
+    for (const id of fleet.relays.keys()) {
+      fleet.setFault(id, {});
+    }
+    fleet.run(contactMs);
+    const versions = [...fleet.relays.keys()]
+      .map((id) => fleet.routingVersionOf(id));
+    t.strictSame(versions, [version], `seed ${seed}, ${outageMs} ms`);
+  }
+  t.end();
+});
+
 for (const relayCount of sizes) {
   // A read over a silent connection was waited for longer than the bounds.
   t.test(`no routing of ${relayCount} relays is older than the bounds when connections go silent`, (t) => {
--- a/packages/relay/src/mod.ts
+++ b/packages/relay/src/mod.ts
@@ -1,4 +1,5 @@
 /** Reverse proxy that forwards requests by route to pools of upstreams. */
+export { storeLimitsOf } from "./fleet/store_limits_of.ts";
 export { isHeaderValue } from "./http/is_header_value.ts";
 export * from "./ports.ts";
 export * from "./relay.ts";
--- a/packages/standins/src/proxy/proxy_server.ts
+++ b/packages/standins/src/proxy/proxy_server.ts
@@ -9,6 +9,8 @@
   readonly stalled: boolean;
   /** Resets new connections. */
   readonly refused: boolean;
+  /** Makes new connections silent for good. */
+  readonly silent: boolean;
   /** Resets a connection after more than this many bytes from the upstream. */
   readonly resetAfterBytes: number | null;
   /** Direction that is blocked while the other one passes. */
@@ -20,6 +22,7 @@
   delayMs: 0,
   stalled: false,
   refused: false,
+  silent: false,
   resetAfterBytes: null,
   blockedDirection: "none",
 };
@@ -91,7 +94,7 @@
       allowHalfOpen: true,
     });
     const pair = [downstream, upstream];
-    const connection = { isSilent: false };
+    const connection = { isSilent: this.faults.silent };
     this.#connections.add(connection);
     const destroyPair = () => {
       if (!connection.isSilent) {
