fix(relay): a routing that is too old refuses nothing for good

Cause: 404 and 401 were answered by the routing at hand, whatever its age. Whatever made it old, a process that could not confirm it in time does not know that a route or a key is not there. Class of fault: a final answer from knowledge of unknown age.

Known routes with known keys never wait. A process logs when its routing becomes too old and when it is confirmed again.

--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -7,6 +7,11 @@
 } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import { releaseBacklogs } from "../requests/place_request.ts";
+import { receiveConfirmed } from "../requests/request_part.ts";
+import {
+  isRoutingConfirmed,
+  routingAgeMs,
+} from "../requests/unconfirmed_request.ts";
 import type { RelayState } from "../state.ts";
 import { computeRetryBurst } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
@@ -53,6 +58,7 @@
   return [
     ...expiryEffects,
     ...applyUpdates(state, at),
+    ...reviewRoutingAge(state, at),
     ...sendDueExchanges(state, at),
   ];
 }
@@ -112,7 +118,33 @@
     // The store's answer tells whether the peer is right.
     effects.push({ kind: "read_suspects" });
   }
+  // Peers may have confirmed the routing.
+  effects.push(...receiveConfirmed(state, at));
   return updates.marks.length > 0 || updates.shares.size > 0
     ? [...effects, ...releaseBacklogs(state, at)]
     : effects;
 }
+
+/** Records that the routing has become too old, or is confirmed again. */
+function reviewRoutingAge(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  const isConfirmed = isRoutingConfirmed(state, at);
+  const { routeTable } = state;
+  if (routeTable === null || isConfirmed === state.routingIsConfirmed) {
+    return [];
+  }
+  state.routingIsConfirmed = isConfirmed;
+  return [
+    recordDecision(state, {
+      kind: "configure",
+      subject: "routing",
+      reason: isConfirmed ? "confirmed" : "unconfirmed",
+      figures: {
+        version: routeTable.routing.version,
+        ageMs: routingAgeMs(state, at),
+      },
+    }, at),
+  ];
+}
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -10,6 +10,8 @@
   recordEarlyEnd,
 } from "../quarantine/quarantine_part.ts";
 import { releaseBacklogs, releaseCopy } from "../requests/place_request.ts";
+import { receiveConfirmed } from "../requests/request_part.ts";
+import { refuseAllUnconfirmed } from "../requests/unconfirmed_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
 import type { Routing } from "../routing/routing.ts";
 import type {
@@ -87,24 +89,34 @@
       ...effects,
       ...sendDueExchanges(state, at),
       scheduleRead(state, "routing", at),
+      ...receiveConfirmed(state, at),
     ];
   },
   routing_unchanged: (state, { confirmedAt, at }) => {
     state.fleet.confirmConfiguration(confirmedAt);
-    return [scheduleRead(state, "routing", at)];
+    return [
+      scheduleRead(state, "routing", at),
+      ...receiveConfirmed(state, at),
+    ];
   },
   routing_unreadable: (state, { version, confirmedAt, at }) => {
     state.fleet.confirmConfiguration(confirmedAt);
     return [
       recordUnreadable(state, "routing", { version, at }),
       scheduleRead(state, "routing", at),
+      ...receiveConfirmed(state, at),
+    ];
+  },
+  routing_failed: (state, event) => {
+    const { error, at } = event;
+    const next = readAgain(state, "routing", event);
+    return [
+      recordFailure(state, "follow_routing", event),
+      count("retries", error),
+      next,
+      ...next.kind === "set_timer" ? refuseAllUnconfirmed(state, at) : [],
     ];
   },
-  routing_failed: (state, event) => [
-    recordFailure(state, "follow_routing", event),
-    count("retries", event.error),
-    readAgain(state, "routing", event),
-  ],
   upstreams_learned: (state, { vms, version, unreadable, askedAt, at }) => {
     const outageEffects = endOutage(state, at);
     state.fleet.readUpstreams({ vms, version }, askedAt);
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -21,6 +21,10 @@
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import { expireRequest, finalAnswerMs } from "../requests/request_part.ts";
+import {
+  refuseAllUnconfirmed,
+  refuseUnconfirmed,
+} from "../requests/unconfirmed_request.ts";
 import type { RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
 import type { RelayTimer } from "./timers.ts";
@@ -86,6 +90,8 @@
   },
   request_deadline: (state, { exchangeId }, at) =>
     expireRequest(state, exchangeId, at),
+  refuse_unconfirmed: (state, { exchangeId }, at) =>
+    refuseUnconfirmed(state, exchangeId, at),
   evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
   retry_resumption: (state, { exchangeId }, at) =>
     retryResumption(state, exchangeId, at),
@@ -142,7 +148,8 @@
   const now = at.monotonic;
   const stopRequestedAt = state.stopDeadline - state.settings.stopMs;
   const isQuiet = now - state.lastRequestAt >= minQuietMs &&
-    now - stopRequestedAt >= minStopMs && state.requests.size === 0;
+    now - stopRequestedAt >= minStopMs && state.requests.size === 0 &&
+    state.unconfirmedRequests.size === 0;
   if (isQuiet || now >= state.stopDeadline) {
     const open = [...state.requests.values()];
     const deadline = state.stopDeadline;
@@ -150,6 +157,7 @@
     state.stopDeadline = Math.min(deadline, now);
     return [
       ...open.flatMap((request) => dropStopped(state, request, at)),
+      ...refuseAllUnconfirmed(state, at),
       { kind: "exit", deadline },
     ];
   }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -19,6 +19,11 @@
 import { answerPart } from "./answer_part.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
+import {
+  refuseByRouting,
+  routingAgeMs,
+  takeConfirmed,
+} from "./unconfirmed_request.ts";
 
 /**
  * Retry delay for callers while routes or upstreams are not known yet, in
@@ -65,6 +70,7 @@
     caller_disconnected: (state, { exchangeId, at }) => {
       const request = state.requests.get(exchangeId);
       if (request === undefined) {
+        state.unconfirmedRequests.delete(exchangeId);
         return [];
       }
       return [
@@ -87,6 +93,7 @@
   { exchangeId, effect, detail, at }: Timed<RelayingFailed>,
 ): readonly RelayEffect[] {
   const request = state.requests.get(exchangeId);
+  state.unconfirmedRequests.delete(exchangeId);
   const effects = request === undefined
     ? []
     : endRequest(state, request, { outcome: "failed", at });
@@ -129,6 +136,15 @@
   return [...effects, ...releaseBacklogs(state, at)];
 }
 
+/** Receives the requests that have waited for the routing to be confirmed. */
+export function receiveConfirmed(
+  state: RelayState,
+  at: Moment,
+): readonly RelayEffect[] {
+  return takeConfirmed(state, at)
+    .flatMap((event) => receiveRequest(state, { ...event, at }));
+}
+
 function receiveRequest(
   state: RelayState,
   event: Timed<RequestReceived>,
@@ -159,14 +175,7 @@
     const error = route === undefined ? "not_found" : "unauthenticated";
     const ageMs = routingAgeMs(state, at);
     const figures = { version, ageMs, host, path: path.slice(0, 64) };
-    return [
-      recordDecision(
-        state,
-        { kind: "refuse", subject: requestId, reason: error, figures },
-        at,
-      ),
-      ...sendFailure(exchangeId, { error, notRun: true }),
-    ];
+    return refuseByRouting(state, event, { error, figures });
   }
   const request = createRequest(state, event, {
     route,
@@ -251,14 +260,6 @@
   return arrivedAt + boundMs <= lastAnswerAt;
 }
 
-/** Milliseconds since the routing was known to be the newest; -1 if never. */
-function routingAgeMs({ fleet }: RelayState, at: Moment): number {
-  const { configurationConfirmedAt: confirmedAt } = fleet;
-  return confirmedAt === -Infinity
-    ? -1
-    : Math.round(at.monotonic - confirmedAt);
-}
-
 /** Milliseconds until the process exits; -1 if no stop is planned. */
 function stopsInMs({ stopping, stopDeadline }: RelayState, at: Moment): number {
   return stopping ? Math.round(stopDeadline - at.monotonic) : -1;
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -16,6 +16,7 @@
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
+import type { UnconfirmedRequest } from "./requests/unconfirmed_request.ts";
 import type { RouteTable } from "./routing/route_table.ts";
 import type { Routing, Service } from "./routing/routing.ts";
 import { routingSchema } from "./routing/routing.ts";
@@ -116,6 +117,10 @@
   readsForAll: boolean;
   /** Requests in progress, by exchange id. */
   readonly requests: Map<string, RelayedRequest>;
+  /** Requests that wait for the routing to be confirmed, by exchange id. */
+  readonly unconfirmedRequests: Map<string, UnconfirmedRequest>;
+  /** Whether the routing was last found to be as new as it must be. */
+  routingIsConfirmed: boolean;
   /** Limits that upstreams name on the requests from all processes. */
   readonly requestLimits: RequestLimits;
   /** Durations of complete answers, by the name of their route. */
@@ -204,6 +209,8 @@
     },
     readsForAll: true,
     requests: new Map(),
+    unconfirmedRequests: new Map(),
+    routingIsConfirmed: true,
     requestLimits: new RequestLimits(settings.vm),
     answerTimes: new Map(),
     isReleaseScheduled: false,
