fix(relay): what was known before a suspension is as old as it is

Cause: the monotonic clock does not count the time for which a machine is suspended. A process that woke took a routing of many seconds ago for one of this moment, refused by it, and told its peers so, which believe an age of the same version.

A process now compares the two clocks at each event. Where the time of day went on ahead of the monotonic clock, the difference is added to the age of the routing and of the list of upstreams, and to what was asked before and is answered after. A time of day that is set forward looks the same; it only lets the process confirm what it knows.

--- a/packages/fleet/src/configuration_history.ts
+++ b/packages/fleet/src/configuration_history.ts
@@ -61,6 +61,11 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
   }
 
+  /** Adds to the age time that the monotonic clock did not count. */
+  addAge(milliseconds: number): void {
+    this.#confirmedAt -= milliseconds;
+  }
+
   /**
    * Learns from a peer how old its knowledge of the same configuration is.
    * `sentAt` is when its reply was asked for; `-Infinity` for a request.
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -210,6 +210,18 @@
     this.#configurations.confirm(confirmedAt);
   }
 
+  /**
+   * Adds time that the monotonic clock did not count to the age of what this
+   * process knows, and of what it has asked its peers.
+   */
+  addAge(milliseconds: number): void {
+    this.#configurations.addAge(milliseconds);
+    this.upstreams.addAge(milliseconds);
+    for (const link of this.#exchange.links) {
+      link.requestSentAt -= milliseconds;
+    }
+  }
+
   /**
    * Applies a list of upstreams that the platform was asked for at `askedAt`,
    * in monotonic milliseconds, unless a later one is known.
--- a/packages/fleet/src/upstream_list.ts
+++ b/packages/fleet/src/upstream_list.ts
@@ -90,6 +90,11 @@
     this.#isNews = isNews;
   }
 
+  /** Adds to the age of the list time that the monotonic clock did not count. */
+  addAge(milliseconds: number): void {
+    this.#askedAt -= milliseconds;
+  }
+
   /**
    * Applies a list that the store was asked for at `askedAt`; returns whether
    * it is not older than the known one.
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -21,6 +21,7 @@
   UpstreamList,
 } from "../state.ts";
 import { closeUpstream, createPool } from "../state.ts";
+import { withSuspension } from "../process/suspension.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
@@ -84,7 +85,7 @@
   store_era_learned: applyStoreEra,
   routing_learned: (state, { routing, confirmedAt, at }) => {
     const effects = applyRouting(state, routing, at);
-    state.fleet.confirmConfiguration(confirmedAt);
+    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
     return [
       ...effects,
       ...sendDueExchanges(state, at),
@@ -93,14 +94,14 @@
     ];
   },
   routing_unchanged: (state, { confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(confirmedAt);
+    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
     return [
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
     ];
   },
   routing_unreadable: (state, { version, confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(confirmedAt);
+    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
     return [
       recordUnreadable(state, "routing", { version, at }),
       scheduleRead(state, "routing", at),
@@ -119,7 +120,10 @@
   },
   upstreams_learned: (state, { vms, version, unreadable, askedAt, at }) => {
     const outageEffects = endOutage(state, at);
-    state.fleet.readUpstreams({ vms, version }, askedAt);
+    state.fleet.readUpstreams(
+      { vms, version },
+      withSuspension(state, askedAt),
+    );
     return [
       ...outageEffects,
       ...recordUnreadableRows(state, { upstreams: unreadable }, at),
--- a/packages/relay/src/reduce.ts
+++ b/packages/relay/src/reduce.ts
@@ -1,3 +1,4 @@
+import type { Reducer } from "@lavenderferry/runtime";
 import { createReducer } from "@lavenderferry/runtime";
 import { exchangePart } from "./fleet/exchange_part.ts";
 import { forwardingPart } from "./forwarding/forwarding_part.ts";
@@ -5,13 +6,13 @@
 import { sourcePart } from "./fleet/source_part.ts";
 import { limitPart } from "./limits/limit_part.ts";
 import { lifecyclePart } from "./process/lifecycle_part.ts";
+import { noticeSuspension } from "./process/suspension.ts";
 import type { RelayEffect } from "./relay_effect.ts";
 import type { RelayEvent } from "./relay_event.ts";
 import { requestPart } from "./requests/request_part.ts";
 import type { RelayState } from "./state.ts";
 
-/** Reducer of the relay: updates the state and returns effects to run. */
-export const reduceRelay = createReducer<RelayState, RelayEvent, RelayEffect>({
+const reduceEvent = createReducer<RelayState, RelayEvent, RelayEffect>({
   ...requestPart,
   ...sourcePart,
   ...quarantinePart,
@@ -20,3 +21,12 @@
   ...exchangePart,
   ...lifecyclePart,
 });
+
+/** Reducer of the relay: updates the state and returns effects to run. */
+export const reduceRelay: Reducer<RelayState, RelayEvent, RelayEffect> = (
+  state,
+  event,
+) => {
+  noticeSuspension(state, event.at);
+  return reduceEvent(state, event);
+};
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -13,6 +13,7 @@
 } from "@lavenderferry/policy";
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import type { SharedRead, SharedSource } from "./fleet/store_reads.ts";
+import type { Suspension } from "./process/suspension.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
@@ -119,6 +120,9 @@
   readonly requests: Map<string, RelayedRequest>;
   /** Requests that wait for the routing to be confirmed, by exchange id. */
   readonly unconfirmedRequests: Map<string, UnconfirmedRequest>;
+  /** Wall-clock less monotonic milliseconds at the last event. */
+  clockOffset: number | null;
+  suspension: Suspension | null;
   /** Whether the routing was last found to be as new as it must be. */
   routingIsConfirmed: boolean;
   /** Limits that upstreams name on the requests from all processes. */
@@ -210,6 +214,8 @@
     readsForAll: true,
     requests: new Map(),
     unconfirmedRequests: new Map(),
+    clockOffset: null,
+    suspension: null,
     routingIsConfirmed: true,
     requestLimits: new RequestLimits(settings.vm),
     answerTimes: new Map(),
