--- a/packages/relay/src/fleet/store_reads.ts
+++ b/packages/relay/src/fleet/store_reads.ts
@@ -1,5 +1,5 @@
 import type { Moment } from "@lavenderferry/runtime";
-import type { ReaderRank } from "@lavenderferry/fleet";
+import type { Member, ReaderRank } from "@lavenderferry/fleet";
 import { countReaders } from "@lavenderferry/fleet";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RelayState } from "../state.ts";
@@ -23,18 +23,19 @@
 const minReadPeriodMs = 250;
 const maxReadPeriodMs = 1_500;
 
-/** Longest periods of reads, as shares of the time allowed. */
-const ownPeriodShare = 0.5;
-const relayedPeriodShare = 0.3;
+/** Times of reads, as shares of the time allowed. */
+interface ReadShares {
+  /** Longest period of reads of the upstreams. */
+  readonly period: number;
+  /** Time for which the store may hold a read of the routing. */
+  readonly held: number;
+}
 
-/**
- * Time for which the store may hold a read until there is a change, as a share of
- * the time allowed. Upstreams change so often that it usually answers at once.
- */
-const heldShares: Readonly<Record<SharedSource, number>> = {
-  routing: 0.5,
-  upstreams: 0.2,
-};
+/** Where all processes read; a read and a second try need less than 1.4. */
+const ownShares: ReadShares = { period: 0.6, held: 0.85 };
+
+/** Where some read for others, which read themselves if they hear too late. */
+const relayedShares: ReadShares = { period: 0.3, held: 0.5 };
 
 /**
  * Time for an answer, as a share of the time allowed. A read whose connection is
@@ -101,17 +102,26 @@
   return confirmedAt + random.jitter(ageMs, ageJitterShare);
 }
 
-function readPeriodMs({ fleet, settings }: RelayState): number {
-  const live = fleet.membership.all().filter(({ state }) => state === "live");
-  const readers = countReaders(live);
-  const share = live.length === readers ? ownPeriodShare : relayedPeriodShare;
+function readPeriodMs(state: RelayState): number {
   return Math.min(
     maxReadPeriodMs,
-    share * settings.freshnessMs,
-    Math.max(minReadPeriodMs, readers * readPeriodMsPerReader),
+    readSharesOf(state).period * state.settings.freshnessMs,
+    Math.max(
+      minReadPeriodMs,
+      countReaders(liveMembers(state)) * readPeriodMsPerReader,
+    ),
   );
 }
 
+function liveMembers({ fleet }: RelayState): readonly Member[] {
+  return fleet.membership.all().filter(({ state }) => state === "live");
+}
+
+function readSharesOf(state: RelayState): ReadShares {
+  const live = liveMembers(state);
+  return live.length === countReaders(live) ? ownShares : relayedShares;
+}
+
 /** Schedules the next read of a source, after one that has succeeded. */
 export function scheduleRead(
   state: RelayState,
@@ -192,8 +202,9 @@
 }
 
 /**
- * Starts a read of a source. The store may hold it until there is a change, unless
- * the last one has failed or this process reads only what it has not heard of.
+ * Starts a read of a source. The store may hold one of the routing until there is a
+ * change, unless the last one has failed or this process reads only what it has not
+ * heard of.
  */
 export function startRead(
   state: RelayState,
@@ -203,8 +214,9 @@
   const { fleet, reads, settings: { freshnessMs } } = state;
   const read = reads[source];
   read.dueAt = Infinity;
-  const isHeld = fleet.readerRank === "reader" && read.failures === 0;
-  const heldMs = isHeld ? heldShares[source] * freshnessMs : 0;
+  const isHeld = source === "routing" && fleet.readerRank === "reader" &&
+    read.failures === 0;
+  const heldMs = isHeld ? readSharesOf(state).held * freshnessMs : 0;
   const heldUntil = at.monotonic + heldMs;
   const deadline = read.failures > maxQuickFailures
     ? null
