--- a/packages/relay/src/fleet/store_reads.ts
+++ b/packages/relay/src/fleet/store_reads.ts
@@ -23,7 +23,7 @@
 const minReadPeriodMs = 250;
 const maxReadPeriodMs = 1_500;
 
-/** Times of reads, as shares of the time allowed. */
+/** Times of a reader's reads, as shares of the time allowed. */
 interface ReadShares {
   /** Longest period of reads of the upstreams. */
   readonly period: number;
@@ -31,15 +31,15 @@
   readonly held: number;
 }
 
-/** Where all processes read; a read and a second try need less than 1.4. */
+/** Where all processes read, so that no other depends on the age of the news. */
 const ownShares: ReadShares = { period: 0.6, held: 0.85 };
 
-/** Where some read for others, which read themselves if they hear too late. */
+/** Where some read for others, which read themselves if the news are too old. */
 const relayedShares: ReadShares = { period: 0.3, held: 0.5 };
 
 /**
- * Time for an answer, as a share of the time allowed. A read whose connection is
- * silent and another one over a new connection both end in the time allowed.
+ * Time for an answer, as a share of the time allowed. Knowledge is at most as old
+ * as a hold, or a period, and two tries of a read, the second over a new connection.
  */
 const answerShare = 0.25;
 
