fix(relay): a routing that is confirmed in time is not taken for too old

Cause: since a poll was held for 0.85 of the bound, which left a process 0.15 of it (290 ms) until its routing counted as too old. A busy process took longer. Traced in a run of five copies of silent_store_test beside 14 busy processes: the change was in force 0.7 s before it was judged, the next poll was sent, the age rose to 2,226 ms, and the request that waited for the poll was refused at 2,554 ms.

A poll is now held for 0.6 of the bound, which leaves 0.4 (780 ms).

--- a/packages/relay/src/fleet/store_reads.ts
+++ b/packages/relay/src/fleet/store_reads.ts
@@ -32,7 +32,7 @@
 }
 
 /** Where all processes read, so that no other depends on the age of the news. */
-const ownShares: ReadShares = { period: 0.6, held: 0.85 };
+const ownShares: ReadShares = { period: 0.6, held: 0.6 };
 
 /** Where some read for others, which read themselves if the news are too old. */
 const relayedShares: ReadShares = { period: 0.3, held: 0.5 };
--- a/packages/relay/src/process/suspension.ts
+++ b/packages/relay/src/process/suspension.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Notices that the machine was suspended: the time of day went on, the monotonic
+ * Notices that the VM was suspended: the time of day went on, the monotonic
  * clock did not. A time of day that was set forward looks the same, and only lets
  * the process confirm what it knows.
  */
