--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -24,6 +24,7 @@
 import { markReasons, Marks } from "./marks.ts";
 import type { Member, MemberRole, MemberState } from "./member.ts";
 import { memberStates } from "./member.ts";
+import { MemberProbe } from "./member_probe.ts";
 import { Membership } from "./membership.ts";
 import type {
   FleetUpdates,
@@ -42,9 +43,6 @@
 /** Number of replies for which a joining process requests the full state. */
 const fullStateReplies = 2;
 
-/** Mean time between attempts to reach a listed member that is gone. */
-const probeIntervalMs = 5_000;
-
 /** Longest time between two polls, which bounds how late a timer is. */
 const maxPollIntervalMs = 250;
 
@@ -69,11 +67,11 @@
   readonly #listRelay: ListRelay;
   readonly #markRelay: MarkRelay;
   readonly #leaving = new LeavingUpstreams();
+  readonly #probe: MemberProbe;
   #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
   #nextReviewAt = 0;
-  #nextProbeAt = 0;
   #updates = createUpdates<Document>();
 
   constructor(options: FleetNodeOptions<Document>, startedAt: number) {
@@ -85,6 +83,7 @@
       options.keptVersions,
     );
     this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
+    this.#probe = new MemberProbe(this.#random);
     this.#listRelay = new ListRelay(
       this.marks,
       options.freshnessMs ?? Infinity,
@@ -576,15 +575,8 @@
     const readers = freshnessMs === undefined ? [] : this.#readers;
     const peers = [
       ...choosePeers(self, members, { fanOut, meshSize, readers }),
+      ...this.#probe.choose(this.membership.goneButListed(), at),
     ];
-    if (at.monotonic >= this.#nextProbeAt) {
-      this.#nextProbeAt = at.monotonic +
-        this.#random.jitter(probeIntervalMs, 0.2);
-      const unreachable = this.membership.goneButListed();
-      const probe =
-        unreachable[this.#random.integerBelow(Math.max(1, unreachable.length))];
-      peers.push(...(probe === undefined ? [] : [probe]));
-    }
     const isMesh = meshSize === undefined || this.exchangesWithAll;
     const intervalMsOf = createIntervals({ isMesh, readers });
     this.#exchange.setPeers(peers, { at, intervalMsOf });
