--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -60,7 +60,6 @@
   readonly duties = new DutyDirectory();
   readonly #options: FleetNodeOptions<Document>;
   readonly #exchange: Exchange;
-  readonly #random: Random;
   readonly #configurations: ConfigurationHistory<Document>;
   readonly #peerWork = new PeerWorkTable();
   readonly #confirmedBy = new Set<string>();
@@ -82,15 +81,15 @@
         ((document) => readConfiguration(document) as Document | null),
       options.keptVersions,
     );
-    this.#random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
-    this.#probe = new MemberProbe(this.#random);
+    const random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
+    this.#probe = new MemberProbe(random);
     this.#listRelay = new ListRelay(
       this.marks,
       options.freshnessMs ?? Infinity,
     );
     this.#exchange = new Exchange(
       id,
-      this.#random,
+      random,
       (link, at) => this.#listRelay.newsFor(link, at),
     );
     this.#markRelay = new MarkRelay(this.marks, this.#exchange);
