--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -317,8 +317,12 @@
       ...forwardEffects,
     ];
   }
+  // Nothing has arrived at an upstream that was not reached, so that another
+  // attempt is no load beyond the first.
+  const isFree = reason === "unreachable";
   const canRetry = !isResumption && sends < maxSends &&
-    at.monotonic < request.deadline && pool?.retryBudget.tryWithdraw() === true;
+    at.monotonic < request.deadline &&
+    (isFree || pool?.retryBudget.tryWithdraw() === true);
   if (!canRetry) {
     state.requests.delete(request.exchangeId);
     const retryAfterMs = state.random.jitter(refusedRetryMs, retryJitterShare);
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -94,6 +94,26 @@
   t.end();
 });
 
+// While the store was down, requests met engines that had ended. Each was refused
+// once the small share of retries of one process in a large fleet was used.
+t.test("upstreams that are not reached use no share of the retries", (t) => {
+  const relay = new RelayFixture({ retryBurst: 0 });
+  relay.learn(["d1", "d2", "d3", "d4"].map(createDeskUpstream));
+  for (let index = 0; index < 4; index++) {
+    const exchangeId = `x${index}`;
+    const [sent] = only(relay.request({ exchangeId }), "send_request");
+    const effects = relay.reduce({
+      kind: "attempt_refused",
+      attemptId: sent?.attemptId ?? "",
+      exchangeId,
+      reason: "unreachable",
+      detail: "ECONNREFUSED",
+    });
+    t.equal(only(effects, "send_failure").length, index < 3 ? 0 : 1);
+  }
+  t.end();
+});
+
 t.test("a request refused by all upstreams fails as not run", (t) => {
   const relay = createStartedRelay();
   let effects = relay.request();
