--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -13,3 +13,4 @@
 export * from "./round_robin.ts";
 export * from "./slot_dispatcher.ts";
 export * from "./suspect_blocks.ts";
+export * from "./urgency_ranks.ts";
--- a/packages/relay/src/forwarding/forward_request.ts
+++ b/packages/relay/src/forwarding/forward_request.ts
@@ -71,6 +71,7 @@
       workspace,
       deadline: deadline - answerMarginMs,
       copyTo: null,
+      urgency: null,
       resumption: null,
     },
   ];
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -183,7 +183,7 @@
   }
 
   #headersOf(effect: SendRequest, exchange: CallerExchange): string[] {
-    const { target, workspace, deadline, copyTo, resumption } = effect;
+    const { target, workspace, deadline, copyTo, urgency, resumption } = effect;
     const { request, body } = exchange;
     const remainingMs = Math.max(1, Math.floor(deadline - performance.now()));
     const raw = withoutForwardedHeader(request.rawHeaders);
@@ -194,6 +194,7 @@
         workspace,
         remainingMs,
         copyTo,
+        urgency,
         resumption,
       });
     if (body.length > 0 || request.method !== "GET") {
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -27,6 +27,8 @@
   readonly remainingMs: number;
   /** Address of the upstream that is to keep a copy of the memory. */
   readonly copyTo: string | null;
+  /** How urgent a generation is, 1 being the most urgent; `null`: not stated. */
+  readonly urgency: number | null;
   readonly resumption: Resumption | null;
 }
 
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -44,6 +44,8 @@
     readonly deadline: number;
     /** Address of the upstream that is to keep a copy of the memory. */
     readonly copyTo: string | null;
+    /** How urgent a generation is, 1 being the most urgent; `null`: not stated. */
+    readonly urgency: number | null;
     readonly resumption: Resumption | null;
   }
   | { readonly kind: "drop_attempt"; readonly attemptId: string }
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -281,6 +281,7 @@
       workspace: request.workspace,
       deadline: request.deadline,
       copyTo,
+      urgency: request.urgency,
       resumption,
     },
   ];
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -68,6 +68,8 @@
   readonly route: Route;
   readonly service: string;
   readonly workspace: string | null;
+  /** How urgent a generation is, 1 being the most urgent; `null`: not stated. */
+  readonly urgency: number | null;
   /** Id that equal requests of the same caller share. */
   readonly fingerprint: string;
   /** Ids of the prompt's blocks that other requests may share. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -281,6 +281,9 @@
     route,
     service: chooseService(state, route),
     workspace,
+    urgency: event.generation === null
+      ? null
+      : state.routeTable?.urgencyOf(route, workspace) ?? null,
     fingerprint: fingerprintOf(
       event.contentDigest,
       workspace ?? event.key ?? "",
--- a/packages/relay/src/routing/route_table.ts
+++ b/packages/relay/src/routing/route_table.ts
@@ -1,3 +1,5 @@
+import type { RequestPriority } from "@lavenderferry/policy";
+import { UrgencyRanks } from "@lavenderferry/policy";
 import type { Route, Routing } from "./routing.ts";
 
 /** Index of one version of the routing by host, path prefix and key. */
@@ -5,6 +7,8 @@
   readonly routing: Routing;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #workspacesByKey = new Map<string, string>();
+  readonly #priorityByWorkspace = new Map<string, number>();
+  readonly #urgencyRanks: UrgencyRanks;
 
   constructor(routing: Routing) {
     this.routing = routing;
@@ -16,11 +20,15 @@
     for (const routes of this.#routesByHost.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
-    for (const { name, keys } of routing.workspaces ?? []) {
+    for (const { name, keys, priority } of routing.workspaces ?? []) {
       for (const key of keys) {
         this.#workspacesByKey.set(key, name);
       }
+      if (priority !== undefined) {
+        this.#priorityByWorkspace.set(name, priority);
+      }
     }
+    this.#urgencyRanks = new UrgencyRanks(this.#listPriorities());
   }
 
   /** Returns the route of a host with the longest matching path prefix. */
@@ -39,4 +47,38 @@
   findWorkspace(key: string): string | undefined {
     return this.#workspacesByKey.get(key);
   }
+
+  /**
+   * Returns how urgent a generation is to engines, 1 being the most urgent;
+   * `null` if all generations are equally urgent.
+   */
+  urgencyOf(route: Route, workspace: string | null): number | null {
+    return this.#urgencyRanks.urgencyOf({
+      workspace: this.#priorityByWorkspace.get(workspace ?? "") ?? null,
+      route: route.priority,
+    });
+  }
+
+  /** Lists the priorities that generations may have. */
+  #listPriorities(): readonly RequestPriority[] {
+    const { routes, services, workspaces } = this.routing;
+    const engineServices = new Set(
+      services.filter(({ engines }) => engines !== null)
+        .map(({ name }) => name),
+    );
+    const routePriorities = new Set(
+      routes.filter((route) =>
+        route.services.some(({ service }) => engineServices.has(service))
+      ).map(({ priority }) => priority),
+    );
+    const workspacePriorities = new Set<number | null>(
+      workspaces?.map(({ priority }) => priority ?? null) ?? [],
+    );
+    if (routes.some(({ keyless }) => keyless) || workspaces === null) {
+      workspacePriorities.add(null);
+    }
+    return [...workspacePriorities].flatMap((workspace) =>
+      [...routePriorities].map((route) => ({ workspace, route }))
+    );
+  }
 }
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -73,7 +73,12 @@
   services: z.array(serviceSchema),
   /** Workspaces and their keys; `null`: requests carry no keys. */
   workspaces: z.array(
-    z.object({ name: z.string(), keys: z.array(z.string()) }),
+    z.object({
+      name: z.string(),
+      keys: z.array(z.string()),
+      /** Priority of all its requests; 0 is the highest. */
+      priority: z.int().optional(),
+    }),
   ).nullable(),
   limits: callerLimitsSchema,
 });
