--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -4,6 +4,8 @@
 import { allEnabled } from "./adaptive_options.ts";
 import type { WaitingDemand } from "./backlog.ts";
 import { Backlog } from "./backlog.ts";
+import type { Candidate } from "./candidate.ts";
+import { evaluateEngine } from "./candidate.ts";
 import { priorityOf } from "./class_targets.ts";
 import type {
   CacheChange,
@@ -11,6 +13,7 @@
   Dispatcher,
   DispatchOutcome,
   EngineDescription,
+  EngineLoad,
   Figures,
   LengthSketch,
   LoadReport,
@@ -18,25 +21,27 @@
   Placement,
   PlacementReason,
   ReleasedDemand,
+  ReportingDispatcher,
   SentGeneration,
   TransferOptions,
 } from "./dispatcher.ts";
 import { DrainRate } from "./drain_rate.ts";
 import type { Engine } from "./engine.ts";
 import { EnginePool } from "./engine_pool.ts";
-import type { EngineView, Flight } from "./engine_view.ts";
-import { sampleEngines, selectCandidates } from "./engine_choice.ts";
-import type { Estimate } from "./estimator.ts";
+import type { Flight } from "./engine_view.ts";
 import {
-  estimateStartDeadline,
-  Estimator,
-  prefillMsPerToken,
-} from "./estimator.ts";
+  sampleEngines,
+  selectCandidates,
+  selectReported,
+  selectToAsk,
+} from "./engine_choice.ts";
+import type { Estimate } from "./estimator.ts";
+import { estimateStartDeadline, Estimator } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
-import { tokensPerBlock } from "./prefix_digests.ts";
 import type { Refusal } from "./refusal.ts";
 import { boundRetryAfterMs, minRetryAfterMs, refuse } from "./refusal.ts";
 import { RequestLimits } from "./request_limits.ts";
+import { Reservations } from "./reservations.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
@@ -50,8 +55,6 @@
 const maxBacklogRequests = 4_096;
 /** Penalty on the sort key of a workspace that has all recent use. */
 const sharePenaltyMs = 2_000;
-/** Expected stall at an overflow probability of 1. */
-const stallMsPerRisk = 2_000;
 /** Request ids remembered to tell retries from first attempts. */
 const maxRecentRequests = 4_096;
 /**
@@ -59,27 +62,15 @@
  * memory. Comparing all of them would make every process choose the same one.
  */
 const transferFinalists = 2;
-/** Share of the target that the expected time between tokens may reach. */
-const maxStepTimeShare = 0.9;
 
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 
-interface Candidate {
-  readonly engine: Engine;
-  readonly risk: number;
-  readonly cachedBlocks: number;
-  /** Expected duration with penalties in milliseconds; lower is better. */
-  readonly score: number;
-  /** Fraction of the memory in use, including the demand's prompt. */
-  readonly memoryFraction: number;
-}
-
 /**
  * Places generations of unknown length so that every class meets its targets.
  * Demands that would put an engine's memory at risk are queued, ordered by
  * their latest start.
  */
-export class AdaptiveDispatcher implements Dispatcher {
+export class AdaptiveDispatcher implements Dispatcher, ReportingDispatcher {
   readonly #options: AdaptiveOptions;
   readonly #limits: RequestLimits;
   readonly #random: Random;
@@ -93,8 +84,7 @@
   readonly #retryBudget = new RetryBudget();
   readonly #engineByGeneration = new Map<string, Engine>();
   readonly #recentRequests = new Set<string>();
-  /** Engines of released demands not yet sent, by request id. */
-  readonly #reservations = new Map<string, Engine>();
+  readonly #reservations = new Reservations();
 
   constructor(
     seed: number,
@@ -180,7 +170,39 @@
     }));
   }
 
+  enginesToAsk(demand: Demand, at: Moment): readonly string[] {
+    return selectToAsk(
+      this.#startableEngines(demand, at),
+      this.#random,
+      this.#options.affinity ? demand.prefix[0] : undefined,
+    ).map(({ id }) => id);
+  }
+
+  enginesToAskForQueue(at: Moment): readonly string[] {
+    const [first] = this.#backlog.head(1);
+    const engines = first === undefined
+      ? []
+      : this.#startableEngines(first.demand, at);
+    return selectToAsk(engines, this.#random).map(({ id }) => id);
+  }
+
+  engineReported(
+    id: string,
+    load: EngineLoad,
+    times: { readonly measuredAt: number; readonly at: Moment },
+  ): void {
+    this.#engines.get(id)?.view.applySample(load, times);
+  }
+
   place(demand: Demand, at: Moment): Placement {
+    return this.placeAmong(demand, null, at);
+  }
+
+  placeAmong(
+    demand: Demand,
+    engines: readonly string[] | null,
+    at: Moment,
+  ): Placement {
     const refusal = this.#refuseUnservable(demand) ??
       this.#refuseRetryOverBudget(demand);
     if (refusal !== null) {
@@ -189,7 +211,9 @@
     const estimate = this.#estimator.estimate(demand);
     const mustQueue = this.#options.slack &&
       this.#mustQueueBehindFirst(demand, estimate, at.monotonic);
-    const dispatch = mustQueue ? null : this.#choose(demand, estimate, at);
+    const dispatch = mustQueue
+      ? null
+      : this.#choose(demand, { estimate, engines, at });
     if (dispatch !== null) {
       this.#limits.recordStart(dispatch.engine, at);
       this.#recordStart(demand, estimate.cost, at);
@@ -205,7 +229,7 @@
 
   release(at: Moment): readonly ReleasedDemand[] {
     const releases: ReleasedDemand[] = [];
-    this.#clearReservations(at);
+    this.#reservations.clear(at);
     if (this.#options.refusals) {
       releases.push(...this.#refuseUnmeetable(at));
     }
@@ -213,7 +237,11 @@
       const { demand, cost } = waiting;
       const refusal = this.#refuseUnservable(demand);
       const placement = refusal ??
-        this.#choose(demand, this.#estimator.estimate(demand), at);
+        this.#choose(demand, {
+          estimate: this.#estimator.estimate(demand),
+          engines: null,
+          at,
+        });
       if (placement === null) {
         continue;
       }
@@ -273,7 +301,7 @@
     if (engine === undefined) {
       return;
     }
-    this.#clearReservations(at, demand.requestId);
+    this.#reservations.remove(demand.requestId, at);
     const flight = { ...this.#flightOf(demand, at), holdsMemoryOnly };
     engine.view.addFlight(generationId, flight, at);
     engine.prefixes.addExpected(demand.prefix);
@@ -385,19 +413,41 @@
     );
   }
 
-  #choose(demand: Demand, estimate: Estimate, at: Moment): Dispatch | null {
+  /**
+   * Chooses an engine among the given ones, or among a few random ones if none is
+   * given or none of them takes work any more.
+   */
+  #choose(
+    demand: Demand,
+    { estimate, engines: ids, at }: {
+      readonly estimate: Estimate;
+      readonly engines: readonly string[] | null;
+      readonly at: Moment;
+    },
+  ): Dispatch | null {
     const prefix = this.#options.affinity ? demand.prefix[0] : undefined;
-    const engines = this.#eligibleEngines(demand).filter(({ id }) =>
-      this.#limits.nextStartAt(id) <= at.monotonic
-    );
-    const candidates = selectCandidates(engines, this.#random, prefix)
+    const startable = this.#startableEngines(demand, at);
+    const given = startable.filter(({ id }) => ids?.includes(id) === true);
+    const engines = given.length > 0
+      ? given
+      : selectReported(startable, this.#random, at) ??
+        selectCandidates(startable, this.#random, prefix);
+    const candidates = engines
       .map((engine) => this.#evaluate(engine, demand, { estimate, at }))
       .filter((candidate) => candidate !== null);
-    const best = candidates.sort((a, b) => a.score - b.score)[0];
+    const best = candidates.sort((a, b) => compareCandidates(a, b, at))[0];
     if (best === undefined) {
       return null;
     }
-    const { engine, risk, cachedBlocks } = best;
+    const { engine, risk, cachedBlocks, memoryFraction } = best;
+    const { view } = engine;
+    const reportFigures: Figures = view.isSampled
+      ? {
+        memory: roundFigure(memoryFraction),
+        reportMs: Math.round(view.sampleAgeMs(at)),
+        candidates: candidates.length,
+      }
+      : {};
     return {
       kind: "dispatch",
       engine: engine.id,
@@ -405,22 +455,20 @@
       reason: cachedBlocks > 0 ? "cached_prefix" : "lowest_risk",
       figures: {
         risk: roundFigure(risk),
-        running: engine.view.running,
+        running: view.running,
         cachedBlocks,
         expectedTokens: Math.round(estimate.outputTokens),
         backlog: this.#backlog.size,
+        ...reportFigures,
       },
     };
   }
 
-  /** Returns the engines that serve a demand's model and may be chosen. */
-  #eligibleEngines(
-    { model, excludedEngines = [] }: Demand,
-  ): readonly Engine[] {
-    const { engines } = this.#engines.enginesFor(model);
-    return excludedEngines.length === 0
-      ? engines
-      : engines.filter(({ id }) => !excludedEngines.includes(id));
+  /** Returns the engines that may be sent a demand now, by their limits. */
+  #startableEngines(demand: Demand, at: Moment): readonly Engine[] {
+    return this.#eligibleEngines(demand).filter(({ id }) =>
+      this.#limits.nextStartAt(id) <= at.monotonic
+    );
   }
 
   #evaluate(
@@ -428,47 +476,22 @@
     demand: Demand,
     context: { readonly estimate: Estimate; readonly at: Moment },
   ): Candidate | null {
-    const { view, circuit } = engine;
-    const { estimate, at } = context;
-    const memoryTokens = view.report?.memoryTokens ?? Infinity;
-    const allowance = this.#options.circuits
-      ? circuit.allowanceAt(at.monotonic)
-      : 1;
-    const isLimited = this.#limits.nextStartAt(engine.id) > at.monotonic;
-    if (allowance === 0 || isLimited) {
-      return null;
-    }
-    const forecast = view.forecast(at);
-    const heldTokens = (forecast.mean[0] ?? 0) + demand.promptTokens;
-    const memoryFraction = heldTokens / memoryTokens;
-    const risk = forecast.overflowRiskWith(
-      estimate.footprint,
-      memoryTokens * allowance,
-    );
-    const stepMs = view.stepTime.expectedMs(view.running + 1);
-    if (this.#options.admission && view.running > 0) {
-      const bound = this.#riskBound.boundFor(demand.targets);
-      if (risk > bound || this.#exceedsStepTime(view, demand)) {
-        return null;
-      }
-    }
-    const cachedBlocks = this.#options.affinity
-      ? engine.prefixes.countHeldBlocks(demand.prefix)
-      : 0;
-    const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
-    const score = stepMs * estimate.outputTokens + risk * stallMsPerRisk -
-      savedMs;
-    return { engine, risk, cachedBlocks, score, memoryFraction };
+    return evaluateEngine(engine, demand, {
+      ...context,
+      options: this.#options,
+      limits: this.#limits,
+      riskBound: this.#riskBound,
+    });
   }
 
-  /**
-   * Whether one more generation would raise the time between tokens above the
-   * limit although a single generation would stay within it.
-   */
-  #exceedsStepTime({ stepTime, running }: EngineView, demand: Demand): boolean {
-    const limitMs = maxStepTimeShare * demand.targets.betweenTokensMs;
-    return stepTime.expectedMs(running + 1) > limitMs &&
-      stepTime.expectedMs(1) <= limitMs;
+  /** Returns the engines that serve a demand's model and may be chosen. */
+  #eligibleEngines(
+    { model, excludedEngines = [] }: Demand,
+  ): readonly Engine[] {
+    const { engines } = this.#engines.enginesFor(model);
+    return excludedEngines.length === 0
+      ? engines
+      : engines.filter(({ id }) => !excludedEngines.includes(id));
   }
 
   #enqueue(demand: Demand, estimate: Estimate, at: Moment): Placement {
@@ -556,20 +579,7 @@
   #reserve(demand: Demand, id: string, at: Moment): void {
     const engine = this.#engines.get(id);
     if (engine !== undefined) {
-      this.#reservations.set(demand.requestId, engine);
-      const flight = this.#flightOf(demand, at);
-      engine.view.addFlight(reservationOf(demand.requestId), flight, at);
-    }
-  }
-
-  /** Removes the reservation of a request, or all that were never used. */
-  #clearReservations(at: Moment, requestId?: string): void {
-    const ids = requestId === undefined
-      ? [...this.#reservations.keys()]
-      : [requestId];
-    for (const id of ids) {
-      this.#reservations.get(id)?.view.removeFlight(reservationOf(id), at);
-      this.#reservations.delete(id);
+      this.#reservations.add(engine, this.#flightOf(demand, at), at);
     }
   }
 
@@ -588,8 +598,14 @@
   }
 }
 
-function reservationOf(requestId: string): string {
-  return `reserved/${requestId}`;
+/**
+ * Orders candidates by score. An engine that did not report is never preferred to
+ * one that did, as its load is not known.
+ */
+function compareCandidates(a: Candidate, b: Candidate, at: Moment): number {
+  const recentA = a.engine.view.hasRecentSample(at);
+  const recentB = b.engine.view.hasRecentSample(at);
+  return recentA === recentB ? a.score - b.score : recentA ? -1 : 1;
 }
 
 function roundFigure(value: number): number {
--- /dev/null
+++ b/packages/policy/src/candidate.ts
@@ -0,0 +1,93 @@
+import type { Moment } from "@lavenderferry/runtime";
+import type { AdaptiveOptions } from "./adaptive_options.ts";
+import type { Demand } from "./dispatcher.ts";
+import type { Engine } from "./engine.ts";
+import type { EngineView } from "./engine_view.ts";
+import type { Estimate } from "./estimator.ts";
+import { prefillMsPerToken } from "./estimator.ts";
+import { tokensPerBlock } from "./prefix_digests.ts";
+import type { RequestLimits } from "./request_limits.ts";
+import type { RiskBound } from "./risk_bound.ts";
+
+/** Expected stall at an overflow probability of 1. */
+const stallMsPerRisk = 2_000;
+/** Share of the target that the expected time between tokens may reach. */
+const maxStepTimeShare = 0.9;
+/**
+ * Cost of a full memory, in milliseconds. It is charged by reports only: of two
+ * engines without risk the one with more free memory is chosen, so that room is
+ * left for what other processes send at the same time.
+ */
+const fullMemoryMs = 1_000;
+
+/** An engine that may take a demand. */
+export interface Candidate {
+  readonly engine: Engine;
+  readonly risk: number;
+  readonly cachedBlocks: number;
+  /** Expected duration with penalties in milliseconds; lower is better. */
+  readonly score: number;
+  /** Fraction of the memory in use, including the demand's prompt. */
+  readonly memoryFraction: number;
+}
+
+/** What candidates are evaluated with. */
+export interface EvaluationContext {
+  readonly options: AdaptiveOptions;
+  readonly limits: RequestLimits;
+  readonly riskBound: RiskBound;
+  readonly estimate: Estimate;
+  readonly at: Moment;
+}
+
+/** Evaluates an engine for a demand; `null`: it must not be sent there now. */
+export function evaluateEngine(
+  engine: Engine,
+  demand: Demand,
+  { options, limits, riskBound, estimate, at }: EvaluationContext,
+): Candidate | null {
+  const { view, circuit } = engine;
+  const allowance = options.circuits ? circuit.allowanceAt(at.monotonic) : 1;
+  const isLimited = limits.nextStartAt(engine.id) > at.monotonic;
+  if (allowance === 0 || isLimited) {
+    return null;
+  }
+  const forecast = view.forecast(at);
+  const { memoryTokens, isSampled } = view;
+  const heldTokens = (forecast.mean[0] ?? 0) + demand.promptTokens;
+  const memoryFraction = heldTokens / memoryTokens;
+  const risk = forecast.overflowRiskWith(
+    estimate.footprint,
+    memoryTokens * allowance,
+  );
+  // The generations of this process are too few to tell engines apart.
+  const stepTime = isSampled ? view.pool.stepTime : view.stepTime;
+  const stepMs = stepTime.expectedMs(view.running + 1);
+  if (options.admission && view.running > 0) {
+    const bound = riskBound.boundFor(demand.targets);
+    if (risk > bound || exceedsStepTime(view, demand)) {
+      return null;
+    }
+  }
+  const cachedBlocks = options.affinity
+    ? engine.prefixes.countHeldBlocks(demand.prefix)
+    : 0;
+  const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
+  const loadMs = isSampled ? fullMemoryMs * memoryFraction : 0;
+  const score = stepMs * estimate.outputTokens + risk * stallMsPerRisk +
+    loadMs - savedMs;
+  return { engine, risk, cachedBlocks, score, memoryFraction };
+}
+
+/**
+ * Whether one more generation would raise the time between tokens above the
+ * limit although a single generation would stay within it.
+ */
+function exceedsStepTime(
+  { stepTime, running }: EngineView,
+  demand: Demand,
+): boolean {
+  const limitMs = maxStepTimeShare * demand.targets.betweenTokensMs;
+  return stepTime.expectedMs(running + 1) > limitMs &&
+    stepTime.expectedMs(1) <= limitMs;
+}
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -37,6 +37,18 @@
   readonly models: readonly string[];
 }
 
+/** Load and memory of an engine, as its report states them. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Capacity of the key-value memory in tokens. */
+  readonly memoryTokens: number;
+  /** Tokens of memory in use, those of copies included. */
+  readonly usedTokens: number;
+  /** Tokens of copies and of reserved memory. */
+  readonly heldTokens: number;
+}
+
 /** Static properties of an engine. */
 export interface EngineDescription {
   readonly id: string;
@@ -174,6 +186,32 @@
   ended(generationId: string, outcome: DispatchOutcome, at: Moment): void;
 }
 
+/**
+ * Places generations by reports that engines are asked for when a demand arrives,
+ * instead of by reports that all arrive regularly.
+ */
+export interface ReportingDispatcher {
+  /** Returns the ids of the engines to ask before a demand is placed. */
+  enginesToAsk(demand: Demand, at: Moment): readonly string[];
+  /** Returns the ids of engines to ask while demands are queued. */
+  enginesToAskForQueue(at: Moment): readonly string[];
+  /**
+   * Processes the load of an engine. `measuredAt` is in milliseconds since the
+   * Unix epoch.
+   */
+  engineReported(
+    id: string,
+    load: EngineLoad,
+    times: { readonly measuredAt: number; readonly at: Moment },
+  ): void;
+  /** Decides about a demand; it is sent to none but the given engines. */
+  placeAmong(
+    demand: Demand,
+    engines: readonly string[],
+    at: Moment,
+  ): Placement;
+}
+
 /** Constraints on the engine that receives a generation's memory. */
 export interface TransferOptions {
   readonly at: Moment;
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -3,6 +3,7 @@
 import { Circuit } from "./circuit.ts";
 import { EngineView } from "./engine_view.ts";
 import { KnownPrefixes } from "./known_prefixes.ts";
+import type { PoolStatistics } from "./pool_statistics.ts";
 
 /** State that the adaptive policy keeps for one engine. */
 export class Engine {
@@ -15,11 +16,15 @@
   /** Whether new work may be dispatched to it. */
   acceptsWork = true;
 
-  constructor(description: EngineDescription, lagCorrection: boolean) {
+  constructor(
+    description: EngineDescription,
+    lagCorrection: boolean,
+    statistics: PoolStatistics,
+  ) {
     this.id = description.id;
     this.dataCentre = description.dataCentre;
     this.hash = hashText(description.id);
-    this.view = new EngineView(lagCorrection);
+    this.view = new EngineView(lagCorrection, statistics);
   }
 
   /** Whether the engine accepts work for a model. */
--- a/packages/policy/src/engine_pool.ts
+++ b/packages/policy/src/engine_pool.ts
@@ -1,5 +1,6 @@
 import type { EngineDescription, LoadReport } from "./dispatcher.ts";
 import { Engine } from "./engine.ts";
+import { PoolStatistics } from "./pool_statistics.ts";
 
 /** Age after which the mean step time is computed again. */
 const maxStepTimeAgeMs = 250;
@@ -16,6 +17,7 @@
   readonly #engines = new Map<string, Engine>();
   readonly #enginesByModel = new Map<string, ModelEngines>();
   readonly #lagCorrection: boolean;
+  readonly #statistics = new PoolStatistics();
   #meanStepMs = 0;
   #meanStepComputedAt = -Infinity;
 
@@ -46,7 +48,11 @@
     }
     this.#enginesByModel.clear();
     if (engine === undefined) {
-      const added = new Engine(description, this.#lagCorrection);
+      const added = new Engine(
+        description,
+        this.#lagCorrection,
+        this.#statistics,
+      );
       this.#engines.set(description.id, added);
     } else {
       engine.acceptsWork = true;
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -1,7 +1,13 @@
 import type { Moment } from "@lavenderferry/runtime";
-import type { Demand, LoadReport, PeerShare } from "./dispatcher.ts";
+import type {
+  Demand,
+  EngineLoad,
+  LoadReport,
+  PeerShare,
+} from "./dispatcher.ts";
 import type { Tail } from "./length_distribution.ts";
 import { MemoryForecast } from "./overflow_risk.ts";
+import { PoolStatistics } from "./pool_statistics.ts";
 import { StepTime } from "./step_time.ts";
 
 const sampleIntervalMs = 50;
@@ -18,6 +24,10 @@
 const minFlightsToScale = 2;
 const maxOthersRatio = 20;
 const maxPeerShareAgeMs = 3_000;
+/** Age up to which a decision relies on a sample. */
+const maxRecentSampleMs = 1_000;
+/** Age at which a sample is discarded, as most generations have ended. */
+const maxSampleAgeMs = 10_000;
 
 /** A generation that this process dispatched and that has not ended. */
 export interface Flight {
@@ -36,6 +46,20 @@
   readonly count: number;
 }
 
+/**
+ * The load of others by a report that the engine was asked for. Unlike regular
+ * reports, samples are too rare to tell how the load of others changes.
+ */
+interface LoadSample {
+  /** Milliseconds since the Unix epoch at which the load was measured. */
+  readonly wallMs: number;
+  /** Monotonic milliseconds at which the report arrived. */
+  readonly arrivedAt: number;
+  readonly memoryTokens: number;
+  readonly othersTokens: number;
+  readonly othersRunning: number;
+}
+
 /**
  * Estimated present load of one engine: its last report, corrected for the
  * generations that this process started, advanced and ended since the report
@@ -45,6 +69,8 @@
   readonly #lagCorrection: boolean;
   readonly flights = new Map<string, Flight>();
   readonly stepTime = new StepTime();
+  /** What the engines of the pool have in common. */
+  readonly pool: PoolStatistics;
   report: LoadReport | null = null;
   readonly #samples: Sample[] = [];
   #othersTokens = 0;
@@ -66,8 +92,21 @@
   #forecast = new MemoryForecast();
   #forecastAt = -Infinity;
 
-  constructor(lagCorrection = true) {
+  #sample: LoadSample | null = null;
+
+  constructor(lagCorrection = true, pool = new PoolStatistics()) {
     this.#lagCorrection = lagCorrection;
+    this.pool = pool;
+  }
+
+  /** Capacity of the key-value memory in tokens, as last reported. */
+  get memoryTokens(): number {
+    return this.#sample?.memoryTokens ?? this.report?.memoryTokens ?? Infinity;
+  }
+
+  /** Whether the load is known from a sample, recent or not. */
+  get isSampled(): boolean {
+    return this.#sample !== null;
   }
 
   /** Tokens held by this process's generations. */
@@ -81,7 +120,10 @@
       return (this.report?.running ?? 0) + (this.report?.waiting ?? 0);
     }
     return this.#activeFlightCount +
-      Math.max(this.#othersRunning, this.#peersRunning);
+      Math.max(
+        this.#sample?.othersRunning ?? this.#othersRunning,
+        this.#peersRunning,
+      );
   }
 
   /** Number of this process's generations that run at the engine. */
@@ -117,6 +159,51 @@
     this.#recordOwnSample(at);
   }
 
+  /**
+   * Processes a report that the engine was asked for. The load that this process
+   * had at the engine when it was measured is subtracted.
+   */
+  applySample(
+    load: EngineLoad,
+    { measuredAt, at }: { readonly measuredAt: number; readonly at: Moment },
+  ): void {
+    const previous = this.#sample;
+    if (previous !== null && measuredAt <= previous.wallMs) {
+      return;
+    }
+    const own = this.#ownSampleAt(measuredAt);
+    const { running, waiting, memoryTokens, usedTokens } = load;
+    const waitingTokens = waiting * usedTokens / Math.max(1, running);
+    const othersTokens = Math.max(0, usedTokens + waitingTokens - own.tokens);
+    if (previous !== null) {
+      this.pool.learnDrift(
+        othersTokens - previous.othersTokens,
+        measuredAt - previous.wallMs,
+      );
+    }
+    this.#sample = {
+      wallMs: measuredAt,
+      arrivedAt: at.monotonic,
+      memoryTokens,
+      othersTokens,
+      othersRunning: Math.max(0, running + waiting - own.count),
+    };
+    this.#forecastAt = -Infinity;
+    this.#recordOwnSample(at);
+  }
+
+  /** Age of the latest sample since its arrival; `Infinity`: there is none. */
+  sampleAgeMs(at: Moment): number {
+    return this.#sample === null
+      ? Infinity
+      : at.monotonic - this.#sample.arrivedAt;
+  }
+
+  /** Whether a decision can rely on the latest sample. */
+  hasRecentSample(at: Moment): boolean {
+    return this.sampleAgeMs(at) <= maxRecentSampleMs;
+  }
+
   /** Models others' memory as a random walk between reports. */
   #learnDrift(change: number, milliseconds: number): void {
     this.#driftSquaredSum = this.#driftSquaredSum * statisticsDecayPerReport +
@@ -187,6 +274,7 @@
     ) {
       const elapsedMs = at.monotonic - flight.progressedAt;
       this.stepTime.observe(this.running, elapsedMs / newTokens);
+      this.pool.stepTime.observe(this.running, elapsedMs / newTokens);
     }
     flight.producedTokens = tokens;
     flight.progressedAt = at.monotonic;
@@ -228,6 +316,9 @@
 
   /** Returns the memory forecast for all work at the engine; it is cached. */
   forecast(at: Moment): MemoryForecast {
+    if (this.sampleAgeMs(at) > maxSampleAgeMs) {
+      this.#sample = null;
+    }
     if (at.monotonic - this.#forecastAt < maxForecastAgeMs) {
       return this.#forecast;
     }
@@ -246,6 +337,10 @@
 
   /** Assumes that others' work grows and ends like this process's. */
   #addOthers(at: Moment): void {
+    if (this.#sample !== null) {
+      this.#addSampledOthers(this.#sample, at);
+      return;
+    }
     const othersTokens = this.#estimateOthersTokens(at);
     const ownTokens = this.ownTokens;
     if (
@@ -259,13 +354,28 @@
     this.#forecast.addVariance(this.#othersVariance(at));
   }
 
-  #estimateOthersTokens(at: Moment): number {
+  /**
+   * Assumes that others' work stays as it was sampled, with a variance that grows
+   * with the age. The few generations of this process say nothing about those of
+   * a large fleet.
+   */
+  #addSampledOthers({ othersTokens, wallMs }: LoadSample, at: Moment): void {
+    this.#forecast.addConstant(Math.max(othersTokens, this.#peerTokens(at)));
+    this.#forecast.addVariance(this.pool.varianceAfter(at.wall - wallMs));
+  }
+
+  #peerTokens(at: Moment): number {
     let peerTokens = 0;
     for (const share of this.#peerShares.values()) {
       if (at.monotonic - share.at < maxPeerShareAgeMs) {
         peerTokens += share.tokens;
       }
     }
+    return peerTokens;
+  }
+
+  #estimateOthersTokens(at: Moment): number {
+    const peerTokens = this.#peerTokens(at);
     const change = this.#othersRatio *
       (this.ownTokens - this.#ownTokensAtReport);
     return Math.max(0, this.#othersPeakTokens + change, peerTokens);
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./dispatcher.ts";
 export * from "./dispatchers.ts";
 export * from "./early_losses.ts";
+export * from "./engine_reports.ts";
 export * from "./least_load.ts";
 export * from "./prefix_digests.ts";
 export * from "./reachability.ts";
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -289,6 +289,7 @@
   state.upstreams = new Map(
     [...listed, ...unlisted].map((upstream) => [upstream.id, upstream]),
   );
+  state.engineReports.retain(state.upstreams);
   state.upstreamsKnown = true;
   for (const upstream of listed) {
     if (previous.get(upstream.id)?.state !== upstream.state) {
@@ -352,7 +353,7 @@
 }
 
 /** Closes an upstream that reports that it is leaving, here and at peers. */
-function markDraining(
+export function markDraining(
   state: RelayState,
   id: string,
   at: Moment,
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -74,6 +74,8 @@
       },
       check_copy: (effect, dispatch) =>
         this.#requestReport(effect, "copy_checked", dispatch),
+      report_engines: (effect, dispatch) =>
+        this.#requestReports(effect, dispatch),
       ...engineCheckHandlers,
       check_run: (effect, dispatch) =>
         this.#requestReport(effect, "run_checked", dispatch),
@@ -98,6 +100,21 @@
       this.#exchanges.failExchange(effect, error, dispatch);
     });
 
+  #requestReports(
+    { engines, askedAt, deadline }: Extract<
+      UpstreamEffect,
+      { kind: "report_engines" }
+    >,
+    dispatch: Dispatch<RelayEvent>,
+  ): void {
+    const timeoutMs = Math.max(1, Math.ceil(deadline - performance.now()));
+    for (const { id: upstream, address } of engines) {
+      void this.#copier.report(address, timeoutMs).then((report) =>
+        dispatch({ kind: "engine_reported", upstream, askedAt, report })
+      );
+    }
+  }
+
   #requestReport(
     { attemptId, exchangeId, address }: Extract<
       UpstreamEffect,
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -80,8 +80,11 @@
 
 /** Client for reports of engines and for copies of their generations. */
 export interface GenerationCopier {
-  /** Fetches the report of an engine; never rejects. */
-  report(address: string): Promise<EngineReport>;
+  /**
+   * Fetches the report of an engine within a time limit, which has a default;
+   * never rejects.
+   */
+  report(address: string, timeoutMs?: number): Promise<EngineReport>;
   /** Frees the memory that an engine keeps by a handle; never rejects. */
   release(address: string, handle: string): Promise<void>;
   /** Resolves once the copy has completed or failed; never rejects. */
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -13,6 +13,8 @@
 import { checkEngine } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
+import { askForQueues } from "../reports/ask_engines.ts";
+import { placeOverdue } from "../reports/report_part.ts";
 import {
   dropRequest,
   releaseBacklogs,
@@ -67,7 +69,11 @@
   release_backlogs: (state, _timer, at) => {
     state.isReleaseScheduled = false;
     const effects = releaseBacklogs(state, at);
-    return [...effects, ...scheduleRelease(state, at)];
+    return [
+      ...effects,
+      ...askForQueues(state, at),
+      ...scheduleRelease(state, at),
+    ];
   },
   follow_upstreams: (state, { dueAt }, at) =>
     readIfDue(state, "upstreams", { dueAt, at }),
@@ -90,6 +96,8 @@
   },
   request_deadline: (state, { exchangeId }, at) =>
     expireRequest(state, exchangeId, at),
+  place_pending: (state, { exchangeId, dueAt }, at) =>
+    placeOverdue(state, exchangeId, { dueAt, at }),
   refuse_unconfirmed: (state, { exchangeId }, at) =>
     refuseUnconfirmed(state, exchangeId, at),
   evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -10,6 +10,8 @@
   readonly storeCalls: Counter<"reason">;
   /** Milliseconds until the answer, or the first event of a stream. */
   readonly answerMs: Histogram<"route">;
+  /** Age of the report by which an engine was chosen, in milliseconds. */
+  readonly reportAgeMs: Histogram;
 }
 
 const counterHelp: Readonly<Record<CounterName, string>> = {
@@ -18,6 +20,7 @@
   refusals: "Requests refused or failed, by error kind",
   retries: "Operations tried again, by reason",
   resumptions: "Streams that went on at another engine, by reason",
+  reports: "Reports requested from engines before a choice, by outcome",
 };
 
 const bucketsMs = [5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000];
@@ -46,6 +49,7 @@
     leaving_upstreams_open: () => countLeavingOpen(state),
     store_era: () => state.storeEra ?? 0,
     store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
+    engine_reports: () => state.engineReports.count,
     upstreams_age_ms: () => ageMsOf(state.fleet.upstreams.askedAt),
     routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
     resident_bytes: () => process.memoryUsage.rss(),
@@ -75,6 +79,7 @@
       refusals: counter("refusals"),
       retries: counter("retries"),
       resumptions: counter("resumptions"),
+      reports: counter("reports"),
     },
     storeCalls: new Counter({
       name: "lavenderferry_relay_store_calls_total",
@@ -82,6 +87,12 @@
       labelNames: ["reason"],
       registers: [registry],
     }),
+    reportAgeMs: new Histogram({
+      name: "lavenderferry_relay_report_age_ms",
+      help: "Milliseconds since the report by which an engine was chosen",
+      buckets: bucketsMs,
+      registers: [registry],
+    }),
     answerMs: new Histogram({
       name: "lavenderferry_relay_answer_ms",
       help: "Milliseconds until the answer, or its first event, by route",
--- a/packages/relay/src/process/process_runner.ts
+++ b/packages/relay/src/process/process_runner.ts
@@ -42,6 +42,7 @@
     observe: ({ route, milliseconds }) => {
       metrics.answerMs.observe({ route }, milliseconds);
     },
+    observe_report: ({ ageMs }) => metrics.reportAgeMs.observe(ageMs),
     apply_limits: (limits) => front().applyLimits(limits),
     close_caller_connections: () => {
       exchanges.closing = true;
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -10,6 +10,11 @@
   | { readonly kind: "state_suspects" }
   | { readonly kind: "confirm_removals" }
   | { readonly kind: "request_deadline"; readonly exchangeId: string }
+  | {
+    readonly kind: "place_pending";
+    readonly exchangeId: string;
+    readonly dueAt: number;
+  }
   | { readonly kind: "refuse_unconfirmed"; readonly exchangeId: string }
   | { readonly kind: "evacuate"; readonly exchangeId: string }
   | { readonly kind: "retry_resumption"; readonly exchangeId: string }
--- a/packages/relay/src/reduce.ts
+++ b/packages/relay/src/reduce.ts
@@ -9,6 +9,7 @@
 import { noticeSuspension } from "./process/suspension.ts";
 import type { RelayEffect } from "./relay_effect.ts";
 import type { RelayEvent } from "./relay_event.ts";
+import { reportPart } from "./reports/report_part.ts";
 import { requestPart } from "./requests/request_part.ts";
 import type { RelayState } from "./state.ts";
 
@@ -17,6 +18,7 @@
   ...sourcePart,
   ...quarantinePart,
   ...limitPart,
+  ...reportPart,
   ...forwardingPart,
   ...exchangePart,
   ...lifecyclePart,
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -1,7 +1,7 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import type { EngineCheck, ExchangeEffect } from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
-import type { Decision } from "@lavenderferry/runtime";
+import type { Decision, Moment } from "@lavenderferry/runtime";
 import type { Answer, AnswerHead } from "./relay_event.ts";
 import type { RelayTimer } from "./process/timers.ts";
 
@@ -31,6 +31,13 @@
   readonly lastEventId: string | null;
 }
 
+/** An engine that is asked for its report. */
+export interface AskedEngine {
+  /** Id of the upstream. */
+  readonly id: string;
+  readonly address: string;
+}
+
 /** Effects that call upstreams. */
 export type UpstreamEffect =
   | {
@@ -54,6 +61,14 @@
     readonly exchangeId: string;
     readonly address: string;
   }
+  | {
+    /** Fetches the reports of engines; each is an event of its own. */
+    readonly kind: "report_engines";
+    readonly engines: readonly AskedEngine[];
+    readonly askedAt: Moment;
+    /** Monotonic milliseconds after which an answer is not waited for. */
+    readonly deadline: number;
+  }
   | EngineCheck
   | {
     /** Fetches the report of the engine of a stream that brings no events. */
@@ -153,7 +168,8 @@
   | "attempts"
   | "refusals"
   | "retries"
-  | "resumptions";
+  | "resumptions"
+  | "reports";
 
 /** Effects on the process. */
 export type ProcessEffect =
@@ -170,6 +186,11 @@
     /** Value of the `reason` label. */
     readonly reason: string;
   }
+  | {
+    /** Records the age of a report by which an engine was chosen. */
+    readonly kind: "observe_report";
+    readonly ageMs: number;
+  }
   | {
     /** Records a time until an answer, or until its first event. */
     readonly kind: "observe";
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,7 +1,8 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { EngineChecked, ExchangeEvent } from "@lavenderferry/fleet";
-import type { SuspectBlock } from "@lavenderferry/policy";
+import type { EngineLoad, SuspectBlock } from "@lavenderferry/policy";
 import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import type { Moment } from "@lavenderferry/runtime";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
 import type { Routing } from "./routing/routing.ts";
 import type { RelayTimer } from "./process/timers.ts";
@@ -93,10 +94,28 @@
   /** Tokens of memory not used by its own generations or by copies. */
   readonly freeTokens: number;
   readonly runs: readonly RunningGeneration[];
+  /** Requests and memory; missing or `null` if the report does not state them. */
+  readonly load?: EngineLoad | null;
+  /** Handles by which the engine keeps memory, as far as it lists them. */
+  readonly handles?: readonly string[];
+  /** Milliseconds until the engine ends; missing or `null`: not stated. */
+  readonly leavesMs?: number | null;
+  /** Whether the engine states that it is leaving. */
+  readonly isLeaving?: boolean;
   /** Why the engine did not report, for the log; empty if it did. */
   readonly detail: string;
 }
 
+/** An engine has answered a request for its report, or has not in time. */
+export interface EngineReported {
+  readonly kind: "engine_reported";
+  /** Id of the engine. */
+  readonly upstream: string;
+  /** Moment at which the report was requested. */
+  readonly askedAt: Moment;
+  readonly report: EngineReport;
+}
+
 /** An upstream accepted a new connection. */
 export interface UpstreamConnected {
   readonly kind: "upstream_connected";
@@ -313,6 +332,7 @@
 export type RelayEvent =
   | RequestEvent
   | EngineChecked
+  | EngineReported
   | LeavingReported
   | UpstreamConnected
   | LimitReported
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -9,6 +9,11 @@
 import { forwardRequest } from "../forwarding/forward_request.ts";
 import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
+import {
+  askBeforePlacement,
+  askForQueues,
+  usesReports,
+} from "../reports/ask_engines.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
 /** Retry delay for callers whose service has no pool, in milliseconds. */
@@ -17,12 +22,41 @@
 /** Milliseconds for which peers need not ask an isolated process again. */
 const isolatedRetryMs = 3_000;
 
-/** Sends, queues or refuses a request that has no current attempt. */
+/**
+ * Sends, queues or refuses a request that has no current attempt. A first attempt
+ * waits shortly for the reports of a few engines where loads are not known.
+ */
 export function placeRequest(
   state: RelayState,
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
+  const pool = state.pools.get(request.service);
+  if (
+    pool === undefined || request.sends > 0 || !usesReports(state, pool) ||
+    state.reachability.isIsolated
+  ) {
+    return decidePlacement(state, request, { engines: null, at });
+  }
+  const { engines, effects } = askBeforePlacement(state, request, { pool, at });
+  return state.pendingPlacements.has(request.exchangeId)
+    ? effects
+    : [...effects, ...decidePlacement(state, request, { engines, at })];
+}
+
+/**
+ * Sends, queues or refuses a request now. It is sent to one of the given engines;
+ * `null`: to any.
+ */
+export function decidePlacement(
+  state: RelayState,
+  request: RelayedRequest,
+  { engines, at }: {
+    readonly engines: readonly string[] | null;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  state.pendingPlacements.delete(request.exchangeId);
   const pool = state.pools.get(request.service);
   if (pool === undefined) {
     state.requests.delete(request.exchangeId);
@@ -55,7 +89,10 @@
   if (request.sends === 0) {
     pool.retryBudget.deposit();
   }
-  const placement = pool.dispatcher.place(request.demand, at);
+  const { demand } = request;
+  const placement = engines === null || pool.reporting === null
+    ? pool.dispatcher.place(demand, at)
+    : pool.reporting.placeAmong(demand, engines, at);
   return applyPlacement(state, request, { placement, at });
 }
 
@@ -105,6 +142,7 @@
   { outcome, at }: { readonly outcome: DispatchOutcome; readonly at: Moment },
 ): readonly RelayEffect[] {
   state.requests.delete(request.exchangeId);
+  state.pendingPlacements.delete(request.exchangeId);
   const pool = state.pools.get(request.service);
   if (request.phase === "waiting") {
     pool?.dispatcher.withdraw(request.demand.requestId);
@@ -406,12 +444,16 @@
           reason,
           figures: { upstream, copy, ...figures },
         }, at),
+        ...typeof figures.reportMs === "number"
+          ? [{ kind: "observe_report", ageMs: figures.reportMs } as const]
+          : [],
         ...effects,
       ];
     }
     case "wait":
       return [
         recordDecision(state, { kind: "queue", subject, reason, figures }, at),
+        ...askForQueues(state, at),
         ...scheduleRelease(state, at),
       ];
     case "refuse": {
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -1,10 +1,11 @@
 import { FleetNode } from "@lavenderferry/fleet";
 import type { StoreVersion, Vm } from "@lavenderferry/platform";
-import type { Dispatcher } from "@lavenderferry/policy";
+import type { Dispatcher, ReportingDispatcher } from "@lavenderferry/policy";
 import {
   AdaptiveDispatcher,
   Brittleness,
   EarlyLosses,
+  EngineReports,
   Reachability,
   RequestLimits,
   RetryBudget,
@@ -15,6 +16,7 @@
 import type { SharedRead, SharedSource } from "./fleet/store_reads.ts";
 import type { Suspension } from "./process/suspension.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
+import type { PendingPlacement } from "./reports/ask_engines.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { UnconfirmedRequest } from "./requests/unconfirmed_request.ts";
@@ -27,6 +29,11 @@
 export interface Pool {
   readonly service: Service;
   readonly dispatcher: Dispatcher;
+  /**
+   * The dispatcher, where it can place by the reports of a few engines; `null`
+   * for services without engines.
+   */
+  readonly reporting: ReportingDispatcher | null;
   /** What the upstreams say of the rejections that they bear. */
   readonly brittleness: Brittleness;
   /** Limits how many attempts are retries. */
@@ -120,6 +127,12 @@
   readonly requests: Map<string, RelayedRequest>;
   /** Requests that wait for the routing to be confirmed, by exchange id. */
   readonly unconfirmedRequests: Map<string, UnconfirmedRequest>;
+  /** Newest reports of engines, and the requests for them. */
+  readonly engineReports: EngineReports;
+  /** Requests that wait for reports of engines, by exchange id. */
+  readonly pendingPlacements: Map<string, PendingPlacement>;
+  /** Monotonic milliseconds from which a queue may ask engines again. */
+  nextQueueReportAt: number;
   /** Wall-clock less monotonic milliseconds at the last event. */
   clockOffset: number | null;
   suspension: Suspension | null;
@@ -214,6 +227,9 @@
     readsForAll: true,
     requests: new Map(),
     unconfirmedRequests: new Map(),
+    engineReports: new EngineReports(),
+    pendingPlacements: new Map(),
+    nextQueueReportAt: 0,
     clockOffset: null,
     suspension: null,
     routingIsConfirmed: true,
@@ -241,12 +257,15 @@
   const { dataCentre } = settings;
   const seed = hashText(`${state.epoch}/${service.name}`);
   const brittleness = new Brittleness();
+  const reporting = service.engines === null
+    ? null
+    : new AdaptiveDispatcher(seed, {}, limits);
   return {
     service,
     brittleness,
-    dispatcher: service.engines === null
-      ? new SlotDispatcher(seed, { dataCentre, limits, brittleness })
-      : new AdaptiveDispatcher(seed, {}, limits),
+    dispatcher: reporting ??
+      new SlotDispatcher(seed, { dataCentre, limits, brittleness }),
+    reporting,
     retryBudget: new RetryBudget({
       share: settings.retryShare,
       burst: computeRetryBurst(state),
