--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -325,6 +325,9 @@
       this.#lengths.learn(flight.demand, flight.producedTokens);
       engine.circuit.recordSuccess(at.monotonic);
     } else if (outcome !== "cancelled") {
+      if (outcome === "refused") {
+        engine.view.recordRejection(flight.demand, at);
+      }
       engine.circuit.recordFailure(outcome, at.monotonic);
     }
     this.#engines.removeIfIdle(engine);
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -177,7 +177,7 @@
     const othersTokens = Math.max(0, usedTokens + waitingTokens - own.tokens);
     if (previous !== null) {
       this.pool.learnDrift(
-        othersTokens - previous.othersTokens,
+        (othersTokens - previous.othersTokens) / Math.max(1, memoryTokens),
         measuredAt - previous.wallMs,
       );
     }
@@ -192,6 +192,25 @@
     this.#recordOwnSample(at);
   }
 
+  /**
+   * Corrects the latest sample after the engine has rejected a generation: there
+   * was no room for it. Reports that were measured before do not change that.
+   */
+  recordRejection({ promptTokens }: Demand, at: Moment): void {
+    if (this.#sample === null) {
+      return;
+    }
+    const { memoryTokens, othersTokens } = this.#sample;
+    const leastOthers = memoryTokens - promptTokens - this.#ownTokens;
+    this.#sample = {
+      ...this.#sample,
+      wallMs: at.wall,
+      arrivedAt: at.monotonic,
+      othersTokens: Math.max(othersTokens, leastOthers),
+    };
+    this.#forecastAt = -Infinity;
+  }
+
   /** Age of the latest sample since its arrival; `Infinity`: there is none. */
   sampleAgeMs(at: Moment): number {
     return this.#sample === null
@@ -359,9 +378,13 @@
    * with the age. The few generations of this process say nothing about those of
    * a large fleet.
    */
-  #addSampledOthers({ othersTokens, wallMs }: LoadSample, at: Moment): void {
+  #addSampledOthers(
+    { othersTokens, memoryTokens, wallMs }: LoadSample,
+    at: Moment,
+  ): void {
+    const variance = this.pool.varianceAfter(at.wall - wallMs);
     this.#forecast.addConstant(Math.max(othersTokens, this.#peerTokens(at)));
-    this.#forecast.addVariance(this.pool.varianceAfter(at.wall - wallMs));
+    this.#forecast.addVariance(variance * memoryTokens ** 2);
   }
 
   #peerTokens(at: Moment): number {
--- a/packages/policy/src/pool_statistics.ts
+++ b/packages/policy/src/pool_statistics.ts
@@ -8,6 +8,12 @@
  */
 const maxDriftMs = 5_000;
 
+/**
+ * Assumed before samples are compared: a prompt of a tenth of the memory more or
+ * less after a second, with the weight of a few comparisons.
+ */
+const prior = { fraction: 0.1, milliseconds: 1_000, weight: 3 };
+
 /**
  * What the engines of one pool have in common. A process of a large fleet asks
  * each engine rarely, so it learns these figures from all of them together.
@@ -15,21 +21,22 @@
 export class PoolStatistics {
   /** Time between tokens by the number of running generations. */
   readonly stepTime = new StepTime();
-  #squaredSum = 0;
-  #millisecondSum = 0;
+  #squaredSum = prior.weight * prior.fraction ** 2;
+  #millisecondSum = prior.weight * prior.milliseconds;
 
-  /** Learns by how much others' memory differs between two samples. */
-  learnDrift(tokens: number, milliseconds: number): void {
-    this.#squaredSum = this.#squaredSum * decayPerChange + tokens ** 2;
+  /**
+   * Learns by which fraction of an engine's memory that of others differs between
+   * two samples.
+   */
+  learnDrift(fraction: number, milliseconds: number): void {
+    this.#squaredSum = this.#squaredSum * decayPerChange + fraction ** 2;
     this.#millisecondSum = this.#millisecondSum * decayPerChange +
       Math.min(maxDriftMs, milliseconds);
   }
 
-  /** Returns the variance of others' memory that long after a sample. */
+  /** Returns the variance of that fraction so long after a sample. */
   varianceAfter(milliseconds: number): number {
-    return this.#millisecondSum <= 0
-      ? 0
-      : Math.min(maxDriftMs, Math.max(0, milliseconds)) * this.#squaredSum /
-        this.#millisecondSum;
+    return Math.min(maxDriftMs, Math.max(0, milliseconds)) * this.#squaredSum /
+      this.#millisecondSum;
   }
 }
