--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -1,11 +1,15 @@
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
+import { AdmissionQueue } from "./admission_queue.ts";
 import type { AdaptiveOptions } from "./adaptive_options.ts";
 import { allEnabled } from "./adaptive_options.ts";
-import type { WaitingDemand } from "./backlog.ts";
-import { Backlog } from "./backlog.ts";
-import type { Candidate } from "./candidate.ts";
-import { evaluateEngine } from "./candidate.ts";
+import type { Candidate, EvaluationContext } from "./candidate.ts";
+import {
+  compareCandidates,
+  evaluateEngine,
+  figuresOf,
+  reportFiguresOf,
+} from "./candidate.ts";
 import { priorityOf } from "./class_targets.ts";
 import type {
   CacheChange,
@@ -14,22 +18,20 @@
   DispatchOutcome,
   EngineDescription,
   EngineLoad,
-  Figures,
   LengthSketch,
   LoadReport,
   PeerShare,
   Placement,
-  PlacementReason,
   ReleasedDemand,
   ReportingDispatcher,
   SentGeneration,
   TransferOptions,
 } from "./dispatcher.ts";
-import { DrainRate } from "./drain_rate.ts";
 import type { Engine } from "./engine.ts";
 import { EnginePool } from "./engine_pool.ts";
 import type { Flight } from "./engine_view.ts";
 import {
+  estimateRoomMs,
   sampleEngines,
   selectCandidates,
   selectReported,
@@ -38,25 +40,16 @@
 import type { Estimate } from "./estimator.ts";
 import { estimateStartDeadline, Estimator } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
+import { RecentIds } from "./recent_ids.ts";
 import type { Refusal } from "./refusal.ts";
 import { boundRetryAfterMs, minRetryAfterMs, refuse } from "./refusal.ts";
 import { RequestLimits } from "./request_limits.ts";
 import { Reservations } from "./reservations.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
-import { WorkspaceShares } from "./workspace_shares.ts";
 
-/** Share of the first queued demand's cost below which others overtake it. */
-const maxOvertakingCostRatio = 0.25;
-/** Factor on estimated waits, as the estimate is too high in bursts. */
-const waitEstimateFactor = 0.8;
 /** Queued demands that one release considers. */
 const maxReleaseCandidates = 16;
-const maxBacklogRequests = 4_096;
-/** Penalty on the sort key of a workspace that has all recent use. */
-const sharePenaltyMs = 2_000;
-/** Request ids remembered to tell retries from first attempts. */
-const maxRecentRequests = 4_096;
 /**
  * Engines with room among which a transfer takes the one with the most free
  * memory. Comparing all of them would make every process choose the same one.
@@ -77,13 +70,12 @@
   readonly #engines: EnginePool;
   readonly #lengths = new OutputLengths();
   readonly #estimator: Estimator;
-  readonly #backlog = new Backlog();
-  readonly #workspaceShares = new WorkspaceShares();
-  readonly #drainRate = new DrainRate();
+  readonly #queue: AdmissionQueue;
   readonly #riskBound = new RiskBound();
   readonly #retryBudget = new RetryBudget();
   readonly #engineByGeneration = new Map<string, Engine>();
-  readonly #recentRequests = new Set<string>();
+  /** Tells retries from first attempts. */
+  readonly #recentRequests = new RecentIds();
   readonly #reservations = new Reservations();
 
   constructor(
@@ -98,10 +90,15 @@
       this.#options.lengths ? this.#lengths : null,
     );
     this.#engines = new EnginePool(this.#options.lagCorrection);
+    this.#queue = new AdmissionQueue(
+      this.#options,
+      this.#random,
+      (demand, at) => estimateRoomMs(this.#eligibleEngines(demand), demand, at),
+    );
   }
 
   get waiting(): number {
-    return this.#backlog.size;
+    return this.#queue.size;
   }
 
   addEngine(description: EngineDescription): void {
@@ -179,7 +176,7 @@
   }
 
   enginesToAskForQueue(at: Moment): readonly string[] {
-    const [first] = this.#backlog.head(1);
+    const [first] = this.#queue.head(1);
     const engines = first === undefined
       ? []
       : this.#startableEngines(first.demand, at);
@@ -203,39 +200,44 @@
     engines: readonly string[] | null,
     at: Moment,
   ): Placement {
-    const refusal = this.#refuseUnservable(demand) ??
-      this.#refuseRetryOverBudget(demand);
+    const refusal = this.#refuseUnservable(demand, at) ??
+      this.#refuseRetryOverBudget(demand, at);
     if (refusal !== null) {
       return refusal;
     }
     const estimate = this.#estimator.estimate(demand);
-    const mustQueue = this.#options.slack &&
-      this.#mustQueueBehindFirst(demand, estimate, at.monotonic);
+    const { cost } = estimate;
+    const mustQueue = this.#options.slack && this.#queue.size > 0 &&
+      this.#queue.precedes({
+        deadline: this.#startDeadlineOf(demand, estimate, at.monotonic),
+        cost,
+      });
     const dispatch = mustQueue
       ? null
       : this.#choose(demand, { estimate, engines, at });
     if (dispatch !== null) {
       this.#limits.recordStart(dispatch.engine, at);
-      this.#recordStart(demand, estimate.cost, at);
+      this.#queue.recordStart(demand, cost, at);
       return dispatch;
     }
-    return this.#refuseOverLimits(demand, estimate, at) ??
-      this.#enqueue(demand, estimate, at);
+    const deadline = this.#startDeadlineOf(demand, estimate, at.monotonic);
+    return this.#refuseOverLimits(demand, deadline, at) ??
+      this.#queue.enqueue({ demand, deadline, cost }, at);
   }
 
   withdraw(requestId: string): void {
-    this.#backlog.removeByRequestId(requestId);
+    this.#queue.remove(requestId);
   }
 
   release(at: Moment): readonly ReleasedDemand[] {
     const releases: ReleasedDemand[] = [];
     this.#reservations.clear(at);
     if (this.#options.refusals) {
-      releases.push(...this.#refuseUnmeetable(at));
+      releases.push(...this.#queue.refuseUnmeetable(at));
     }
-    for (const waiting of this.#backlog.head(maxReleaseCandidates)) {
+    for (const waiting of this.#queue.head(maxReleaseCandidates)) {
       const { demand, cost } = waiting;
-      const refusal = this.#refuseUnservable(demand);
+      const refusal = this.#refuseUnservable(demand, at);
       const placement = refusal ??
         this.#choose(demand, {
           estimate: this.#estimator.estimate(demand),
@@ -245,16 +247,16 @@
       if (placement === null) {
         continue;
       }
-      this.#backlog.removeByRequestId(demand.requestId);
+      this.#queue.remove(demand.requestId);
       releases.push({ demand, placement });
       if (placement.kind === "dispatch") {
         this.#limits.recordStart(placement.engine, at);
-        this.#recordStart(demand, cost, at);
+        this.#queue.recordStart(demand, cost, at);
         this.#reserve(demand, placement.engine, at);
       }
     }
     if (releases.length === 0) {
-      this.#drainRate.recordStart(0, at.monotonic, this.#backlog.size > 0);
+      this.#queue.recordNoStart(at);
     }
     return releases;
   }
@@ -276,9 +278,8 @@
       : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
     for (const engines of [preferred, eligible]) {
       // The random order makes other processes choose other engines.
-      const finalists = sampleEngines(engines, this.#random, maxCandidates)
-        .map((engine) => this.#evaluate(engine, demand, { estimate, at }))
-        .filter((candidate) => candidate !== null)
+      const sample = sampleEngines(engines, this.#random, maxCandidates);
+      const finalists = this.#evaluate(sample, demand, { estimate, at })
         .filter(({ memoryFraction }) => memoryFraction <= maxMemoryFraction)
         .slice(0, transferFinalists)
         .sort((a, b) => a.memoryFraction - b.memoryFraction);
@@ -306,7 +307,7 @@
     engine.view.addFlight(generationId, flight, at);
     engine.prefixes.addExpected(demand.prefix);
     this.#engineByGeneration.set(generationId, engine);
-    this.#recordSentRequest(demand.requestId);
+    this.#recentRequests.add(demand.requestId);
   }
 
   progressed(generationId: string, tokens: number, at: Moment): void {
@@ -323,6 +324,10 @@
     }
     if (outcome === "finished") {
       this.#lengths.learn(flight.demand, flight.producedTokens);
+      engine.view.pool.learnDuration(
+        flight.demand.promptTokens + flight.producedTokens,
+        at.monotonic - flight.sentAt,
+      );
       engine.circuit.recordSuccess(at.monotonic);
     } else if (outcome !== "cancelled") {
       if (outcome === "refused") {
@@ -342,7 +347,7 @@
     );
   }
 
-  #refuseUnservable(demand: Demand): Refusal | null {
+  #refuseUnservable(demand: Demand, at: Moment): Refusal | null {
     const retryAfterMs = minRetryAfterMs;
     const { engines, memoryTokens } = this.#engines.enginesFor(demand.model);
     if (engines.length === 0) {
@@ -353,7 +358,7 @@
     const { promptTokens } = demand;
     if (this.#eligibleEngines(demand).length === 0) {
       // All engines that serve the model have already refused this demand.
-      return this.#refuseOverloaded("engines_full", this.#backlog.totalCost);
+      return this.#queue.refuseOverloaded(demand, "engines_full", at);
     }
     return promptTokens < memoryTokens
       ? null
@@ -363,7 +368,7 @@
       });
   }
 
-  #refuseRetryOverBudget(demand: Demand): Refusal | null {
+  #refuseRetryOverBudget(demand: Demand, at: Moment): Refusal | null {
     if (!this.#recentRequests.has(demand.requestId)) {
       this.#retryBudget.deposit();
       return null;
@@ -371,7 +376,7 @@
     if (!this.#options.circuits || this.#retryBudget.tryWithdraw()) {
       return null;
     }
-    return this.#refuseOverloaded("retry_budget", this.#backlog.totalCost);
+    return this.#queue.refuseOverloaded(demand, "retry_budget", at);
   }
 
   /**
@@ -380,13 +385,12 @@
    */
   #refuseOverLimits(
     demand: Demand,
-    estimate: Estimate,
+    deadline: number,
     at: Moment,
   ): Refusal | null {
     const now = at.monotonic;
     const engines = this.#eligibleEngines(demand).map(({ id }) => id);
     const nextStartAt = this.#limits.earliestStartAt(engines);
-    const deadline = this.#startDeadlineOf(demand, estimate, now);
     if (nextStartAt <= Math.max(now, deadline)) {
       return null;
     }
@@ -396,18 +400,6 @@
     return refuse("overloaded", "upstream_limit", { retryAfterMs });
   }
 
-  /** Whether the first queued demand is more urgent and of comparable cost. */
-  #mustQueueBehindFirst(
-    demand: Demand,
-    estimate: Estimate,
-    now: number,
-  ): boolean {
-    const [first] = this.#backlog.head(1);
-    return first !== undefined &&
-      first.deadline <= this.#startDeadlineOf(demand, estimate, now) &&
-      estimate.cost > maxOvertakingCostRatio * first.cost;
-  }
-
   #startDeadlineOf(demand: Demand, estimate: Estimate, now: number): number {
     return estimateStartDeadline(
       demand,
@@ -435,34 +427,21 @@
       ? given
       : selectReported(startable, this.#random, at) ??
         selectCandidates(startable, this.#random, prefix);
-    const candidates = engines
-      .map((engine) => this.#evaluate(engine, demand, { estimate, at }))
-      .filter((candidate) => candidate !== null);
-    const best = candidates.sort((a, b) => compareCandidates(a, b, at))[0];
+    const candidates = this.#evaluate(engines, demand, { estimate, at })
+      .sort((a, b) => compareCandidates(a, b, at));
+    const best = candidates[0];
     if (best === undefined) {
       return null;
     }
-    const { engine, risk, cachedBlocks, memoryFraction } = best;
-    const { view } = engine;
-    const reportFigures: Figures = view.isSampled
-      ? {
-        memory: roundFigure(memoryFraction),
-        reportMs: Math.round(view.sampleAgeMs(at)),
-        candidates: candidates.length,
-      }
-      : {};
     return {
       kind: "dispatch",
-      engine: engine.id,
+      engine: best.engine.id,
       priority: this.#options.priorities ? priorityOf(demand.targets) : 0,
-      reason: cachedBlocks > 0 ? "cached_prefix" : "lowest_risk",
+      reason: best.cachedBlocks > 0 ? "cached_prefix" : "lowest_risk",
       figures: {
-        risk: roundFigure(risk),
-        running: view.running,
-        cachedBlocks,
-        expectedTokens: Math.round(estimate.outputTokens),
-        backlog: this.#backlog.size,
-        ...reportFigures,
+        ...figuresOf(best, estimate),
+        backlog: this.#queue.size,
+        ...reportFiguresOf(best, candidates.length, at),
       },
     };
   }
@@ -474,17 +453,25 @@
     );
   }
 
+  /** Evaluates engines for a demand, and leaves out those it must not get. */
   #evaluate(
-    engine: Engine,
+    engines: readonly Engine[],
     demand: Demand,
-    context: { readonly estimate: Estimate; readonly at: Moment },
-  ): Candidate | null {
-    return evaluateEngine(engine, demand, {
-      ...context,
-      options: this.#options,
-      limits: this.#limits,
-      riskBound: this.#riskBound,
-    });
+    context: Pick<EvaluationContext, "estimate" | "at">,
+  ): Candidate[] {
+    const options = this.#options;
+    const limits = this.#limits;
+    const riskBound = this.#riskBound;
+    return engines
+      .map((engine) =>
+        evaluateEngine(engine, demand, {
+          ...context,
+          options,
+          limits,
+          riskBound,
+        })
+      )
+      .filter((candidate) => candidate !== null);
   }
 
   /** Returns the engines that serve a demand's model and may be chosen. */
@@ -497,87 +484,6 @@
       : engines.filter(({ id }) => !excludedEngines.includes(id));
   }
 
-  #enqueue(demand: Demand, estimate: Estimate, at: Moment): Placement {
-    const now = at.monotonic;
-    const baseOrder = this.#options.slack
-      ? this.#startDeadlineOf(demand, estimate, now)
-      : demand.arrivedAt;
-    const share = this.#workspaceShares.shareOf(demand.workspace, now);
-    const penaltyMs = this.#options.fairness ? share * sharePenaltyMs : 0;
-    const order = baseOrder + penaltyMs;
-    const costAhead = this.#backlog.costAheadOf(order);
-    const waitMs = this.#drainRate.waitMsFor(costAhead);
-    const deadline = this.#startDeadlineOf(demand, estimate, now);
-    const figures = {
-      waitMs: Math.round(waitMs),
-      slackMs: Math.round(deadline - now),
-      backlog: this.#backlog.size,
-      share: roundFigure(share),
-    };
-    const unreachable = this.#options.refusals &&
-      now + waitEstimateFactor * waitMs > deadline;
-    if (unreachable || this.#backlog.size >= maxBacklogRequests) {
-      return this.#refuseUnreachable(demand, { figures, share });
-    }
-    const { cost } = estimate;
-    const waiting = { demand, deadline, cost };
-    this.#backlog.enqueue(waiting, { id: demand.requestId, order });
-    return { kind: "wait", reason: "memory_at_risk", figures };
-  }
-
-  #refuseUnreachable(
-    demand: Demand,
-    cause: { figures: Figures; share: number },
-  ): Refusal {
-    const { figures, share } = cause;
-    const workspaces = this.#backlog.workspaceCount;
-    const overShare = this.#options.fairness && workspaces > 1 &&
-      share > 2 / workspaces && this.#backlog.countOf(demand.workspace) > 0;
-    const refusal = this.#refuseOverloaded(
-      "target_unreachable",
-      this.#backlog.totalCost,
-    );
-    return overShare
-      ? {
-        ...refusal,
-        error: "workspace_limit",
-        reason: "workspace_share",
-        figures,
-      }
-      : { ...refusal, figures };
-  }
-
-  #refuseOverloaded(reason: PlacementReason, costAhead: number): Refusal {
-    const waitMs = this.#drainRate.waitMsFor(costAhead);
-    const jitteredMs = this.#random.jitter(waitMs, 0.25);
-    const retryAfterMs = boundRetryAfterMs(jitteredMs);
-    return refuse("overloaded", reason, { retryAfterMs });
-  }
-
-  #unmeetableAt(now: number): readonly WaitingDemand[] {
-    return this.#backlog.findUnmeetable(
-      now,
-      (cost) => waitEstimateFactor * this.#drainRate.waitMsFor(cost),
-    );
-  }
-
-  #refuseUnmeetable(at: Moment): readonly ReleasedDemand[] {
-    return this.#unmeetableAt(at.monotonic).map(({ demand, deadline }) => {
-      this.#backlog.removeByRequestId(demand.requestId);
-      const placement = this.#refuseOverloaded(
-        "target_unreachable",
-        this.#backlog.totalCost,
-      );
-      const lateMs = Math.round(at.monotonic - deadline);
-      return { demand, placement: { ...placement, figures: { lateMs } } };
-    });
-  }
-
-  #recordStart(demand: Demand, cost: number, at: Moment): void {
-    this.#workspaceShares.add(demand.workspace, cost, at.monotonic);
-    this.#drainRate.recordStart(cost, at.monotonic, this.#backlog.size > 0);
-  }
-
   /** Counts a released demand as in flight until `sent` is called for it. */
   #reserve(demand: Demand, id: string, at: Moment): void {
     const engine = this.#engines.get(id);
@@ -591,26 +497,4 @@
     const tail = this.#estimator.tailOf(demand);
     return { demand, tail, sentAt: now, producedTokens: 0, progressedAt: now };
   }
-
-  #recordSentRequest(requestId: string): void {
-    this.#recentRequests.add(requestId);
-    const [oldest] = this.#recentRequests;
-    if (this.#recentRequests.size > maxRecentRequests && oldest !== undefined) {
-      this.#recentRequests.delete(oldest);
-    }
-  }
-}
-
-/**
- * Orders candidates by score. An engine that did not report is never preferred to
- * one that did, as its load is not known.
- */
-function compareCandidates(a: Candidate, b: Candidate, at: Moment): number {
-  const recentA = a.engine.view.hasRecentSample(at);
-  const recentB = b.engine.view.hasRecentSample(at);
-  return recentA === recentB ? a.score - b.score : recentA ? -1 : 1;
-}
-
-function roundFigure(value: number): number {
-  return Math.round(value * 10_000) / 10_000;
 }
--- a/packages/policy/src/candidate.ts
+++ b/packages/policy/src/candidate.ts
@@ -1,6 +1,6 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type { AdaptiveOptions } from "./adaptive_options.ts";
-import type { Demand } from "./dispatcher.ts";
+import type { Demand, Figures } from "./dispatcher.ts";
 import type { Engine } from "./engine.ts";
 import type { EngineView } from "./engine_view.ts";
 import type { Estimate } from "./estimator.ts";
@@ -91,3 +91,50 @@
   return stepTime.expectedMs(running + 1) > limitMs &&
     stepTime.expectedMs(1) <= limitMs;
 }
+
+/**
+ * Orders candidates by score. An engine that did not report is never preferred to
+ * one that did, as its load is not known.
+ */
+export function compareCandidates(
+  a: Candidate,
+  b: Candidate,
+  at: Moment,
+): number {
+  const recentA = a.engine.view.hasRecentSample(at);
+  const recentB = b.engine.view.hasRecentSample(at);
+  return recentA === recentB ? a.score - b.score : recentA ? -1 : 1;
+}
+
+/** Returns the figures by which a candidate was chosen. */
+export function figuresOf(
+  { engine, risk, cachedBlocks }: Candidate,
+  { outputTokens }: Estimate,
+): Figures {
+  return {
+    risk: roundFigure(risk),
+    running: engine.view.running,
+    cachedBlocks,
+    expectedTokens: Math.round(outputTokens),
+  };
+}
+
+/** Returns the figures of a choice by reports; none if it was made without. */
+export function reportFiguresOf(
+  { engine, memoryFraction }: Candidate,
+  candidates: number,
+  at: Moment,
+): Figures {
+  const { view } = engine;
+  return view.isSampled
+    ? {
+      memory: roundFigure(memoryFraction),
+      reportMs: Math.round(view.sampleAgeMs(at)),
+      candidates,
+    }
+    : {};
+}
+
+function roundFigure(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
--- a/packages/policy/src/engine_choice.ts
+++ b/packages/policy/src/engine_choice.ts
@@ -1,4 +1,5 @@
 import type { Moment, Random } from "@lavenderferry/runtime";
+import type { Demand } from "./dispatcher.ts";
 import type { Engine } from "./engine.ts";
 import { rendezvous } from "./rendezvous.ts";
 
@@ -63,6 +64,20 @@
     : sampleEngines(reported, random, randomCandidateCount);
 }
 
+/**
+ * Returns the milliseconds until one of the engines that reported recently is
+ * expected to have room for a demand; 0 if none did.
+ */
+export function estimateRoomMs(
+  engines: readonly Engine[],
+  { promptTokens }: Demand,
+  at: Moment,
+): number {
+  const estimates = engines.filter(({ view }) => view.hasRecentSample(at))
+    .map(({ view }) => view.estimateRoomMs(promptTokens, at));
+  return estimates.length === 0 ? 0 : Math.min(...estimates);
+}
+
 /** Returns up to `count` distinct engines in random order. */
 export function sampleEngines(
   engines: readonly Engine[],
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -271,6 +271,20 @@
     this.#forecastAt = -Infinity;
   }
 
+  /**
+   * Returns the milliseconds until the memory for a prompt is expected to be free,
+   * if no generation starts in the meantime. Memory in use is freed evenly over
+   * the time for which generations hold it.
+   */
+  estimateRoomMs(promptTokens: number, at: Moment): number {
+    const { mean } = this.forecast(at);
+    const usedTokens = mean[0] ?? 0;
+    const missingTokens = usedTokens + promptTokens - this.memoryTokens;
+    return missingTokens <= 0
+      ? 0
+      : this.pool.holdMs * Math.min(1, missingTokens / usedTokens);
+  }
+
   /** Adds a generation of this process. */
   addFlight(generationId: string, flight: Flight, at: Moment): void {
     this.flights.set(generationId, flight);
--- a/packages/policy/src/pool_statistics.ts
+++ b/packages/policy/src/pool_statistics.ts
@@ -21,9 +21,24 @@
 export class PoolStatistics {
   /** Time between tokens by the number of running generations. */
   readonly stepTime = new StepTime();
+  /** Decayed sums of tokens, and of tokens times the time that they were held. */
+  #tokenSum = 0;
+  #tokenMsSum = 0;
   #squaredSum = prior.weight * prior.fraction ** 2;
   #millisecondSum = prior.weight * prior.milliseconds;
 
+  /** Learns for how long a generation that ended has held its memory. */
+  learnDuration(tokens: number, milliseconds: number): void {
+    this.#tokenSum = this.#tokenSum * decayPerChange + tokens;
+    this.#tokenMsSum = this.#tokenMsSum * decayPerChange +
+      tokens * milliseconds;
+  }
+
+  /** Mean milliseconds for which a token of memory is held; 0: unknown. */
+  get holdMs(): number {
+    return this.#tokenSum <= 0 ? 0 : this.#tokenMsSum / this.#tokenSum;
+  }
+
   /**
    * Learns by which fraction of an engine's memory that of others differs between
    * two samples.
