--- a/packages/relay/src/http/upstream_runner_test.ts
+++ b/packages/relay/src/http/upstream_runner_test.ts
@@ -183,3 +183,32 @@
   );
   t.match(event, { kind: "engine_checked", outcome: "silent" });
 });
+
+// One slow engine must not hold back the reports of the others.
+t.test("each report of an engine is an event of its own", async (t) => {
+  const timeouts: (number | undefined)[] = [];
+  const report = { keptTokens: 0, freeTokens: 9, runs: [], detail: "" };
+  const runner = createRunner({
+    report: (address, timeoutMs) => {
+      timeouts.push(timeoutMs);
+      return address === "10.0.0.1:1"
+        ? new Promise(() => undefined)
+        : Promise.resolve(report);
+    },
+  });
+  const askedAt = { monotonic: 5, wall: 7 };
+  const event = await new Promise<RelayEvent>((resolve) =>
+    runner.handlers.report_engines({
+      kind: "report_engines",
+      engines: [
+        { id: "e1", address: "10.0.0.1:1" },
+        { id: "e2", address: "10.0.0.1:2" },
+      ],
+      askedAt,
+      deadline: performance.now() + 300,
+    }, resolve)
+  );
+  const expected = { kind: "engine_reported", upstream: "e2", askedAt, report };
+  t.strictSame(event, expected);
+  t.ok(timeouts.every((timeoutMs = Infinity) => timeoutMs <= 300));
+});
