--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -54,6 +54,11 @@
  * memory. Comparing all of them would make every process choose the same one.
  */
 const transferFinalists = 2;
+/**
+ * Share of an engine's memory up to which a request there may be urgent. Beyond it,
+ * the engine would preempt generations and process their prompts again.
+ */
+const maxUrgentFraction = 0.8;
 
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 
@@ -293,7 +298,14 @@
       return;
     }
     this.#reservations.remove(demand.requestId, at);
-    const flight = { ...this.#flightOf(demand, at), holdsMemoryOnly };
+    const { view } = engine;
+    const isAwaited = view.isSampled && !holdsMemoryOnly;
+    const tokensAhead = isAwaited ? view.unreadTokens(at) : null;
+    const flight = {
+      ...this.#flightOf(demand, at),
+      holdsMemoryOnly,
+      tokensAhead,
+    };
     engine.view.addFlight(generationId, flight, at);
     engine.prefixes.addExpected(demand.prefix);
     this.#engineByGeneration.set(generationId, engine);
@@ -428,6 +440,7 @@
       kind: "dispatch",
       engine: best.engine.id,
       priority: this.#options.priorities ? priorityOf(demand.targets) : 0,
+      isTight: best.memoryFraction > maxUrgentFraction,
       reason: best.cachedBlocks > 0 ? "cached_prefix" : "lowest_risk",
       figures: {
         ...figuresOf(best, estimate),
--- a/packages/policy/src/candidate.ts
+++ b/packages/policy/src/candidate.ts
@@ -3,6 +3,7 @@
 import type { Demand, Figures } from "./dispatcher.ts";
 import type { Engine } from "./engine.ts";
 import type { EngineView } from "./engine_view.ts";
+import { maxAdmittedFraction } from "./engine_view.ts";
 import type { Estimate } from "./estimator.ts";
 import { prefillMsPerToken } from "./estimator.ts";
 import { tokensPerBlock } from "./prefix_digests.ts";
@@ -66,8 +67,10 @@
   const stepTime = isSampled ? view.pool.stepTime : view.stepTime;
   const stepMs = stepTime.expectedMs(view.running + 1);
   if (options.admission && view.running > 0) {
-    const bound = riskBound.boundFor(demand.targets);
-    if (risk > bound || exceedsStepTime(view, demand)) {
+    const overflows = isSampled
+      ? memoryFraction > maxAdmittedFraction
+      : risk > riskBound.boundFor(demand.targets);
+    if (overflows || exceedsStepTime(view, demand)) {
       return null;
     }
   }
@@ -76,8 +79,12 @@
     : 0;
   const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
   const loadMs = isSampled ? fullMemoryMs * memoryFraction : 0;
+  // Engines process prompts one after another, so those ahead delay the first token.
+  const queueMs = isSampled
+    ? view.pool.prefillRate.msFor(view.unreadTokens(at))
+    : 0;
   const score = stepMs * estimate.outputTokens + risk * stallMsPerRisk +
-    loadMs - savedMs;
+    queueMs + loadMs - savedMs;
   return { engine, risk, cachedBlocks, score, memoryFraction };
 }
 
@@ -131,6 +138,7 @@
   return view.isSampled
     ? {
       memory: roundFigure(memoryFraction),
+      unreadTokens: Math.round(view.unreadTokens(at)),
       reportMs: Math.round(view.sampleAgeMs(at)),
       candidates,
     }
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -47,6 +47,8 @@
   readonly usedTokens: number;
   /** Tokens of copies and of reserved memory. */
   readonly heldTokens: number;
+  /** Prompt tokens to process before those of a new request; default 0. */
+  readonly unreadTokens?: number;
 }
 
 /** Static properties of an engine. */
@@ -89,6 +91,11 @@
     readonly engine: string;
     /** Scheduling priority in the engine; higher values run first. */
     readonly priority: number;
+    /**
+     * Whether the engine may lack memory, so that an urgent request would preempt
+     * others there.
+     */
+    readonly isTight?: boolean;
     readonly reason: PlacementReason;
     readonly figures: Figures;
   }
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -29,6 +29,13 @@
 /** Age at which a sample is discarded, as most generations have ended. */
 const maxSampleAgeMs = 10_000;
 
+/**
+ * Share of an engine's memory, with all that waits there, up to which it is sent
+ * requests where its load is known from samples. Samples are too old to tell what
+ * becomes free; with a share of 1, engines ran out of prompts in bursts.
+ */
+export const maxAdmittedFraction = 1.25;
+
 /** A generation that this process dispatched and that has not ended. */
 export interface Flight {
   readonly demand: Demand;
@@ -36,6 +43,8 @@
   readonly sentAt: number;
   /** Whether it occupies memory here but runs at another engine. */
   readonly holdsMemoryOnly?: boolean;
+  /** Prompt tokens of others ahead of it when it was sent; `null`: unknown. */
+  readonly tokensAhead?: number | null;
   producedTokens: number;
   progressedAt: number;
 }
@@ -58,6 +67,7 @@
   readonly memoryTokens: number;
   readonly othersTokens: number;
   readonly othersRunning: number;
+  readonly unreadTokens: number;
 }
 
 /**
@@ -187,11 +197,31 @@
       memoryTokens,
       othersTokens,
       othersRunning: Math.max(0, running + waiting - own.count),
+      unreadTokens: load.unreadTokens ?? 0,
     };
     this.#forecastAt = -Infinity;
     this.#recordOwnSample(at);
   }
 
+  /**
+   * Prompt tokens that the engine must process before those of a new request: the
+   * sampled ones and those that this process has sent since.
+   */
+  unreadTokens(at: Moment): number {
+    const sample = this.#sample;
+    if (sample === null) {
+      return 0;
+    }
+    const measuredAt = at.monotonic - (at.wall - sample.wallMs);
+    let tokens = sample.unreadTokens;
+    for (const { demand, producedTokens, sentAt } of this.flights.values()) {
+      tokens += sentAt > measuredAt && producedTokens === 0
+        ? demand.promptTokens
+        : 0;
+    }
+    return tokens;
+  }
+
   /**
    * Corrects the latest sample after the engine has rejected a generation: there
    * was no room for it. Reports that were measured before do not change that.
@@ -278,14 +308,14 @@
   }
 
   /**
-   * Returns the milliseconds until the memory for a prompt is expected to be free,
-   * if no generation starts in the meantime. Memory in use is freed evenly over
+   * Returns the milliseconds until a prompt is expected to be admitted, if no generation starts in the meantime. Memory in use is freed evenly over
    * the time for which generations hold it.
    */
   estimateRoomMs(promptTokens: number, at: Moment): number {
     const { mean } = this.forecast(at);
     const usedTokens = mean[0] ?? 0;
-    const missingTokens = usedTokens + promptTokens - this.memoryTokens;
+    const missingTokens = usedTokens + promptTokens -
+      maxAdmittedFraction * this.memoryTokens;
     return missingTokens <= 0
       ? 0
       : this.pool.holdMs * Math.min(1, missingTokens / usedTokens);
@@ -315,6 +345,16 @@
       this.stepTime.observe(this.running, elapsedMs / newTokens);
       this.pool.stepTime.observe(this.running, elapsedMs / newTokens);
     }
+    const { demand, tokensAhead = null, sentAt } = flight;
+    // A generation that is resumed has tokens at once.
+    const elapsedMs = at.monotonic - sentAt;
+    if (
+      flight.producedTokens === 0 && newTokens > 0 && tokensAhead !== null &&
+      elapsedMs > 0
+    ) {
+      const tokens = tokensAhead + demand.promptTokens;
+      this.pool.prefillRate.observe(tokens, elapsedMs);
+    }
     flight.producedTokens = tokens;
     flight.progressedAt = at.monotonic;
     this.#ownTokens += newTokens;
--- a/packages/policy/src/pool_statistics.ts
+++ b/packages/policy/src/pool_statistics.ts
@@ -1,3 +1,4 @@
+import { PrefillRate } from "./prefill_rate.ts";
 import { StepTime } from "./step_time.ts";
 
 const decayPerChange = 0.98;
@@ -21,6 +22,7 @@
 export class PoolStatistics {
   /** Time between tokens by the number of running generations. */
   readonly stepTime = new StepTime();
+  readonly prefillRate = new PrefillRate();
   /** Decayed sums of tokens, and of tokens times the time that they were held. */
   #tokenSum = 0;
   #tokenMsSum = 0;
--- a/packages/policy/src/urgency_ranks.ts
+++ b/packages/policy/src/urgency_ranks.ts
@@ -5,9 +5,11 @@
   readonly route: number;
 }
 
-/** Most urgent and least urgent value that an engine distinguishes. */
+/** Most urgent value that is stated. */
 const mostUrgent = 1;
-const leastUrgent = 9;
+
+/** Least urgent value that an engine distinguishes. */
+export const leastUrgent = 9;
 
 /**
  * Maps priorities to the urgency with which engines admit requests, so that short
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { DispatchOutcome, Placement } from "@lavenderferry/policy";
+import { leastUrgent } from "@lavenderferry/policy";
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import type { Pool, RelayState } from "../state.ts";
@@ -274,10 +275,12 @@
   options: {
     readonly upstream: string;
     readonly resumption: Resumption | null;
+    /** Whether the upstream may lack memory for the request. */
+    readonly isTight?: boolean;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
-  const { upstream, resumption, at } = options;
+  const { upstream, resumption, isTight = false, at } = options;
   const vm = state.upstreams.get(upstream);
   const pool = state.pools.get(request.service);
   if (vm === undefined || pool === undefined) {
@@ -319,7 +322,9 @@
       workspace: request.workspace,
       deadline: request.deadline,
       copyTo,
-      urgency: request.urgency,
+      urgency: isTight && request.urgency !== null
+        ? leastUrgent
+        : request.urgency,
       resumption,
     },
   ];
@@ -431,10 +436,11 @@
   const subject = request.requestId;
   switch (placement.kind) {
     case "dispatch": {
-      const { engine: upstream } = placement;
+      const { engine: upstream, isTight = false } = placement;
       const effects = startAttempt(state, request, {
         upstream,
         resumption: null,
+        isTight,
         at,
       });
       const copy = request.copyUpstream ?? "";
