--- a/packages/platform/src/http_transport.ts
+++ b/packages/platform/src/http_transport.ts
@@ -1,3 +1,5 @@
+import { collectText } from "@lavenderferry/runtime";
+import { notifyOfChunks } from "./progress_deadline.ts";
 import { StoreConnections } from "./store_connections.ts";
 import type { Operation, Reply, Transport } from "./transport.ts";
 
@@ -30,6 +32,9 @@
   get_object: ({ key }) => ({ path: "/v1/objects/get", body: { key } }),
 };
 
+/** Largest answer, each chunk's cost included. */
+const maxAnswerBytes = 67_108_864;
+
 /** Header with the era of the platform's table. */
 export const eraHeader = "platform-era";
 
@@ -52,7 +57,11 @@
     this.#connections = new StoreConnections(url, connections);
   }
 
-  async send(operation: Operation, signal: AbortSignal): Promise<Reply> {
+  async send(
+    operation: Operation,
+    signal: AbortSignal,
+    onBytes: () => void,
+  ): Promise<Reply> {
     const encode = encoders[operation.kind] as (
       operation: Operation,
     ) => EncodedRequest;
@@ -67,7 +76,9 @@
     return await this.#connections.send(request, async (response) => {
       const status = response.statusCode;
       const era = readEra(response.headers[eraHeader]);
-      return { status, body: await response.body.json(), era };
+      const chunks = notifyOfChunks<unknown>(response.body, onBytes);
+      const text = await collectText(chunks, maxAnswerBytes);
+      return { status, body: JSON.parse(text) as unknown, era };
     });
   }
 
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -1,11 +1,13 @@
 import type { Failure } from "@lavenderferry/errors";
 import { KnownError } from "@lavenderferry/errors";
 import { createLogger, Random } from "@lavenderferry/runtime";
-import PQueue from "p-queue";
+import type PQueue from "p-queue";
 import { z } from "zod";
 import type { CircuitState } from "./circuit.ts";
 import { Circuit } from "./circuit.ts";
 import { HttpTransport } from "./http_transport.ts";
+import { createQueue, setConcurrency } from "./operation_queue.ts";
+import { ProgressDeadline } from "./progress_deadline.ts";
 import type { StoreVersion } from "./store_version.ts";
 import {
   eraOf,
@@ -42,7 +44,10 @@
 
 /** Time-out and rate limits of a platform client. */
 export interface PlatformLimits {
-  /** Milliseconds to wait in the queue, and again for the answer. */
+  /**
+   * Milliseconds to wait in the queue, and again for the answer to begin or be
+   * complete.
+   */
   readonly timeoutMs?: number;
   /** Maximum number of reads, and of writes, in flight at a time. */
   readonly concurrency?: number;
@@ -70,8 +75,6 @@
 /** Base of the delay before a retry of a read; doubled for each attempt. */
 const retryBaseMs = 50;
 
-const secondMs = 1_000;
-
 const log = createLogger("platform");
 
 /**
@@ -412,12 +415,15 @@
 
   async #send(operation: Operation, timeoutMs: number): Promise<DatedReply> {
     let reply: Reply;
+    const deadline = new ProgressDeadline(timeoutMs);
     try {
-      const signal = AbortSignal.timeout(timeoutMs);
-      reply = await this.#transport.send(operation, signal);
+      const { signal, bytesReceived } = deadline;
+      reply = await this.#transport.send(operation, signal, bytesReceived);
     } catch (cause) {
       this.#circuit.recordFailure(performance.now());
       throw storeUnavailable("The platform did not answer", "unknown", cause);
+    } finally {
+      deadline.clear();
     }
     const era = this.#eraOfReply(reply);
     if (era < this.#era) {
@@ -470,20 +476,6 @@
   return { ...write, ifVersion: version };
 }
 
-function setConcurrency(queue: PQueue, concurrency: number): void {
-  if (queue.concurrency !== concurrency) {
-    queue.concurrency = concurrency;
-  }
-}
-
-function createQueue(concurrency: number, perSecond: number): PQueue {
-  return new PQueue({
-    concurrency,
-    interval: secondMs,
-    intervalCap: perSecond,
-  });
-}
-
 function wait(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/platform/src/platform_client_test.ts
+++ b/packages/platform/src/platform_client_test.ts
@@ -184,6 +184,34 @@
   t.strictSame(order, ["read", "poll"]);
 });
 
+// A large row over a narrow link took longer than the time-out, was given up with
+// most of it transferred, and was asked for again.
+t.test("an answer whose bytes keep arriving does not time out", async (t) => {
+  const store = await startStore(t, { timeoutMs: 200 });
+  const text = JSON.stringify({ rows: [null] });
+  store.answer = (response) => {
+    const pieces = [...text, ...Array.from(" ".repeat(20))];
+    const timer = setInterval(() => {
+      const piece = pieces.shift();
+      if (piece === undefined) {
+        clearInterval(timer);
+        response.end();
+      } else {
+        response.write(piece);
+      }
+    }, 20);
+  };
+  t.strictSame(await store.client.read(["k"], "leases"), [null]);
+  t.equal(store.paths.length, 1, "it is asked for once");
+});
+
+t.test("an answer whose bytes stay away times out", async (t) => {
+  const store = await startStore(t, { timeoutMs: 200 });
+  store.answer = (response) => void response.write("{");
+  const failure = await expectFailure(store.client.commit([write], "leases"));
+  t.match(failure, { kind: "store_unavailable", notRun: "unknown" });
+});
+
 t.test("queued operations are sent in order of priority", async (t) => {
   const store = await startStore(t, { concurrency: 1 });
   store.answer = sendCommitted;
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -38,8 +38,15 @@
 
 /** Protocol by which operations reach a platform. */
 export interface Transport {
-  /** Sends an operation once; rejects when there is no answer. */
-  send(operation: Operation, signal: AbortSignal): Promise<Reply>;
+  /**
+   * Sends an operation once; rejects when there is no answer. `onBytes` is called
+   * while bytes of the answer arrive, which puts off the time-out.
+   */
+  send(
+    operation: Operation,
+    signal: AbortSignal,
+    onBytes: () => void,
+  ): Promise<Reply>;
   /** Closes all connections. */
   close(): Promise<void>;
 }
