--- a/packages/entry/src/quarantine/quarantine_part_test.ts
+++ b/packages/entry/src/quarantine/quarantine_part_test.ts
@@ -133,6 +133,7 @@
         sequence: ++this.#peerMessages,
         acknowledged: 0,
         upstreams: null,
+        readsDocuments: false,
         full: false,
         configurationVersion: 0,
         storeEra: 0,
--- a/packages/fleet/src/configuration_history.ts
+++ b/packages/fleet/src/configuration_history.ts
@@ -12,7 +12,11 @@
 export class ConfigurationHistory<Document extends Versioned> {
   readonly #read: (document: unknown) => Document | null;
   readonly #keptVersions: number;
+  readonly #documents = new Map<number, Document>();
+  /** Documents as JSON, for peers of earlier builds. */
   readonly #records = new Map<number, ConfigurationRecord>();
+  /** Newest version that a peer has stated, and when it was confirmed. */
+  #stated = { version: 0, confirmedAt: -Infinity };
   #version = 0;
   #confirmedAt = -Infinity;
 
@@ -45,14 +49,17 @@
       return false;
     }
     this.#version = version;
-    const document = JSON.stringify(configuration);
-    this.#records.set(version, { version, document });
-    const versions = [...this.#records.keys()].sort((a, b) => a - b);
+    this.#documents.set(version, configuration);
+    const versions = [...this.#documents.keys()].sort((a, b) => a - b);
     for (const oldVersion of versions) {
-      if (this.#records.size > this.#keptVersions) {
+      if (this.#documents.size > this.#keptVersions) {
+        this.#documents.delete(oldVersion);
         this.#records.delete(oldVersion);
       }
     }
+    if (this.#stated.version === version) {
+      this.confirm(this.#stated.confirmedAt);
+    }
     return true;
   }
 
@@ -64,11 +71,14 @@
   /** Adds to the age time that the monotonic clock did not count. */
   addAge(milliseconds: number): void {
     this.#confirmedAt -= milliseconds;
+    const { version, confirmedAt } = this.#stated;
+    this.#stated = { version, confirmedAt: confirmedAt - milliseconds };
   }
 
   /**
-   * Learns from a peer how old its knowledge of the same configuration is.
-   * `sentAt` is when its reply was asked for; `-Infinity` for a request.
+   * Learns from a peer how old its knowledge of its configuration is, which counts
+   * here once the same version is in force. `sentAt` is when its reply was asked
+   * for; `-Infinity` for a request.
    */
   confirmBy(
     { configurationVersion, configurationAgeMs }: Pick<
@@ -77,9 +87,12 @@
     >,
     sentAt: number,
   ): void {
-    const isSame = configurationVersion === this.#version;
-    if (isSame && configurationAgeMs !== undefined && configurationAgeMs >= 0) {
-      this.confirm(sentAt - configurationAgeMs);
+    const ageMs = configurationAgeMs ?? -1;
+    const confirmedAt = ageMs >= 0 ? sentAt - ageMs : -Infinity;
+    if (configurationVersion === this.#version) {
+      this.confirm(confirmedAt);
+    } else if (configurationVersion > this.#version) {
+      this.#state(configurationVersion, confirmedAt);
     }
   }
 
@@ -87,16 +100,31 @@
   readNewer(
     { version, document }: ConfigurationRecord__Output,
   ): Document | null {
-    const configuration = this.#parse(document);
-    return version > this.#version ? configuration : null;
+    return version > this.#version ? this.#parse(document) : null;
   }
 
   /** Returns the records after a version, the oldest first. */
   after(version: number): ConfigurationRecord[] {
-    return [...this.#records]
+    return [...this.#documents]
       .filter(([stored]) => stored > version)
       .sort(([a], [b]) => a - b)
-      .map(([, record]) => record);
+      .map(([stored, document]) => this.#recordOf(stored, document));
+  }
+
+  #recordOf(version: number, configuration: Document): ConfigurationRecord {
+    const record = this.#records.get(version) ??
+      { version, document: JSON.stringify(configuration) };
+    this.#records.set(version, record);
+    return record;
+  }
+
+  #state(version: number, confirmedAt: number): void {
+    const isSame = version === this.#stated.version;
+    if (version > this.#stated.version) {
+      this.#stated = { version, confirmedAt };
+    } else if (isSame && confirmedAt > this.#stated.confirmedAt) {
+      this.#stated = { version, confirmedAt };
+    }
   }
 
   #parse(document: string): Document | null {
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -30,6 +30,8 @@
   readonly full: boolean;
   /** Milliseconds since the configuration was confirmed to be the newest. */
   readonly configurationAgeMs?: number;
+  /** Whether the sender serves the configuration by calls of its own. */
+  readonly readsDocuments: boolean;
 }
 
 /** Returns what a peer lacks of the list of upstreams; `null` if none is known. */
@@ -90,6 +92,11 @@
     return [...this.#links.values()];
   }
 
+  /** Returns the link to a peer, if there is one. */
+  linkTo(id: string): Link | undefined {
+    return this.#links.get(id);
+  }
+
   /** Sets the peers to call; removes silent links to all others. */
   setPeers(
     peers: readonly Member[],
--- a/packages/fleet/src/exchange_effect.ts
+++ b/packages/fleet/src/exchange_effect.ts
@@ -1,7 +1,9 @@
 import type { ExchangeMessage } from "@lavenderferry/protocol";
+import type { DocumentEffect } from "./documents/document_effect.ts";
 
 /** Effects by which a reducer sends requests and replies to peers. */
 export type ExchangeEffect =
+  | DocumentEffect
   | {
     readonly kind: "send_exchange";
     readonly peer: string;
--- a/packages/fleet/src/exchange_event.ts
+++ b/packages/fleet/src/exchange_event.ts
@@ -1,8 +1,10 @@
 import type { ErrorKind } from "@lavenderferry/errors";
 import type { ExchangeMessage__Output } from "@lavenderferry/protocol";
+import type { DocumentEvent } from "./documents/document_event.ts";
 
 /** Requests, replies and failures of the exchange with peers. */
 export type ExchangeEvent =
+  | DocumentEvent
   | {
     /** The process accepts connections at these addresses. */
     readonly kind: "listening";
--- a/packages/fleet/src/exchange_handlers.ts
+++ b/packages/fleet/src/exchange_handlers.ts
@@ -1,4 +1,5 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
+import { createDocumentHandlers } from "./documents/document_handlers.ts";
 import type { ExchangeEffect } from "./exchange_effect.ts";
 import type { ExchangeEvent } from "./exchange_event.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -8,7 +9,14 @@
 export interface FleetState {
   readonly fleet: Pick<
     FleetNode<Versioned>,
-    "setAddresses" | "receive" | "receiveReply" | "requestFailed" | "poll"
+    | "setAddresses"
+    | "receive"
+    | "receiveReply"
+    | "requestFailed"
+    | "poll"
+    | "documents"
+    | "applyDocument"
+    | "bytesReceived"
   >;
 }
 
@@ -32,7 +40,12 @@
 >(
   { applyUpdates, onFailure }: ExchangeHandlerOptions<State, Effect>,
 ): EventHandlers<State, ExchangeEvent, Effect | ExchangeEffect> {
+  const proceed = (state: State, at: Moment) => [
+    ...applyUpdates(state, at),
+    ...sendDueExchanges(state, at),
+  ];
   return {
+    ...createDocumentHandlers({ proceed }),
     listening: (state, { address, peers }) => {
       state.fleet.setAddresses(address, peers);
       return [];
@@ -61,8 +74,12 @@
   { fleet }: FleetState,
   at: Moment,
 ): readonly ExchangeEffect[] {
-  return fleet.poll(at).map((outgoing) => ({
-    kind: "send_exchange",
+  const messages = fleet.poll(at).map((outgoing) => ({
+    kind: "send_exchange" as const,
     ...outgoing,
   }));
+  return [
+    ...messages,
+    ...fleet.documents?.takeEffects(at.monotonic) ?? [],
+  ];
 }
--- a/packages/fleet/src/exchange_runner.ts
+++ b/packages/fleet/src/exchange_runner.ts
@@ -5,11 +5,17 @@
   PeerClients,
 } from "@lavenderferry/protocol";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import type { DocumentEffect } from "./documents/document_effect.ts";
+import type { DocumentFormat } from "./documents/document_format.ts";
+import { DocumentRunner } from "./documents/document_runner.ts";
 import type { ExchangeEffect } from "./exchange_effect.ts";
 import type { ExchangeEvent } from "./exchange_event.ts";
 
 /** Runs the exchange effects: sends requests to peers and answers theirs. */
 export class ExchangeRunner {
+  /** Handlers of the exchange effects. */
+  readonly handlers: EffectHandlers<ExchangeEvent, ExchangeEffect>;
+  readonly documents: DocumentRunner;
   readonly #clients: PeerClients;
   readonly #pendingReplies = new Map<
     number,
@@ -17,12 +23,17 @@
   >();
   #nextReplyId = 1;
 
-  constructor(clients: PeerClients) {
+  /** With a format of documents, these are transferred by calls of their own. */
+  constructor(clients: PeerClients, format: DocumentFormat | null = null) {
     this.#clients = clients;
+    this.documents = new DocumentRunner(clients, format);
+    this.handlers = { ...this.#exchangeHandlers, ...this.documents.handlers };
   }
 
-  /** Handlers of the exchange effects. */
-  readonly handlers: EffectHandlers<ExchangeEvent, ExchangeEffect> = {
+  readonly #exchangeHandlers: EffectHandlers<
+    ExchangeEvent,
+    Exclude<ExchangeEffect, DocumentEffect>
+  > = {
     send_exchange: ({ peer, address, message }, dispatch) => {
       this.#send(address, message).then(
         (reply) => dispatch({ kind: "exchange_replied", peer, reply }),
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -14,6 +14,9 @@
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
 import { Exchange } from "./exchange.ts";
 import { ConfigurationHistory } from "./configuration_history.ts";
+import type { ViewSource } from "./documents/document_exchange.ts";
+import { DocumentExchange } from "./documents/document_exchange.ts";
+import { findSources } from "./documents/find_sources.ts";
 import type { FleetNodeOptions } from "./fleet_node_options.ts";
 import { publishShares } from "./publish_shares.ts";
 import { PeerWorkTable } from "./peer_work_table.ts";
@@ -22,9 +25,8 @@
 import { ListRelay } from "./list_relay.ts";
 import { MarkRelay } from "./mark_relay.ts";
 import { markReasons, Marks } from "./marks.ts";
-import type { Member, MemberRole, MemberState } from "./member.ts";
-import { memberStates } from "./member.ts";
-import { MemberProbe } from "./member_probe.ts";
+import type { Member } from "./member.ts";
+import { applyMember, queueSenderRecord } from "./member_records.ts";
 import { Membership } from "./membership.ts";
 import type {
   FleetUpdates,
@@ -34,7 +36,7 @@
 } from "./fleet_updates.ts";
 import { createUpdates } from "./fleet_updates.ts";
 import { readConfiguration } from "./read_configuration.ts";
-import { choosePeers, createIntervals } from "./peer_selection.ts";
+import { PeerReview } from "./peer_review.ts";
 import type { ReaderRank } from "./readers.ts";
 import { rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
@@ -66,7 +68,9 @@
   readonly #listRelay: ListRelay;
   readonly #markRelay: MarkRelay;
   readonly #leaving = new LeavingUpstreams();
-  readonly #probe: MemberProbe;
+  readonly #peerReview: PeerReview;
+  /** The transfer of configurations; `null` if they are part of exchanges. */
+  readonly documents: DocumentExchange | null;
   #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
@@ -82,7 +86,6 @@
       options.keptVersions,
     );
     const random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
-    this.#probe = new MemberProbe(random);
     this.#listRelay = new ListRelay(
       this.marks,
       options.freshnessMs ?? Infinity,
@@ -93,6 +96,9 @@
       (link, at) => this.#listRelay.newsFor(link, at),
     );
     this.#markRelay = new MarkRelay(this.marks, this.#exchange);
+    this.documents = options.readsDocuments === true
+      ? new DocumentExchange(id, random, () => this.#viewDocuments())
+      : null;
     this.membership = new Membership({
       id,
       epoch,
@@ -104,6 +110,12 @@
       address: "",
       peers: "",
     });
+    this.#peerReview = new PeerReview(options, {
+      membership: this.membership,
+      marks: this.marks,
+      exchange: this.#exchange,
+      random,
+    });
   }
 
   /** Number of peers whose replies stated no newer configuration version. */
@@ -116,8 +128,7 @@
    * work in flight.
    */
   get exchangesWithAll(): boolean {
-    const { meshSize = 0 } = this.#options;
-    return this.membership.all().length - 1 <= meshSize;
+    return this.#peerReview.isMesh;
   }
 
   /** Number of links to peers. */
@@ -196,6 +207,7 @@
   /** Applies an accepted configuration and announces it to peers without it. */
   applyConfiguration(configuration: Document): void {
     if (this.#configurations.add(configuration)) {
+      this.documents?.add(configuration);
       this.#exchange.announceVersion(configuration.version);
     }
   }
@@ -319,6 +331,7 @@
     return Math.min(
       at.monotonic + maxPollIntervalMs,
       this.#exchange.nextDueAt(at),
+      this.documents?.nextDueAt(at.monotonic) ?? Infinity,
     );
   }
 
@@ -340,7 +353,9 @@
     const { full, configurationVersion } = message;
     const header = this.#header(at);
     const reply = this.#exchange.buildReply(link, header, { full, at });
-    const configurations = this.#configurations.after(configurationVersion);
+    const configurations = this.#transfersTo(link)
+      ? []
+      : this.#configurations.after(configurationVersion);
     return { ...reply, configurations };
   }
 
@@ -364,11 +379,32 @@
     }
   }
 
-  /** Records a failed request; repeated failures make the peer suspected. */
+  /** Puts a configuration in force that was read from a peer, if it is newer. */
+  applyDocument(document: Versioned): void {
+    const configuration = document as Document;
+    if (configuration.version > this.#configurations.version) {
+      this.applyConfiguration(configuration);
+      this.#updates.configurations.push(configuration);
+    }
+  }
+
+  /** Records that a peer has sent something other than an exchange. */
+  bytesReceived(peer: string, at: Moment): void {
+    const link = this.#exchange.linkTo(peer);
+    if (link !== undefined) {
+      link.lastReceivedAt = at.monotonic;
+    }
+  }
+
+  /**
+   * Records a failed request; repeated failures make the peer suspected, unless
+   * it has sent anything since the request.
+   */
   requestFailed(peer: string, at: Moment): void {
+    const isAlive = this.#exchange.linkTo(peer)?.hasReceivedSinceRequest;
     this.#exchange.requestFailed(peer, at);
     // The fault is then most likely on this side, not at the peers.
-    if (!this.#exchange.isSilent(at)) {
+    if (isAlive !== true && !this.#exchange.isSilent(at)) {
       this.membership.recordFailure(peer, at);
       this.#publishMembers(at, undefined);
     }
@@ -383,6 +419,7 @@
       configurationVersion: version,
       storeEra: this.#storeEra,
       full: this.#replyCount < fullStateReplies,
+      readsDocuments: this.documents !== null,
       ...confirmedAt === -Infinity
         ? {}
         : { configurationAgeMs: at.monotonic - confirmedAt },
@@ -401,15 +438,20 @@
   ): void {
     const from = link.id;
     link.lastReceivedAt = at.monotonic;
+    link.readsDocuments = message.readsDocuments;
     link.configurationVersion = Math.max(
       link.configurationVersion,
       message.configurationVersion,
     );
     for (const record of message.members) {
-      this.#applyMember(record, { at, link });
+      applyMember(record, { membership: this.membership, link, at });
     }
     this.membership.recordAnswer(from, message.epoch);
-    this.#queueSenderRecord(message, link);
+    queueSenderRecord(message.sender, {
+      membership: this.membership,
+      exchange: this.#exchange,
+      link,
+    });
     this.#publishMembers(at, from);
     for (const record of message.marks) {
       this.#applyPeerMark(record, { at, link });
@@ -430,7 +472,28 @@
     this.#applyConfigurations(message.configurations);
     this.#configurations.confirmBy(message, sentAt);
     this.#applyNews(message.upstreams, link, { at, sentAt });
-    link.urgent ||= message.configurationVersion > this.#configurations.version;
+    link.urgent ||= !this.#transfersTo(link) &&
+      message.configurationVersion > this.#configurations.version;
+  }
+
+  /** Whether a peer and this process read configurations by calls of their own. */
+  #transfersTo(link: Link): boolean {
+    return this.documents !== null && link.readsDocuments;
+  }
+
+  #viewDocuments(): ReturnType<ViewSource> {
+    const { version: heldVersion } = this.#configurations;
+    const { dataCentre, id } = this.membership.self;
+    const { freshnessMs } = this.#options;
+    return {
+      heldVersion,
+      sources: findSources(this.#exchange.links, {
+        heldVersion,
+        isNear: (peer) => this.membership.get(peer)?.dataCentre === dataCentre,
+      }),
+      readsStore: freshnessMs !== undefined &&
+        rankOf(id, this.#readers) === "reader",
+    };
   }
 
   #applyNews(
@@ -455,38 +518,6 @@
     return this.#rankedReaders;
   }
 
-  #applyMember(
-    record: ExchangeMessage__Output["members"][number],
-    { at, link }: { readonly at: Moment; readonly link: Link },
-  ): void {
-    const state = record.state as MemberState;
-    const role = record.role as MemberRole;
-    if (!(state in memberStates) || !(role === "entry" || role === "steward")) {
-      return;
-    }
-    const changed = this.membership.merge({ ...record, state, role }, at);
-    if (!changed && this.membership.get(record.id)?.state === state) {
-      link.remove("members", record.id);
-    }
-  }
-
-  /**
-   * Queues the sender's own record unless it is live here, so that the sender
-   * can refute it.
-   */
-  #queueSenderRecord(message: ExchangeMessage__Output, link: Link): void {
-    const record = this.membership.get(message.sender);
-    if (record === undefined || record.state === "live") {
-      link.address = record?.peers ?? link.address;
-      return;
-    }
-    link.address = record.peers;
-    const known = this.#exchange.store.get("members", message.sender);
-    if (known !== undefined) {
-      link.add("members", message.sender);
-    }
-  }
-
   #applyPeerMark(
     record: ExchangeMessage__Output["marks"][number],
     { at, link }: { readonly at: Moment; readonly link: Link },
@@ -568,22 +599,7 @@
 
   #reviewPeers(at: Moment): void {
     this.#nextReviewAt = at.monotonic + peerReviewIntervalMs;
-    const { self } = this.membership;
-    const members = this.membership.all();
-    const { fanOut, meshSize, freshnessMs } = this.#options;
-    const readers = freshnessMs === undefined ? [] : this.#readers;
-    const peers = [
-      ...choosePeers(self, members, { fanOut, meshSize, readers }),
-      ...this.#probe.choose(this.membership.goneButListed(), at),
-    ];
-    const isMesh = meshSize === undefined || this.exchangesWithAll;
-    const intervalMsOf = createIntervals({ isMesh, readers });
-    this.#exchange.setPeers(peers, { at, intervalMsOf });
-    this.#exchange.retain(
-      "members",
-      (id) => this.membership.get(id) !== undefined,
-    );
-    this.#exchange.retain("marks", (id) => this.marks.get(id) !== undefined);
+    this.#peerReview.review(this.#readers, at);
     this.#dropUnlinkedWork();
   }
 
--- a/packages/fleet/src/fleet_node_options.ts
+++ b/packages/fleet/src/fleet_node_options.ts
@@ -15,6 +15,11 @@
   readonly readConfiguration?: (document: unknown) => Document | null;
   /** Number of configuration versions retained for peers that lag behind. */
   readonly keptVersions?: number;
+  /**
+   * Whether configurations are read from one peer at a time, by calls of their
+   * own, where peers do so as well. Else they are part of exchanges.
+   */
+  readonly readsDocuments?: boolean;
   /** Number of peers that this process calls. */
   readonly fanOut?: FanOut;
   /** Number of peers up to which this process calls all of them. */
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -164,6 +164,7 @@
     full: false,
     acknowledged: 0,
     upstreams: null,
+    readsDocuments: false,
   };
   return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
 }
@@ -323,6 +324,32 @@
   t.end();
 });
 
+// On saturated links replies came after the time-out, and members that went on
+// sending were taken for gone.
+t.test("a peer that sends parts of documents is not suspected for late replies", (t) => {
+  const fleet = new Simulation(2, 1);
+  fleet.run(5_000);
+  const [node, peer] = [fleet.node("p0"), fleet.node("p1")];
+  const { id } = peer.membership.self;
+  for (let round = 0; round < 6; round++) {
+    fleet.now += timeoutMs;
+    node.poll(fleet.at);
+    fleet.now += timeoutMs / 2;
+    node.bytesReceived(id, fleet.at);
+    fleet.now += timeoutMs / 2;
+    node.requestFailed(id, fleet.at);
+    t.equal(node.membership.get(id)?.state, "live");
+  }
+  for (let failures = 0; failures < 2; failures++) {
+    fleet.now += timeoutMs;
+    node.poll(fleet.at);
+    fleet.now += timeoutMs;
+    node.requestFailed(id, fleet.at);
+  }
+  t.equal(node.membership.get(id)?.state, "suspected", "it sends nothing");
+  t.end();
+});
+
 t.test("a refutation reaches the only peer, which suspects the process", (t) => {
   for (let index = 0; index < 20; index++) {
     const fleet = new Simulation(2, 1);
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -28,6 +28,8 @@
   lastReceivedAt = 0;
   /** Highest configuration version that the peer stated. */
   configurationVersion = 0;
+  /** Whether the peer serves the configuration by calls of its own. */
+  readsDocuments = false;
   /** Version of the list of upstreams that the peer last stated. */
   listVersion = 0;
   /** Whether the peer wants all upstreams if it lacks earlier changes. */
@@ -58,6 +60,11 @@
     this.address = address;
   }
 
+  /** Whether the peer has sent anything since the last request to it. */
+  get hasReceivedSinceRequest(): boolean {
+    return this.lastReceivedAt > this.requestSentAt;
+  }
+
   /** Number of items queued for the peer. */
   get queuedItemCount(): number {
     return [...this.#pending.values()]
--- a/packages/protocol/src/exchange_stream.ts
+++ b/packages/protocol/src/exchange_stream.ts
@@ -12,9 +12,17 @@
 interface PendingRequest {
   readonly resolve: (reply: ExchangeMessage__Output) => void;
   readonly reject: (failure: Failure) => void;
-  readonly timer: NodeJS.Timeout;
+  /** Fires when the reply is overdue, unless that is put off. */
+  timer: NodeJS.Timeout;
+  readonly sentAt: number;
 }
 
+/**
+ * Longest wait for a reply, as a multiple of the time-out, while the peer sends
+ * other bytes.
+ */
+const maxTimeouts = 3;
+
 /**
  * Exchanges with one peer over a stream that stays open, as a call of its own
  * for each exchange costs several times the processor time. Replies come in the
@@ -25,17 +33,21 @@
   readonly #pending: PendingRequest[] = [];
   readonly #onEnd: (error: ServiceError | null) => void;
   readonly #timeoutMs: number;
+  readonly #lastReceivedAt: () => number;
   #ended = false;
 
-  constructor(call: Call, { timeoutMs, onEnd }: {
+  constructor(call: Call, { timeoutMs, onEnd, lastReceivedAt }: {
     /** Milliseconds until a request without a reply fails. */
     readonly timeoutMs: number;
     /** Called once, when the stream has ended. */
     readonly onEnd: (error: ServiceError | null) => void;
+    /** Returns the monotonic time at which the peer last sent anything else. */
+    readonly lastReceivedAt: () => number;
   }) {
     this.#call = call;
     this.#timeoutMs = timeoutMs;
     this.#onEnd = onEnd;
+    this.#lastReceivedAt = lastReceivedAt;
     call.on("data", (reply: ExchangeMessage__Output) => {
       const request = this.#pending.shift();
       clearTimeout(request?.timer);
@@ -48,12 +60,28 @@
   /** Sends a request and resolves to its reply. */
   send(message: ExchangeMessage): Promise<ExchangeMessage__Output> {
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => this.#end(null), this.#timeoutMs);
-      this.#pending.push({ resolve, reject, timer });
+      const sentAt = performance.now();
+      const timer = setTimeout(() => this.#check(request), this.#timeoutMs);
+      const request: PendingRequest = { resolve, reject, timer, sentAt };
+      this.#pending.push(request);
       this.#call.write(message);
     });
   }
 
+  /** Puts the time-out off if the peer has sent anything since it began. */
+  #check(request: PendingRequest): void {
+    const now = performance.now();
+    const dueAt = Math.min(
+      this.#lastReceivedAt() + this.#timeoutMs,
+      request.sentAt + maxTimeouts * this.#timeoutMs,
+    );
+    if (dueAt <= now) {
+      this.#end(null);
+      return;
+    }
+    request.timer = setTimeout(() => this.#check(request), dueAt - now);
+  }
+
   #end(error: ServiceError | null): void {
     if (this.#ended) {
       return;
--- a/packages/protocol/src/exchange_stream_test.ts
+++ b/packages/protocol/src/exchange_stream_test.ts
@@ -90,6 +90,25 @@
   t.equal((await client.exchange({ sequence: 2 })).sequence, 2);
 });
 
+// While a link was saturated, exchanges failed and relays suspected each other.
+t.test("an exchange goes on while the peer sends parts of documents", async (t) => {
+  const { client } = await startPeer(t, async ({ sequence }) => {
+    await new Promise((resolve) => setTimeout(resolve, 1_400));
+    return { sequence };
+  });
+  let isOver = false;
+  const replied = client.exchange({ sequence: 7 })
+    .finally(() => (isOver = true));
+  let parts = 0;
+  while (!isOver) {
+    await client.readDocument({}, performance.now() + 1_000);
+    parts += 1;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  t.equal((await replied).sequence, 7);
+  t.ok(parts > 0);
+});
+
 t.test("a connection that is silent from the start fails the request", async (t) => {
   const sockets = new Set<Socket>();
   const silent = createServer((socket) => sockets.add(socket));
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -7,6 +7,14 @@
   DecisionRecord,
   DecisionRecord__Output,
 } from "./generated/lavenderferry/v1/DecisionRecord.ts";
+export type {
+  DocumentPart,
+  DocumentPart__Output,
+} from "./generated/lavenderferry/v1/DocumentPart.ts";
+export type {
+  DocumentRequest,
+  DocumentRequest__Output,
+} from "./generated/lavenderferry/v1/DocumentRequest.ts";
 export type {
   DrainReply,
   DrainReply__Output,
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -6,6 +6,8 @@
   requestCallback,
 } from "@grpc/grpc-js";
 import { credentials, status } from "@grpc/grpc-js";
+import type { DocumentPart__Output } from "./generated/lavenderferry/v1/DocumentPart.ts";
+import type { DocumentRequest } from "./generated/lavenderferry/v1/DocumentRequest.ts";
 import type { DrainReply__Output } from "./generated/lavenderferry/v1/DrainReply.ts";
 import type { DrainRequest } from "./generated/lavenderferry/v1/DrainRequest.ts";
 import type {
@@ -39,6 +41,8 @@
   readonly #client: GeneratedClient;
   readonly #blocked: boolean;
   #stream: ExchangeStream | null = null;
+  /** Monotonic milliseconds at which the last part of a document arrived. */
+  #partReceivedAt = -Infinity;
   /** Whether the peer is of a build that exchanges by single calls only. */
   #usesSingleCalls = false;
 
@@ -79,6 +83,23 @@
     return await this.#exchangeOnce(message);
   }
 
+  /** Reads a part of a document until a deadline in monotonic milliseconds. */
+  async readDocument(
+    message: DocumentRequest,
+    deadlineMs: number,
+  ): Promise<DocumentPart__Output> {
+    const timeoutMs = Math.max(0, deadlineMs - performance.now());
+    const part = await this.#unary<DocumentPart__Output>((callback) =>
+      this.#client.readDocument(
+        message,
+        { deadline: Date.now() + timeoutMs },
+        callback,
+      )
+    );
+    this.#partReceivedAt = performance.now();
+    return part;
+  }
+
   /** Sends usage batches; returns the highest settled sequence. */
   settle(message: SettleRequest): Promise<SettleReply__Output> {
     return this.#unary((callback) =>
@@ -126,6 +147,7 @@
   #openStream(): ExchangeStream {
     this.#stream ??= new ExchangeStream(this.#client.exchangeInOrder(), {
       timeoutMs: callTimeoutMs,
+      lastReceivedAt: () => this.#partReceivedAt,
       onEnd: (error) => {
         this.#stream = null;
         this.#usesSingleCalls = error?.code === status.UNIMPLEMENTED;
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -6,6 +6,8 @@
   StatusObject,
 } from "@grpc/grpc-js";
 import { Server, ServerCredentials, status } from "@grpc/grpc-js";
+import type { DocumentPart } from "./generated/lavenderferry/v1/DocumentPart.ts";
+import type { DocumentRequest__Output } from "./generated/lavenderferry/v1/DocumentRequest.ts";
 import type { DrainReply } from "./generated/lavenderferry/v1/DrainReply.ts";
 import type { DrainRequest__Output } from "./generated/lavenderferry/v1/DrainRequest.ts";
 import type {
@@ -40,6 +42,8 @@
   takeOver(message: TakeOverRequest__Output): Promise<TakeOverReply>;
   explain(message: ExplainRequest__Output): Promise<ExplainReply>;
   drain(message: DrainRequest__Output): Promise<DrainReply>;
+  /** Absent in a process that serves no documents. */
+  readDocument?(message: DocumentRequest__Output): Promise<DocumentPart>;
 }
 
 /** Server of the Peer service on one socket. */
@@ -65,9 +69,17 @@
       this.#checkSender(call, message.sender);
       return methods.exchange(message);
     };
+    const readDocument: Method<DocumentRequest__Output, DocumentPart> = (
+      message,
+      call,
+    ) => {
+      this.#checkSender(call, message.sender);
+      return methods.readDocument?.(message) ?? Promise.resolve({ version: 0 });
+    };
     const handlers: PeerHandlers = {
       Exchange: unary(exchange),
       ExchangeInOrder: inOrder(exchange),
+      ReadDocument: unary(readDocument),
       Settle: unary((message) => methods.settle(message)),
       Hold: unary((message) => methods.hold(message)),
       TakeOver: unary((message) => methods.takeOver(message)),
--- a/packages/relay/src/fleet/odd_exchange_test.ts
+++ b/packages/relay/src/fleet/odd_exchange_test.ts
@@ -89,6 +89,7 @@
     counts: fc.array(anyNumber),
   })),
   upstreams: fc.oneof(fc.constant(null), anyNews),
+  readsDocuments: fc.boolean(),
   configurationAgeMs: fc.oneof(fc.constant(undefined), anyNumber),
   configurations: fc.array(fc.record({
     version: anyNumber,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -26,6 +26,7 @@
 import { reduceRelay } from "./reduce.ts";
 import type { RelayEffect } from "./relay_effect.ts";
 import type { RelayEvent } from "./relay_event.ts";
+import { routingFormat } from "./routing/routing_format.ts";
 import type { RelaySettings } from "./settings.ts";
 import type { RelayState } from "./state.ts";
 import { createRelayState } from "./state.ts";
@@ -58,7 +59,7 @@
     privateNetwork: true,
   });
   const peerClients = new PeerClients(credentials);
-  const peerExchanges = new ExchangeRunner(peerClients);
+  const peerExchanges = new ExchangeRunner(peerClients, routingFormat);
   const budget = new ByteBudget(settings.heldBytes);
   const callerExchanges = new CallerExchanges(ports.headers, budget);
   const metrics = createRelayMetrics(state);
@@ -147,6 +148,8 @@
 ): PeerMethods {
   return {
     exchange: (message) => peerExchanges.receive(message, dispatch),
+    readDocument: (request) =>
+      peerExchanges.documents.receive(request, dispatch),
     settle: () => Promise.reject(unsupported("does not settle usage")),
     hold: () =>
       Promise.reject(unsupported("does not hold state of other processes")),
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -66,18 +66,35 @@
   idleMs: z.number(),
 });
 
+const workspaceSchema = z.object({
+  name: z.string(),
+  keys: z.array(z.string()),
+});
+
+/** Schemas of the items of the lists of a routing. */
+export const itemSchemas = {
+  routes: routeSchema,
+  services: serviceSchema,
+  workspaces: workspaceSchema,
+} as const;
+
 /** Schema of one version of the routing. */
 export const routingSchema = z.object({
   version: z.int(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   /** Workspaces and their keys; `null`: requests carry no keys. */
-  workspaces: z.array(
-    z.object({ name: z.string(), keys: z.array(z.string()) }),
-  ).nullable(),
+  workspaces: z.array(workspaceSchema).nullable(),
   limits: callerLimitsSchema,
 });
 
+/** Schema of a routing with the lengths of its lists in their place. */
+export const routingHeadSchema = routingSchema.extend({
+  routes: z.int().min(0),
+  services: z.int().min(0),
+  workspaces: z.int().min(0).nullable(),
+});
+
 /** Route of requests, selected by host and path prefix. */
 export type Route = Readonly<z.output<typeof routeSchema>>;
 
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -202,6 +202,7 @@
       keptVersions: keptRoutingVersions,
       meshSize,
       freshnessMs: settings.freshnessMs,
+      readsDocuments: true,
       readConfiguration: (document) => {
         const parsed = routingSchema.safeParse(document);
         return parsed.success ? parsed.data : null;
