--- a/packages/fleet/src/documents/document_codec.ts
+++ b/packages/fleet/src/documents/document_codec.ts
@@ -4,8 +4,8 @@
 import type { DocumentFormat } from "./document_format.ts";
 import { divideDocument, joinDocument, listNames } from "./document_format.ts";
 import type { EncodedDocument } from "./encoded_document.ts";
-import type { Steps } from "./steps.ts";
-import { handleInSteps } from "./steps.ts";
+import type { Steps } from "@lavenderferry/runtime";
+import { handleInSteps } from "@lavenderferry/runtime";
 
 /** Most lines of a document, differences included. */
 const maxDocumentLines = 262_144;
--- a/packages/fleet/src/documents/document_difference.ts
+++ b/packages/fleet/src/documents/document_difference.ts
@@ -1,5 +1,5 @@
-import type { Steps } from "./steps.ts";
-import { handleInSteps } from "./steps.ts";
+import type { Steps } from "@lavenderferry/runtime";
+import { handleInSteps } from "@lavenderferry/runtime";
 
 /** Share of a document's length from which on a difference is not worth it. */
 const maxDifferenceShare = 0.5;
--- a/packages/fleet/src/documents/document_format.ts
+++ b/packages/fleet/src/documents/document_format.ts
@@ -32,11 +32,11 @@
 ): DividedDocument {
   const fields = document as Readonly<Record<string, unknown>>;
   const lengths: Record<string, number | null> = {};
-  const items: object[] = [];
+  let items: readonly object[] = [];
   for (const list of lists) {
     const entries = fields[list] as readonly object[] | null;
     lengths[list] = entries?.length ?? null;
-    items.push(...entries ?? []);
+    items = items.concat(entries ?? []);
   }
   return { head: { ...document, ...lengths }, items };
 }
--- a/packages/fleet/src/documents/document_runner.ts
+++ b/packages/fleet/src/documents/document_runner.ts
@@ -13,7 +13,7 @@
 import type { DocumentEvent } from "./document_event.ts";
 import type { DocumentFormat } from "./document_format.ts";
 import { maxDocumentBytes } from "./limits.ts";
-import { runInTurns } from "./steps.ts";
+import { runInTurns } from "@lavenderferry/runtime";
 
 const deflate = promisify(deflateRaw);
 const inflate = promisify(inflateRaw);
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -6,7 +6,6 @@
 export * from "./documents/document_format.ts";
 export * from "./documents/encoded_document.ts";
 export * from "./documents/limits.ts";
-export * from "./documents/steps.ts";
 export * from "./duties.ts";
 export * from "./duty_directory.ts";
 export * from "./engine_check.ts";
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -3,6 +3,7 @@
 import { RowFollower, versionInEra, vmSchema } from "@lavenderferry/platform";
 import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import { runInTurns } from "@lavenderferry/runtime";
 import { z } from "zod";
 import type { RelayPorts } from "../ports.ts";
 import type { FollowLimits, SourceEffect } from "../relay_effect.ts";
@@ -122,7 +123,7 @@
     if (!changed || row === undefined) {
       return { kind: "routing_unchanged", confirmedAt };
     }
-    const routing = rows.readRouting(row.value);
+    const routing = await runInTurns(rows.readRouting(row.value));
     const version = versionInEra(row.version);
     return routing === null
       ? { kind: "routing_unreadable", version, confirmedAt }
--- a/packages/relay/src/fleet/source_runner_test.ts
+++ b/packages/relay/src/fleet/source_runner_test.ts
@@ -64,7 +64,9 @@
     readUpstream: (key: string) => upstreamOf(key),
     routingPrefix: "op/",
     routingKey: "op/config",
-    readRouting: () => null,
+    *readRouting() {
+      return null;
+    },
   };
   const ports = { store, rows } as unknown as RelayPorts;
   const { settings } = new RelayFixture().state;
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ChangeFeed, Json, Table, Vm } from "@lavenderferry/platform";
-import type { DecisionLog } from "@lavenderferry/runtime";
+import type { DecisionLog, Steps } from "@lavenderferry/runtime";
 import type { Resumption } from "./relay_effect.ts";
 import type { CopyOutcome, EngineReport } from "./relay_event.ts";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
@@ -122,7 +122,7 @@
   /** Key of the row of the routing in force. */
   readonly routingKey: string;
   /** Returns `null` if the row is not a valid routing. */
-  readRouting(value: Json): Routing | null;
+  readRouting(value: Json): Steps<Routing | null>;
 }
 
 /** Adapters that connect a relay to the platform on which it runs. */
--- a/packages/relay/src/routing/route_table.ts
+++ b/packages/relay/src/routing/route_table.ts
@@ -1,20 +1,49 @@
 import type { Route, Routing } from "./routing.ts";
 
+/** Routes of one host, of which thousands may differ in a part of the path. */
+class HostRoutes {
+  readonly #byPrefix = new Map<string, Route>();
+  /** Lengths of the prefixes, the longest first. */
+  readonly #lengths: number[] = [];
+
+  /** Adds a route, unless an earlier one has the same prefix. */
+  add(route: Route): void {
+    const { prefix } = route;
+    if (!this.#byPrefix.has(prefix)) {
+      this.#byPrefix.set(prefix, route);
+    }
+    if (!this.#lengths.includes(prefix.length)) {
+      this.#lengths.push(prefix.length);
+      this.#lengths.sort((a, b) => b - a);
+    }
+  }
+
+  /** Returns the route with the longest prefix of a path. */
+  find(path: string): Route | undefined {
+    for (const length of this.#lengths) {
+      const route = length <= path.length
+        ? this.#byPrefix.get(path.slice(0, length))
+        : undefined;
+      if (route !== undefined) {
+        return route;
+      }
+    }
+    return undefined;
+  }
+}
+
 /** Index of one version of the routing by host, path prefix and key. */
 export class RouteTable {
   readonly routing: Routing;
-  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #hosts = new Map<string, HostRoutes>();
   readonly #workspacesByKey = new Map<string, string>();
 
   constructor(routing: Routing) {
     this.routing = routing;
     for (const route of routing.routes) {
-      const routes = this.#routesByHost.get(route.host) ?? [];
-      routes.push(route);
-      this.#routesByHost.set(route.host, routes);
-    }
-    for (const routes of this.#routesByHost.values()) {
-      routes.sort((a, b) => b.prefix.length - a.prefix.length);
+      const routes = this.#hosts.get(route.host) ?? new HostRoutes();
+      routes.add(route);
+      this.#hosts.set(route.host, routes);
     }
     for (const { name, keys } of routing.workspaces ?? []) {
       for (const key of keys) {
@@ -25,9 +54,7 @@
 
   /** Returns the route of a host with the longest matching path prefix. */
   findRoute(host: string, path: string): Route | undefined {
-    return this.#routesByHost.get(host)?.find(({ prefix }) =>
-      path.startsWith(prefix)
-    );
+    return this.#hosts.get(host)?.find(path);
   }
 
   /** Whether requests must carry the key of a workspace. */
--- a/packages/fleet/src/documents/steps.ts
+++ b/packages/runtime/src/steps.ts
@@ -27,6 +27,19 @@
   }
 }
 
+/** Converts items in order, each in steps of its own. */
+export function* mapInSteps<Item, Result>(
+  items: Iterable<Item>,
+  convert: (item: Item) => Steps<Result>,
+): Steps<Result[]> {
+  const results: Result[] = [];
+  for (const item of items) {
+    results.push(yield* convert(item));
+    yield;
+  }
+  return results;
+}
+
 /** Runs all steps, and lets other events run every few milliseconds. */
 export async function runInTurns<Result>(
   steps: Steps<Result>,
