--- a/packages/fleet/src/documents/document_archive.ts
+++ b/packages/fleet/src/documents/document_archive.ts
@@ -97,8 +97,8 @@
       return [];
     }
     const kind = "encode_document";
-    const base = null;
-    return [{ kind, document, encoded: null, baseVersion: null, base }];
+    const lines = { encoded: null, baseVersion: null, base: null, whole: null };
+    return [{ kind, document, ...lines }];
   }
 
   /** Keeps an encoded document and answers the requests that wait for it. */
@@ -117,6 +117,8 @@
     if (baseVersion !== null && content !== null) {
       entry.pending.delete(baseVersion);
       entry.contents.set(baseVersion, content);
+      // The difference from some bases is no shorter than the whole.
+      entry.contents.set(content.baseVersion, content);
     }
     const waiting = this.#waiting;
     this.#waiting = [];
@@ -186,6 +188,7 @@
       encoded,
       baseVersion,
       base: base?.digest === baseDigest ? base : null,
+      whole: contents.get(0) ?? null,
     }];
   }
 
--- a/packages/fleet/src/documents/document_effect.ts
+++ b/packages/fleet/src/documents/document_effect.ts
@@ -1,6 +1,10 @@
 import type { DocumentPart, DocumentRequest } from "@lavenderferry/protocol";
 import type { Versioned } from "../fleet_updates.ts";
-import type { EncodedDocument, ReceivedDocument } from "./encoded_document.ts";
+import type {
+  DocumentContent,
+  EncodedDocument,
+  ReceivedDocument,
+} from "./encoded_document.ts";
 
 /** Effects by which documents are transferred between processes. */
 export type DocumentEffect =
@@ -27,6 +31,8 @@
     /** Version to which a difference shall refer; `null`: lines only. */
     readonly baseVersion: number | null;
     readonly base: EncodedDocument | null;
+    /** The compressed document as a whole, if it is known. */
+    readonly whole: DocumentContent | null;
   }
   | ({
     readonly kind: "decode_document";
--- a/packages/fleet/src/documents/document_exchange.ts
+++ b/packages/fleet/src/documents/document_exchange.ts
@@ -3,7 +3,7 @@
 import { DocumentArchive } from "./document_archive.ts";
 import type { DocumentEffect } from "./document_effect.ts";
 import type { DocumentEvent } from "./document_event.ts";
-import type { FetchCounts, FetchView } from "./document_fetch.ts";
+import type { FetchOutcome, FetchView } from "./document_fetch.ts";
 import { DocumentFetch } from "./document_fetch.ts";
 import type { DocumentContent, EncodedDocument } from "./encoded_document.ts";
 
@@ -39,9 +39,15 @@
     this.#viewAt = viewAt;
   }
 
-  /** How fetches ended, and bytes received and sent, since the start. */
-  get counts(): Readonly<FetchCounts> & { readonly sentBytes: number } {
-    return { ...this.#fetch.counts, sentBytes: this.#archive.sentBytes };
+  /** Bytes of documents that were received and sent since the start. */
+  get bytes(): { readonly received: number; readonly sent: number } {
+    const { receivedBytes: received } = this.#fetch;
+    return { received, sent: this.#archive.sentBytes };
+  }
+
+  /** Returns how fetches ended since the last call. */
+  takeOutcomes(): readonly FetchOutcome[] {
+    return this.#fetch.takeOutcomes();
   }
 
   /** Adds a document that is in force here. */
--- a/packages/fleet/src/documents/document_exchange_test.ts
+++ b/packages/fleet/src/documents/document_exchange_test.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { EventEmitter, once } from "node:events";
 import { deflateRawSync } from "node:zlib";
 import type {
@@ -146,7 +147,7 @@
     moved ?? itemOf(0),
   );
   for (const book of [first, bookOf(2, changed)]) {
-    const before = reader.documents.counts.receivedBytes;
+    const before = reader.documents.bytes.received;
     sender.applyDocument(book);
     const { version } = book;
     reader.sources = [{ peer: "a", address, version, isNear: true }];
@@ -154,27 +155,36 @@
     reader.run();
     await applied;
     t.strictSame(reader.held, book);
-    const bytes = reader.documents.counts.receivedBytes - before;
+    const bytes = reader.documents.bytes.received - before;
     t.ok(version === 1 ? bytes > maxPartBytes : bytes < 500, `${bytes} bytes`);
   }
-  t.match(reader.documents.counts, { completed: 2, failed: 0, rejected: 0 });
+  t.match(reader.documents.takeOutcomes(), [
+    { reason: "received", peer: "a", version: 1, baseVersion: 0 },
+    { reason: "received", peer: "a", version: 2, baseVersion: 1 },
+  ]);
 });
 
 t.test("a document that decompresses to too much or has another digest is rejected", async (t) => {
   const runner = new DocumentRunner(new PeerClients(), format);
-  const contents = [
-    deflateRawSync(Buffer.alloc(maxDocumentBytes + 1)),
-    deflateRawSync('{"version":1,"items":0,"notes":null}'),
-    Buffer.from("text"),
-  ];
-  for (const content of contents) {
-    const event = await new Promise<DocumentEvent>((resolve) => {
+  const text = '{"version":1,"items":0,"notes":null}';
+  const large = text + " ".repeat(maxDocumentBytes);
+  const digestOf = (line: string) =>
+    createHash("sha256").update(`${line}\n`).digest("base64");
+  const decode = (content: Buffer, digest: string) =>
+    new Promise<string>((resolve) => {
       const effect = { kind: "decode_document", fetchId: 1 } as const;
-      const received = { content, digest: "other", base: null };
-      runner.handlers.decode_document({ ...effect, ...received }, resolve);
+      const received = { content, digest, base: null };
+      runner.handlers.decode_document(
+        { ...effect, ...received },
+        ({ kind }) => resolve(kind),
+      );
     });
-    t.match(event, { kind: "document_rejected", fetchId: 1 });
-  }
+  const content = deflateRawSync(text);
+  t.equal(await decode(content, digestOf(text)), "document_decoded");
+  t.equal(await decode(content, digestOf("other")), "document_rejected");
+  const largeContent = deflateRawSync(large);
+  t.equal(await decode(largeContent, digestOf(large)), "document_rejected");
+  t.equal(await decode(Buffer.from("text"), ""), "document_rejected");
 });
 
 const base = {
--- a/packages/fleet/src/documents/document_fetch.ts
+++ b/packages/fleet/src/documents/document_fetch.ts
@@ -58,27 +58,29 @@
   deadline: number;
 }
 
-/** How fetches ended, since the start. */
-export interface FetchCounts {
-  completed: number;
-  failed: number;
-  rejected: number;
-  receivedBytes: number;
+/** How a fetch ended. */
+export interface FetchOutcome {
+  /**
+   * `lost`: the peer failed or its deadline passed; `rejected`: what it sent does
+   * not decompress, is invalid or has another digest.
+   */
+  readonly reason: "received" | "lost" | "rejected";
+  readonly peer: string;
+  readonly version: number;
+  /** Version that a difference refers to; 0 for a whole document. */
+  readonly baseVersion: number;
+  readonly bytes: number;
 }
 
 /** Reads newer documents from one peer at a time. */
 export class DocumentFetch {
-  readonly counts: FetchCounts = {
-    completed: 0,
-    failed: 0,
-    rejected: 0,
-    receivedBytes: 0,
-  };
   readonly #self: string;
   readonly #random: Random;
   /** Monotonic milliseconds until which peers are not asked, by id. */
   readonly #avoided = new Map<string, number>();
   #fetch: Fetch | null = null;
+  #outcomes: FetchOutcome[] = [];
+  #receivedBytes = 0;
   #nextId = 1;
   #wantedSince: number | null = null;
   /** Version in force whose differences were rejected; 0 if none. */
@@ -89,9 +91,16 @@
     this.#random = random;
   }
 
-  /** Id of the peer that is being asked; `null` if none is. */
-  get peer(): string | null {
-    return this.#fetch?.peer ?? null;
+  /** Bytes of documents that peers have sent. */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
+  /** Returns how fetches ended since the last call. */
+  takeOutcomes(): readonly FetchOutcome[] {
+    const outcomes = this.#outcomes;
+    this.#outcomes = [];
+    return outcomes;
   }
 
   /** Returns when `step` must be called next, in monotonic milliseconds. */
@@ -165,7 +174,7 @@
     Object.assign(fetch, { version, digest, baseVersion });
     fetch.parts.push(content);
     fetch.receivedBytes += content.length;
-    this.counts.receivedBytes += content.length;
+    this.#receivedBytes += content.length;
     if (fetch.receivedBytes < part.totalBytes) {
       fetch.deadline = now + partTimeoutMs;
       return [this.#requestPart(fetch)];
@@ -188,7 +197,7 @@
     }
     this.#fetch = null;
     this.#wantedSince = null;
-    this.counts.completed += 1;
+    this.#report("received", fetch);
     const { baseVersion, parts } = fetch;
     return { baseVersion, bytes: Buffer.concat(parts) };
   }
@@ -196,7 +205,7 @@
   /** Gives up a fetch, so that another peer is asked. */
   failed(fetchId: number, now: number): void {
     if (this.#fetch?.id === fetchId) {
-      this.counts.failed += 1;
+      this.#report("lost", this.#fetch);
       this.#avoid(this.#fetch.peer, now + avoidFailedMs);
       this.#fetch = null;
     }
@@ -208,7 +217,7 @@
     if (fetch?.id !== fetchId) {
       return;
     }
-    this.counts.rejected += 1;
+    this.#report("rejected", fetch);
     if (fetch.baseVersion === 0) {
       this.#avoid(fetch.peer, now + avoidRejectedMs);
     } else {
@@ -217,6 +226,11 @@
     this.#fetch = null;
   }
 
+  #report(reason: FetchOutcome["reason"], fetch: Fetch): void {
+    const { peer, version, baseVersion, receivedBytes: bytes } = fetch;
+    this.#outcomes.push({ reason, peer, version, baseVersion, bytes });
+  }
+
   #graceMs({ readsStore, heldVersion }: FetchView): number {
     return readsStore && heldVersion > 0 ? ownReadMs : 0;
   }
--- a/packages/fleet/src/documents/document_runner.ts
+++ b/packages/fleet/src/documents/document_runner.ts
@@ -88,7 +88,9 @@
 
   /** Compresses on another thread. */
   async #encode(
-    { document, encoded: known, baseVersion, base }: Effect<"encode_document">,
+    { document, encoded: known, baseVersion, base, whole }: Effect<
+      "encode_document"
+    >,
   ): Promise<DocumentEvent> {
     const codec = this.#codecOf();
     const encoded = known ?? await runInTurns(codec.encode(document));
@@ -97,6 +99,9 @@
       return { kind, encoded, baseVersion, content: null };
     }
     const written = await runInTurns(codec.write(encoded, base));
+    if (whole !== null && written.baseVersion === 0) {
+      return { kind, encoded, baseVersion, content: whole };
+    }
     const bytes = await deflate(written.text);
     const content = { baseVersion: written.baseVersion, bytes };
     return { kind, encoded, baseVersion, content };
--- a/packages/fleet/src/documents/find_sources.ts
+++ b/packages/fleet/src/documents/find_sources.ts
@@ -1,14 +1,16 @@
 import type { Link } from "../link.ts";
+import type { Membership } from "../membership.ts";
 import type { DocumentSource } from "./document_fetch.ts";
 
 /** Returns the linked peers that serve a newer version than the one held. */
 export function findSources(
   links: readonly Link[],
-  { heldVersion, isNear }: {
+  { heldVersion, membership }: {
     readonly heldVersion: number;
-    readonly isNear: (peer: string) => boolean;
+    readonly membership: Membership;
   },
 ): readonly DocumentSource[] {
+  const { dataCentre } = membership.self;
   return links
     .filter(({ readsDocuments, address, configurationVersion }) =>
       readsDocuments && address !== "" && configurationVersion > heldVersion
@@ -17,6 +19,6 @@
       peer: id,
       address,
       version,
-      isNear: isNear(id),
+      isNear: membership.get(id)?.dataCentre === dataCentre,
     }));
 }
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -3,9 +3,7 @@
 import type {
   ExchangeMessage,
   ExchangeMessage__Output,
-  LengthSketch,
   RequestLimitRecord__Output,
-  SuspectBlockRecord,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
@@ -18,6 +16,11 @@
 import { DocumentExchange } from "./documents/document_exchange.ts";
 import { findSources } from "./documents/find_sources.ts";
 import type { FleetNodeOptions } from "./fleet_node_options.ts";
+import {
+  publishLengths,
+  publishLimit,
+  publishSuspect,
+} from "./publish_records.ts";
 import { publishShares } from "./publish_shares.ts";
 import { PeerWorkTable } from "./peer_work_table.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
@@ -259,21 +262,12 @@
 
   /** Publishes counts of output lengths that changed. */
   setLengths(sketches: readonly LengthCounts[], at: Moment): void {
-    for (const { workClass, model, counts } of sketches) {
-      const key = `${workClass}\n${model}`;
-      const value: LengthSketch = { workClass, model, counts: [...counts] };
-      this.#exchange.publish("lengths", { key, value }, { at });
-    }
+    publishLengths(this.#exchange, sketches, at);
   }
 
   /** Publishes a changed record of a suspect block. */
   setSuspect(record: SuspectRecord, at: Moment): void {
-    const { block, ends } = record;
-    const value: SuspectBlockRecord = { ...record, ends: [...ends] };
-    this.#exchange.publish("suspects", { key: block, value }, {
-      at,
-      urgent: true,
-    });
+    publishSuspect(this.#exchange, record, at);
   }
 
   /** Stops sending the record of a suspect block. */
@@ -283,8 +277,7 @@
 
   /** Publishes a changed record of a limit on requests. */
   setLimit(value: RequestLimitRecord__Output, at: Moment): void {
-    const { upstream: key } = value;
-    this.#exchange.publish("limits", { key, value }, { at, urgent: true });
+    publishLimit(this.#exchange, value, at);
   }
 
   /** Stops sending the record of a limit on requests. */
@@ -483,16 +476,13 @@
 
   #viewDocuments(): ReturnType<ViewSource> {
     const { version: heldVersion } = this.#configurations;
-    const { dataCentre, id } = this.membership.self;
-    const { freshnessMs } = this.#options;
+    const { membership, readerRank } = this;
+    const { links } = this.#exchange;
     return {
       heldVersion,
-      sources: findSources(this.#exchange.links, {
-        heldVersion,
-        isNear: (peer) => this.membership.get(peer)?.dataCentre === dataCentre,
-      }),
-      readsStore: freshnessMs !== undefined &&
-        rankOf(id, this.#readers) === "reader",
+      sources: findSources(links, { heldVersion, membership }),
+      readsStore: this.#options.freshnessMs !== undefined &&
+        readerRank === "reader",
     };
   }
 
@@ -600,17 +590,9 @@
   #reviewPeers(at: Moment): void {
     this.#nextReviewAt = at.monotonic + peerReviewIntervalMs;
     this.#peerReview.review(this.#readers, at);
-    this.#dropUnlinkedWork();
-  }
-
-  /** Forgets the work of peers that tell of it no more. */
-  #dropUnlinkedWork(): void {
     const linked = new Set(this.#exchange.links.map(({ id }) => id));
-    for (const id of this.#peerWork.peers()) {
-      if (!linked.has(id)) {
-        this.#peerWork.delete(id);
-        this.#updates.shares.set(id, []);
-      }
+    for (const id of this.#peerWork.deleteUnlinked(linked)) {
+      this.#updates.shares.set(id, []);
     }
   }
 }
--- a/packages/fleet/src/peer_work_table.ts
+++ b/packages/fleet/src/peer_work_table.ts
@@ -39,4 +39,13 @@
         0,
       );
   }
+
+  /** Deletes the work of peers that tell of it no more; returns their ids. */
+  deleteUnlinked(linked: ReadonlySet<string>): readonly string[] {
+    const unlinked = [...this.peers()].filter((id) => !linked.has(id));
+    for (const id of unlinked) {
+      this.delete(id);
+    }
+    return unlinked;
+  }
 }
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -16,6 +16,7 @@
 import { computeRetryBurst } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { mergeLimits, removeExpiredLimits } from "../limits/limit_part.ts";
+import { recordDocuments } from "./document_decisions.ts";
 import {
   applyRouting,
   applyUpstreams,
@@ -72,7 +73,7 @@
   at: Moment,
 ): readonly RelayEffect[] {
   const updates = state.fleet.takeUpdates();
-  const effects: RelayEffect[] = [];
+  const effects: RelayEffect[] = [...recordDocuments(state, at)];
   for (const { upstream } of updates.marks) {
     effects.push(...reviewUpstream(state, upstream, at));
   }
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -18,6 +18,7 @@
   refusals: "Requests refused or failed, by error kind",
   retries: "Operations tried again, by reason",
   resumptions: "Streams that went on at another engine, by reason",
+  documents: "Routings read at other relays, by outcome",
 };
 
 const bucketsMs = [5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000];
@@ -48,6 +49,8 @@
     store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
     upstreams_age_ms: () => ageMsOf(state.fleet.upstreams.askedAt),
     routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
+    document_bytes_received: () => state.fleet.documents?.bytes.received ?? 0,
+    document_bytes_sent: () => state.fleet.documents?.bytes.sent ?? 0,
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
@@ -75,6 +78,7 @@
       refusals: counter("refusals"),
       retries: counter("retries"),
       resumptions: counter("resumptions"),
+      documents: counter("documents"),
     },
     storeCalls: new Counter({
       name: "lavenderferry_relay_store_calls_total",
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -153,7 +153,8 @@
   | "attempts"
   | "refusals"
   | "retries"
-  | "resumptions";
+  | "resumptions"
+  | "documents";
 
 /** Effects on the process. */
 export type ProcessEffect =
