--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -21,6 +21,7 @@
   retries: "Operations tried again, by reason",
   resumptions: "Streams that went on at another engine, by reason",
   reports: "Reports requested from engines before a choice, by outcome",
+  documents: "Routings read at other relays, by outcome",
 };
 
 const bucketsMs = [5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000];
@@ -52,6 +53,8 @@
     engine_reports: () => state.engineReports.count,
     upstreams_age_ms: () => ageMsOf(state.fleet.upstreams.askedAt),
     routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
+    document_bytes_received: () => state.fleet.documents?.bytes.received ?? 0,
+    document_bytes_sent: () => state.fleet.documents?.bytes.sent ?? 0,
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
@@ -80,6 +83,7 @@
       retries: counter("retries"),
       resumptions: counter("resumptions"),
       reports: counter("reports"),
+      documents: counter("documents"),
     },
     storeCalls: new Counter({
       name: "lavenderferry_relay_store_calls_total",
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -171,7 +171,8 @@
   | "refusals"
   | "retries"
   | "resumptions"
-  | "reports";
+  | "reports"
+  | "documents";
 
 /** Effects on the process. */
 export type ProcessEffect =
