--- /dev/null
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -0,0 +1,224 @@
+import type { RunningGeneration } from "../relay_event.ts";
+
+/**
+ * Milliseconds added to each copy: calls to the engines, the second copy of
+ * what was generated meanwhile, and the resumption.
+ */
+const perMoveOverheadMs = 40;
+
+/** Factor on the duration of a copy between two data centres. */
+export const remoteCopyFactor = 2;
+
+/**
+ * Events from which a generation counts as a long one. Short generations, which
+ * make up half of an engine's list, end before it and would take the turns of
+ * those that are lost without a move.
+ */
+export const minLongEvents = 8;
+
+/** Milliseconds between two events of a generation under load. */
+const eventPeriodMs = 40;
+
+/**
+ * Milliseconds after which generations that may end by themselves are looked at
+ * again. A short one ends within that time.
+ */
+const reviewPeriodMs = 300;
+
+/** Milliseconds for which a schedule need not be made again. */
+const minReviewMs = 20;
+
+/** Milliseconds by which a move must be complete before its engine leaves. */
+const departureMarginMs = 60;
+
+/**
+ * Moves of one departure that go to the same nearby engine before one in another
+ * data centre is taken: they come one after another, so they do not wait for
+ * each other's copies, but share its memory.
+ */
+const maxMovesPerNearbyTarget = 2;
+
+/** Engines that are tried for one move. */
+const maxTargetsPerMove = 8;
+
+/** Place of an engine. */
+export interface EngineSite {
+  readonly id: string;
+  readonly dataCentre: string;
+}
+
+/** What a departure is scheduled by; all of it is the same at every relay. */
+export interface Departure {
+  /** The engine that leaves. */
+  readonly source: EngineSite;
+  /** Generations that the engine has reported. */
+  readonly runs: readonly RunningGeneration[];
+  /** Milliseconds from the report until the engine leaves. */
+  readonly leavesMs: number;
+  /** Engines of the service that are leaving, including this one. */
+  readonly leaving: readonly EngineSite[];
+  /** Engines of the service that accept generations. */
+  readonly targets: readonly EngineSite[];
+  /** Tokens per millisecond on a link within a data centre. */
+  readonly tokensPerMs: number;
+  /** Whether a generation with `events` events ends within `more` others. */
+  readonly endsWithin: (events: number, more: number) => boolean;
+}
+
+/** Turn of one generation on the link of its engine. */
+export interface ScheduledMove {
+  readonly requestId: string;
+  /** Milliseconds from the report until the move begins. */
+  readonly startMs: number;
+  /** Milliseconds from the report until it is complete. */
+  readonly endMs: number;
+  /** Ids of the engines that it may go to, the preferred one first. */
+  readonly targets: readonly string[];
+}
+
+/** The order in which the generations of a leaving engine are moved. */
+export interface DepartureSchedule {
+  readonly moves: readonly ScheduledMove[];
+  /**
+   * Milliseconds after which the other generations are decided about with a new
+   * report. They may end by themselves before then.
+   */
+  readonly reviewMs: number;
+}
+
+/**
+ * Schedules the moves of the generations of one leaving engine. All relays
+ * compute the same schedule from the same report, so each one starts its own
+ * generations in turn without messages between them.
+ *
+ * Copies share the engine's link, and all have the same deadline, so taking the
+ * shortest copy first saves the most generations. Those that may end before the
+ * engine leaves come after those that are lost for certain.
+ */
+export function scheduleDeparture(departure: Departure): DepartureSchedule {
+  const { runs, leavesMs } = departure;
+  const mayEnd = runs.filter((run) => mayEndInTime(run, departure));
+  const mustMove = runs.filter((run) => !mayEnd.includes(run));
+  const moves = scheduleMoves(mustMove, departure);
+  const endMs = moves.at(-1)?.endMs ?? 0;
+  const all = scheduleMoves([...mustMove, ...mayEnd], departure);
+  const reservedMs = (all.at(-1)?.endMs ?? 0) - endMs;
+  const latestStartMs = leavesMs - departureMarginMs - reservedMs;
+  if (moves.length === 0 && latestStartMs < minReviewMs) {
+    return { moves: all, reviewMs: reviewPeriodMs };
+  }
+  const reviewMs = Math.max(
+    endMs,
+    Math.min(reviewPeriodMs, latestStartMs),
+    minReviewMs,
+  );
+  return { moves, reviewMs };
+}
+
+/** Milliseconds that the move of a generation takes. */
+export function moveMsOf(
+  tokens: number,
+  tokensPerMs: number,
+  isRemote: boolean,
+): number {
+  const factor = isRemote ? remoteCopyFactor : 1;
+  return perMoveOverheadMs + factor * tokens / tokensPerMs;
+}
+
+/** Whether so little time is left that a generation is stopped at once. */
+export function mustStopAtOnce(leavesMs: number, moveMs: number): boolean {
+  return leavesMs < moveMs + departureMarginMs;
+}
+
+function mayEndInTime(
+  { events }: RunningGeneration,
+  { leavesMs, endsWithin }: Departure,
+): boolean {
+  const moreEvents = (leavesMs - departureMarginMs) / eventPeriodMs;
+  return events < minLongEvents || endsWithin(events, moreEvents);
+}
+
+function scheduleMoves(
+  runs: readonly RunningGeneration[],
+  departure: Departure,
+): readonly ScheduledMove[] {
+  const { source, targets, tokensPerMs } = departure;
+  const dataCentres = new Map(
+    targets.map((site) => [site.id, site.dataCentre]),
+  );
+  const turns = listTurns(departure);
+  const ranked = [...new Set(turns)];
+  const moves: ScheduledMove[] = [];
+  let endMs = 0;
+  const ordered = [...runs].sort((a, b) =>
+    a.tokens - b.tokens || (a.requestId < b.requestId ? -1 : 1)
+  );
+  for (const [index, { requestId, tokens }] of ordered.entries()) {
+    const preferred = turns[index % Math.max(1, turns.length)];
+    const isRemote = dataCentres.get(preferred ?? "") !== source.dataCentre;
+    const startMs = endMs;
+    endMs += moveMsOf(tokens, tokensPerMs, isRemote);
+    const others = ranked.filter((id) => id !== preferred);
+    const ids = preferred === undefined ? [] : [preferred, ...others];
+    const candidates = ids.slice(0, maxTargetsPerMove);
+    moves.push({ requestId, startMs, endMs, targets: candidates });
+  }
+  return moves;
+}
+
+/**
+ * Returns the preferred targets of the moves of one leaving engine, in the order
+ * of the moves. Engines that leave at the same time get different targets, so
+ * that their copies do not wait for one another on the targets' links.
+ */
+function listTurns(
+  { source, leaving, targets }: Departure,
+): readonly string[] {
+  const leavingCounts = new Map<string, number>();
+  for (const { dataCentre } of leaving) {
+    leavingCounts.set(dataCentre, (leavingCounts.get(dataCentre) ?? 0) + 1);
+  }
+  // Those of a data centre in which others leave get the moves of these.
+  const countOf = ({ dataCentre }: EngineSite) =>
+    leavingCounts.get(dataCentre) ?? 0;
+  const sorted = [...targets].sort((a, b) =>
+    countOf(a) - countOf(b) || (a.id < b.id ? -1 : 1)
+  );
+  const { dataCentre } = source;
+  const isSame = (site: EngineSite) => site.dataCentre === dataCentre;
+  const nearby = divide(sorted.filter(isSame), {
+    source,
+    leaving: leaving.filter(isSame),
+  });
+  const remote = divide(sorted.filter((site) => !isSame(site)), {
+    source,
+    leaving,
+  });
+  return [
+    ...Array.from({ length: maxMovesPerNearbyTarget }, () => nearby.own),
+    remote.own,
+    nearby.others,
+    remote.others,
+  ].flat().map(({ id }) => id);
+}
+
+/** Divides targets evenly among the leaving engines. */
+function divide(
+  targets: readonly EngineSite[],
+  { source, leaving }: {
+    readonly source: EngineSite;
+    readonly leaving: readonly EngineSite[];
+  },
+): {
+  readonly own: readonly EngineSite[];
+  readonly others: readonly EngineSite[];
+} {
+  const ids = leaving.map(({ id }) => id).sort();
+  const share = Math.max(0, ids.indexOf(source.id));
+  const isOwn = (_: EngineSite, index: number) =>
+    index % Math.max(1, ids.length) === share;
+  return {
+    own: targets.filter(isOwn),
+    others: targets.filter((target, index) => !isOwn(target, index)),
+  };
+}
