--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -1,6 +1,6 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
-import type { RelayEffect, Resumption } from "../relay_effect.ts";
-import type { EngineReport, RequestEvent } from "../relay_event.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { RequestEvent } from "../relay_event.ts";
 import {
   contextTokens,
   endAttempt,
@@ -9,13 +9,13 @@
   releaseBacklogs,
   releaseMove,
   reserveMemory,
-  startAttempt,
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { requestCopy } from "./request_copy.ts";
+import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
 
@@ -228,79 +228,6 @@
   return ids;
 }
 
-/**
- * Resumes a generation at the engine that keeps a copy of its memory, or
- * returns `null` if there is no copy. The connection of the previous attempt
- * is closed first, so that its engine stops generating.
- */
-export function resumeFromCopy(
-  state: RelayState,
-  request: RelayedRequest,
-  { reason, report = null, at }: {
-    readonly reason: string;
-    /** Report of the engine with the copy; `null`: it was not asked. */
-    readonly report?: EngineReport | null;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] | null {
-  const { copyUpstream, lastEventId, requestId } = request;
-  const vm = copyUpstream === null
-    ? undefined
-    : state.upstreams.get(copyUpstream);
-  if (copyUpstream === null || vm === undefined) {
-    return null;
-  }
-  const resumption = { address: vm.address, handle: requestId, lastEventId };
-  const outcome = reason === "leaving" ? "cancelled" : "failed";
-  return startResumption(state, request, {
-    to: copyUpstream,
-    resumption,
-    reason,
-    outcome,
-    report,
-    at,
-  });
-}
-
-function startResumption(
-  state: RelayState,
-  request: RelayedRequest,
-  options: {
-    readonly to: string;
-    readonly resumption: Resumption;
-    readonly reason: string;
-    readonly outcome: "cancelled" | "failed";
-    readonly report: EngineReport | null;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { to: upstream, resumption, reason, outcome, report, at } = options;
-  const { upstream: from, events, requestId, lastEventId } = request;
-  const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
-  const endEffects = endAttempt(state, request, { outcome, at });
-  const after = lastEventId ?? "";
-  const figures = {
-    from,
-    upstream,
-    events,
-    after,
-    ageMs,
-    keptTokens: report?.keptTokens ?? -1,
-    freeTokens: report?.freeTokens ?? -1,
-  };
-  return [
-    recordDecision(state, {
-      kind: "resume",
-      subject: requestId,
-      reason,
-      figures,
-    }, at),
-    count("resumptions", reason),
-    ...endEffects,
-    ...startAttempt(state, request, { upstream, resumption, at }),
-  ];
-}
-
 /** Starts a move, or schedules a retry where none is possible yet. */
 function startMoveOrRetry(
   state: RelayState,
@@ -506,30 +433,6 @@
   ];
 }
 
-/** Resumes a generation whose memory its stopped engine keeps by a handle. */
-function resumeStopped(
-  state: RelayState,
-  request: RelayedRequest,
-  { to, handle, reason, at }: {
-    readonly to: string;
-    readonly handle: string;
-    readonly reason: string;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { lastEventId, upstream } = request;
-  const address = state.upstreams.get(upstream)?.address ?? "";
-  const resumption = { address, handle, lastEventId };
-  return startResumption(state, request, {
-    to,
-    resumption,
-    reason,
-    outcome: "cancelled",
-    report: null,
-    at,
-  });
-}
-
 /**
  * Handles a failed move. If the stream has not ended, the generation is still
  * running, as its engine was not asked to stop it or refused to; the end of one
--- /dev/null
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -0,0 +1,104 @@
+import type { Moment } from "@lavenderferry/runtime";
+import type { RelayEffect, Resumption } from "../relay_effect.ts";
+import type { EngineReport } from "../relay_event.ts";
+import { endAttempt, startAttempt } from "../requests/place_request.ts";
+import type { RelayedRequest } from "../requests/relayed_request.ts";
+import type { RelayState } from "../state.ts";
+import { count, recordDecision } from "../util/effects.ts";
+
+/**
+ * Resumes a generation at the engine that keeps a copy of its memory, or
+ * returns `null` if there is no copy. The connection of the previous attempt
+ * is closed first, so that its engine stops generating.
+ */
+export function resumeFromCopy(
+  state: RelayState,
+  request: RelayedRequest,
+  { reason, report = null, at }: {
+    readonly reason: string;
+    /** Report of the engine with the copy; `null`: it was not asked. */
+    readonly report?: EngineReport | null;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] | null {
+  const { copyUpstream, lastEventId, requestId } = request;
+  const vm = copyUpstream === null
+    ? undefined
+    : state.upstreams.get(copyUpstream);
+  if (copyUpstream === null || vm === undefined) {
+    return null;
+  }
+  const resumption = { address: vm.address, handle: requestId, lastEventId };
+  const outcome = reason === "leaving" ? "cancelled" : "failed";
+  return startResumption(state, request, {
+    to: copyUpstream,
+    resumption,
+    reason,
+    outcome,
+    report,
+    at,
+  });
+}
+
+function startResumption(
+  state: RelayState,
+  request: RelayedRequest,
+  options: {
+    readonly to: string;
+    readonly resumption: Resumption;
+    readonly reason: string;
+    readonly outcome: "cancelled" | "failed";
+    readonly report: EngineReport | null;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { to: upstream, resumption, reason, outcome, report, at } = options;
+  const { upstream: from, events, requestId, lastEventId } = request;
+  const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
+  const endEffects = endAttempt(state, request, { outcome, at });
+  const after = lastEventId ?? "";
+  const figures = {
+    from,
+    upstream,
+    events,
+    after,
+    ageMs,
+    keptTokens: report?.keptTokens ?? -1,
+    freeTokens: report?.freeTokens ?? -1,
+  };
+  return [
+    recordDecision(state, {
+      kind: "resume",
+      subject: requestId,
+      reason,
+      figures,
+    }, at),
+    count("resumptions", reason),
+    ...endEffects,
+    ...startAttempt(state, request, { upstream, resumption, at }),
+  ];
+}
+
+/** Resumes a generation whose memory its stopped engine keeps by a handle. */
+export function resumeStopped(
+  state: RelayState,
+  request: RelayedRequest,
+  { to, handle, reason, at }: {
+    readonly to: string;
+    readonly handle: string;
+    readonly reason: string;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { lastEventId, upstream } = request;
+  const address = state.upstreams.get(upstream)?.address ?? "";
+  const resumption = { address, handle, lastEventId };
+  return startResumption(state, request, {
+    to,
+    resumption,
+    reason,
+    outcome: "cancelled",
+    report: null,
+    at,
+  });
+}
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -16,7 +16,8 @@
 } from "../forwarding/forwarding_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
-import { movePart, resumeFromCopy } from "../moves/move_part.ts";
+import { movePart } from "../moves/move_part.ts";
+import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   copyReservationId,
