--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -238,11 +238,21 @@
     const {
       at,
       preferredDataCentre,
+      preferredEngines = [],
       maxMemoryFraction = 1,
       maxCandidates,
     } = options;
     const estimate = this.#estimator.estimate(demand);
     const eligible = this.#eligibleEngines(demand);
+    for (const id of preferredEngines) {
+      const engine = eligible.find((candidate) => candidate.id === id);
+      const candidate = engine === undefined
+        ? null
+        : this.#evaluate(engine, demand, { estimate, at });
+      if (candidate !== null && candidate.memoryFraction <= maxMemoryFraction) {
+        return id;
+      }
+    }
     const preferred = preferredDataCentre === undefined
       ? []
       : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -179,6 +179,8 @@
   readonly at: Moment;
   /** Data centre whose engines are preferred. */
   readonly preferredDataCentre?: string;
+  /** Ids of engines that are tried first, in this order. */
+  readonly preferredEngines?: readonly string[];
   /** Largest fraction of its memory that the engine may use; default 1. */
   readonly maxMemoryFraction?: number;
   /**
--- /dev/null
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -0,0 +1,116 @@
+import t from "tap";
+import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import type { RunningGeneration } from "../relay_event.ts";
+
+const head = { status: 200, headers: [] };
+const others: readonly RunningGeneration[] = [
+  { requestId: "short-1", tokens: 2_550, events: 1 },
+  { requestId: "short-2", tokens: 2_550, events: 0 },
+  { requestId: "long-1", tokens: 3_100, events: 30 },
+];
+
+/** Lets the engine of a long generation leave, and reports what it runs. */
+function reportDeparture(
+  { leavesMs, events = 50, runs = others, maxTokens = 1_000, peers = 0 }: {
+    readonly leavesMs?: number;
+    readonly events?: number;
+    readonly runs?: readonly RunningGeneration[];
+    readonly maxTokens?: number;
+    readonly peers?: number;
+  },
+) {
+  const relay = new RelayFixture();
+  const leaving = upstreamOf("leaving");
+  const targets = [
+    upstreamOf("far", { dataCentre: "b" }),
+    upstreamOf("nearby-1"),
+  ];
+  relay.learn([leaving]);
+  const vms = Array.from({ length: peers }, (_, index) => ({
+    ...upstreamOf(`front-${index + 2}`),
+    role: "entry" as const,
+    peers: `10.0.1.${index}:2`,
+  }));
+  relay.reduce({ kind: "members_learned", vms, unreadable: [] });
+  const exchangeId = "x1";
+  const prompt = { model: "m", promptTokens: 3_000, maxTokens };
+  const generation = { ...prompt, prefix: ["p"], sharedBlocks: [] };
+  const [sent] = only(relay.generate({ generation }), "send_request");
+  const attemptId = sent?.attemptId ?? "";
+  const stream = { bytes: Buffer.from("x"), lastEventId: `${events}`, head };
+  relay.reduce({
+    kind: "events_received",
+    attemptId,
+    exchangeId,
+    count: events,
+    ...stream,
+  });
+  relay.list([{ ...leaving, state: "leaving" }, ...targets]);
+  const timer = { kind: "evacuate", exchangeId } as const;
+  relay.reduce({ kind: "timer_fired", timer });
+  const own = { requestId: "r1", tokens: 3_200, events };
+  const report = {
+    keptTokens: 0,
+    freeTokens: 0,
+    runs: [own, ...runs],
+    detail: "",
+    ...(leavesMs === undefined ? {} : { leavesMs }),
+  };
+  const listed = {
+    kind: "runs_listed",
+    attemptId,
+    exchangeId,
+    report,
+  } as const;
+  const effects = relay.reduce(listed);
+  const [turn] = only(effects, "set_timer");
+  const [copy] = only(effects, "copy_generation");
+  return { copy, delayMs: (turn?.at ?? relay.now) - relay.now };
+}
+
+// In a day with 76 relays, turns after short generations, which had ended by
+// then, began when the engine was about to leave.
+t.test("short generations take no turns if the schedule is used", (t) => {
+  const afterOneMs = 3_100 / 9 + 40;
+  const { delayMs } = reportDeparture({ leavesMs: 1_500 });
+  t.ok(Math.abs(delayMs - afterOneMs) < 1, "the engine says when it leaves");
+  const sparse = reportDeparture({ peers: 20 });
+  t.ok(Math.abs(sparse.delayMs - afterOneMs) < 1, "in a sparse fleet");
+  const afterThreeMs = afterOneMs + 2 * (2_550 / 9 + 40);
+  const mesh = reportDeparture({});
+  t.ok(Math.abs(mesh.delayMs - afterThreeMs) < 1, "not in a full mesh");
+  t.end();
+});
+
+t.test("the first of the schedule moves to a nearby engine at once", (t) => {
+  const { copy } = reportDeparture({ leavesMs: 1_500, runs: [] });
+  t.match(copy, { to: "10.0.0.1:8", stop: false });
+  t.end();
+});
+
+// A second copy would be complete only after the engine has left.
+t.test("a generation is stopped at once if little time is left", (t) => {
+  const { copy } = reportDeparture({ leavesMs: 400, runs: [] });
+  t.match(copy, { stop: true });
+  t.end();
+});
+
+// Its turn on the link would be lost to another one that ends with the engine.
+t.test("a generation whose token limit ends it in time stays", (t) => {
+  const { copy, delayMs } = reportDeparture({
+    leavesMs: 2_000,
+    maxTokens: 240,
+    runs: [],
+  });
+  t.equal(copy, undefined);
+  t.equal(delayMs, 1_500, "it is moved after all if it has not ended then");
+  t.end();
+});
+
+// What has just begun may end by itself, but must not be forgotten if it does not.
+t.test("a new generation is looked at again", (t) => {
+  const { copy, delayMs } = reportDeparture({ leavesMs: 2_000, events: 1 });
+  t.equal(copy, undefined);
+  t.ok(delayMs > 0 && delayMs <= 400);
+  t.end();
+});
--- a/packages/relay/src/moves/departure_schedule.ts
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -17,7 +17,7 @@
 export const minLongEvents = 8;
 
 /** Milliseconds between two events of a generation under load. */
-const eventPeriodMs = 40;
+export const eventPeriodMs = 40;
 
 /**
  * Milliseconds after which generations that may end by themselves are looked at
--- a/packages/relay/src/moves/evacuation.ts
+++ b/packages/relay/src/moves/evacuation.ts
@@ -35,6 +35,7 @@
   const now = at.monotonic;
   request.terminationNoticeAt = now;
   request.moveAllowedAt = null;
+  request.departure = null;
   const completeAt = (firstEventAt ?? Infinity) + copyCompletionMs;
   const dueAt = copyUpstream === null || completeAt > now + maxCopyWaitMs
     ? now
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -13,6 +13,12 @@
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import {
+  decideDeparture,
+  expectedMoveMs,
+  listCopiedRequestIds,
+} from "./departure_plan.ts";
+import { mustStopAtOnce } from "./departure_schedule.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { requestCopy } from "./request_copy.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
@@ -37,6 +43,9 @@
  */
 const moveRetryMs = 150;
 
+/** The same for a move whose turn has come: the link waits for it. */
+const scheduledRetryMs = 50;
+
 /**
  * Milliseconds from the termination notice within which memory may be copied
  * again while the generation runs. Tokens generated since the last copy are
@@ -170,7 +179,7 @@
   }
   const reason = "leaving";
   return resumeFromCopy(state, request, { reason, at }) ??
-    [retryEvacuation(exchangeId, at)];
+    [retryEvacuation(request, at)];
 }
 
 /**
@@ -205,36 +214,24 @@
   const { tokensPerMs } = state.copyRate;
   const copiedIds = listCopiedRequestIds(state, request.upstream, at);
   const runs = report.runs.filter((run) => !copiedIds.has(run.requestId));
+  const decision = decideDeparture(state, request, { report, runs, at });
+  if (decision?.kind === "wait") {
+    return decision.effects;
+  }
   request.moveAllowedAt = at.monotonic +
-    moveDelayMs(request.requestId, runs, tokensPerMs);
+    (decision?.kind === "move"
+      ? 0
+      : moveDelayMs(request.requestId, runs, tokensPerMs));
   return moveWhenDue(state, request, at);
 }
 
-/**
- * Returns the ids of an engine's generations that can be resumed from a
- * complete copy. They need no move.
- */
-function listCopiedRequestIds(
-  state: RelayState,
-  upstream: string,
-  at: Moment,
-): ReadonlySet<string> {
-  const ids = new Set<string>();
-  for (const request of state.requests.values()) {
-    if (request.upstream === upstream && hasCompleteCopy(request, at)) {
-      ids.add(request.requestId);
-    }
-  }
-  return ids;
-}
-
 /** Starts a move, or schedules a retry where none is possible yet. */
 function startMoveOrRetry(
   state: RelayState,
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { exchangeId, service } = request;
+  const { service } = request;
   if (state.pools.get(service)?.service.engines?.moves !== true) {
     return [];
   }
@@ -244,11 +241,15 @@
     at,
   });
   // Nothing has been generated yet, or no engine has room. Either may change.
-  return move ?? [retryEvacuation(exchangeId, at)];
+  return move ?? [retryEvacuation(request, at)];
 }
 
-function retryEvacuation(exchangeId: string, at: Moment): RelayEffect {
-  return scheduleEvacuation(exchangeId, at.monotonic + moveRetryMs);
+function retryEvacuation(
+  { exchangeId, departure }: RelayedRequest,
+  at: Moment,
+): RelayEffect {
+  const delayMs = departure === null ? moveRetryMs : scheduledRetryMs;
+  return scheduleEvacuation(exchangeId, at.monotonic + delayMs);
 }
 
 /**
@@ -282,6 +283,7 @@
       ],
     }, {
       preferredDataCentre: source.dataCentre,
+      preferredEngines: request.departure?.targets ?? [],
       maxCandidates: moveCandidates,
       at,
     });
@@ -289,6 +291,10 @@
   if (to === null || target === undefined) {
     return null;
   }
+  const tokens = contextTokens(pool, request);
+  const moveMs = expectedMoveMs(state, request, { to: target, tokens });
+  const leavesMs = (request.departure?.leavesAt ?? Infinity) - at.monotonic;
+  const stopsNow = stop || mustStopAtOnce(leavesMs, moveMs);
   const streamEnded = request.move?.streamEnded ?? false;
   const generationId = moveReservationId(attemptId);
   // The existing copy is kept to resume the generation if the move fails.
@@ -296,7 +302,7 @@
   reserveMemory(pool, request, { generationId, engine: to, at });
   const move: Move = {
     to,
-    phase: stop ? "stopping" : "copying",
+    phase: stopsNow ? "stopping" : "copying",
     copyRequestedAt: at.monotonic,
     copyCount: 1,
     excludedEngines,
@@ -308,7 +314,7 @@
     from: upstream,
     upstream: to,
     events: request.events,
-    stop,
+    stop: stopsNow,
   };
   return [
     recordDecision(state, {
@@ -361,7 +367,7 @@
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
       releaseMove(state, request, at);
-      return [retryEvacuation(exchangeId, at)];
+      return [retryEvacuation(request, at)];
     case "not_running":
       return failMove(state, request, { move, reason: outcome.kind, at });
     case "unknown": {
@@ -414,7 +420,7 @@
   if (!stop) {
     releaseMove(state, request, at);
     return startMove(state, request, { excludedEngines, stop, at }) ??
-      [retryEvacuation(request.exchangeId, at)];
+      [retryEvacuation(request, at)];
   }
   if (handle === null) {
     return failMove(state, request, { move, reason: "no_room", detail, at });
@@ -429,7 +435,7 @@
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
     // Its engine is still leaving, so another evacuation is due.
-    retryEvacuation(request.exchangeId, at),
+    retryEvacuation(request, at),
   ];
 }
 
@@ -461,7 +467,7 @@
     return [
       recordDecision(state, { ...decision, kind: "retry", reason }, at),
       count("retries", reason),
-      retryEvacuation(request.exchangeId, at),
+      retryEvacuation(request, at),
     ];
   }
   const effects = resumeFromCopy(state, request, { reason: "copy_failed", at });
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -93,6 +93,8 @@
   /** Tokens of memory not used by its own generations or by copies. */
   readonly freeTokens: number;
   readonly runs: readonly RunningGeneration[];
+  /** Milliseconds until the engine leaves; absent if it does not say. */
+  readonly leavesMs?: number;
   /** Why the engine did not report, for the log; empty if it did. */
   readonly detail: string;
 }
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -16,6 +16,7 @@
 } from "../forwarding/forwarding_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
+import { recordFinalEvents } from "../moves/departure_plan.ts";
 import { movePart } from "../moves/move_part.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { count, recordDecision } from "../util/effects.ts";
@@ -224,6 +225,7 @@
     const tokens = generatedTokens(pool, request);
     const streamMs = ms - firstEventMs;
     recordAnswerTime(state, request, { firstEventMs, streamMs, tokens });
+    recordFinalEvents(state, request);
   }
   const effects = endRequest(state, request, { outcome: "finished", at });
   return [
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -59,6 +59,16 @@
   readonly hasCopy: boolean;
 }
 
+/** When and where a generation is moved off an engine that is leaving. */
+export interface DepartureTurn {
+  /** Monotonic milliseconds at which the engine leaves. */
+  readonly leavesAt: number;
+  /** Ids of the engines that it may go to, the preferred one first. */
+  readonly targets: readonly string[];
+  /** How often it has waited for those before it. */
+  readonly turns: number;
+}
+
 /** State of a request between a caller and its upstreams. */
 export interface RelayedRequest {
   /** Id of the caller's HTTP exchange; unique within this process. */
@@ -107,6 +117,8 @@
   terminationNoticeAt: number;
   /** Monotonic milliseconds from which a move may start; `null`: unknown. */
   moveAllowedAt: number | null;
+  /** Its turn in the schedule of its engine; `null`: there is none yet. */
+  departure: DepartureTurn | null;
   /** Milliseconds from the arrival of the request to its first event. */
   firstEventMs: number;
   /** Longest time between two batches of events, in milliseconds. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -302,6 +302,7 @@
     firstEventAt: null,
     terminationNoticeAt: 0,
     moveAllowedAt: null,
+    departure: null,
     firstEventMs: 0,
     longestPauseMs: 0,
     resumption: null,
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -45,6 +45,8 @@
   copies: z.boolean(),
   /** Whether engines copy generations to other engines on request. */
   moves: z.boolean(),
+  /** Tokens per millisecond that a link within a data centre carries. */
+  copyTokensPerMs: z.number().positive().optional(),
 });
 
 /** Schema of a service, which is served by a pool of equal upstreams. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -15,6 +15,7 @@
 import type { SharedRead, SharedSource } from "./fleet/store_reads.ts";
 import type { Suspension } from "./process/suspension.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
+import type { FinalEvents } from "./moves/final_events.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
 import type { UnconfirmedRequest } from "./requests/unconfirmed_request.ts";
@@ -132,6 +133,8 @@
   /** Whether a timer is set that releases queued requests. */
   isReleaseScheduled: boolean;
   readonly copyRate: CopyRate;
+  /** Lengths of the latest generations, by the name of their service. */
+  readonly finalEvents: Map<string, FinalEvents>;
   /** Blocks of prompts under which engines ended. */
   readonly suspects: SuspectBlocks;
   readonly reachability: Reachability;
@@ -221,6 +224,7 @@
     answerTimes: new Map(),
     isReleaseScheduled: false,
     copyRate: new CopyRate(),
+    finalEvents: new Map(),
     suspects: new SuspectBlocks(epoch),
     reachability: new Reachability(),
     probing: false,
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -98,6 +98,7 @@
       "connections": 252,
       "engines": Object {
         "copies": true,
+        "copyTokensPerMs": 18.18068484042553,
         "memoryTokens": 34371,
         "models": Array [
           "m",
