--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -5,6 +5,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
 import { beginEvacuation } from "../moves/evacuation.ts";
+import { countCopy } from "../moves/rescue_counts.ts";
 import {
   mergeSuspects,
   recordEarlyEnd,
@@ -428,6 +429,7 @@
   for (const request of state.requests.values()) {
     if (request.copyUpstream === id) {
       releaseCopy(state, request, at);
+      effects.push(countCopy("engine_left"));
     }
     if (request.upstream === id && request.phase !== "waiting") {
       effects.push(beginEvacuation(request, at));
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import type { RelayEffect } from "../relay_effect.ts";
 import type { RunningGeneration } from "../relay_event.ts";
 
 const head = { status: 200, headers: [] };
@@ -65,7 +66,8 @@
   const effects = relay.reduce(listed);
   const [turn] = only(effects, "set_timer");
   const [copy] = only(effects, "copy_generation");
-  return { copy, delayMs: (turn?.at ?? relay.now) - relay.now };
+  const delayMs = (turn?.at ?? relay.now) - relay.now;
+  return { relay, attemptId, effects, copy, delayMs };
 }
 
 // In a day with 76 relays, turns after short generations, which had ended by
@@ -114,3 +116,32 @@
   t.ok(delayMs > 0 && delayMs <= 400);
   t.end();
 });
+
+// An operator must see from the metrics why generations were cut.
+t.test("the outcomes of moves are counted by reason", (t) => {
+  const countsOf = (effects: readonly RelayEffect[]) =>
+    only(effects, "count").filter(({ counter }) => counter === "moves")
+      .map(({ reason }) => reason);
+  for (const isMoving of [true, false]) {
+    const runs = isMoving ? [] : others;
+    const { relay, attemptId, effects } = reportDeparture({
+      leavesMs: 1_500,
+      runs,
+    });
+    t.strictSame(countsOf(effects), isMoving ? ["begun"] : []);
+    const kind = "attempt_failed";
+    const reason = "connection_lost";
+    const lost = { kind, attemptId, exchangeId: "x1", reason } as const;
+    const outcome = isMoving ? "lost_copying" : "lost_before_copy";
+    t.strictSame(countsOf(relay.reduce(lost)), [outcome]);
+  }
+  const { relay, attemptId } = reportDeparture({ leavesMs: 400, runs: [] });
+  const saved = relay.reduce({
+    kind: "generation_copied",
+    attemptId,
+    exchangeId: "x1",
+    outcome: { kind: "copied", handle: "h" },
+  });
+  t.strictSame(countsOf(saved), ["saved"]);
+  t.end();
+});
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -21,6 +21,7 @@
 import { mustStopAtOnce } from "./departure_schedule.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { requestCopy } from "./request_copy.ts";
+import { countCopy, countIfLost, countMove } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
@@ -155,6 +156,7 @@
   const reason = "copy_missing";
   return [
     recordDecision(state, { kind: "retry", subject, reason, figures }, at),
+    countCopy("missing"),
     ...moveWhenDue(state, request, at),
   ];
 }
@@ -323,6 +325,7 @@
       reason: "move",
       figures,
     }, at),
+    ...excludedEngines.length === 0 ? [countMove("begun")] : [],
     requestCopy(state, request, move),
   ];
 }
@@ -474,9 +477,11 @@
   if (effects !== null) {
     return effects;
   }
+  const lostEffects = countIfLost(state, request);
   const endEffects = endAttempt(state, request, { outcome: "failed", at });
   state.requests.delete(request.exchangeId);
   return [
+    ...lostEffects,
     recordDecision(state, { ...decision, kind: "drop" }, at),
     ...endEffects,
     ...failRequest(request, { error: "generation_lost", notRun: false }),
--- a/packages/relay/src/moves/resume_generation.ts
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -5,6 +5,7 @@
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import { countCopy, countMove } from "./rescue_counts.ts";
 
 /**
  * Resumes a generation at the engine that keeps a copy of its memory, or
@@ -30,14 +31,17 @@
   }
   const resumption = { address: vm.address, handle: requestId, lastEventId };
   const outcome = reason === "leaving" ? "cancelled" : "failed";
-  return startResumption(state, request, {
-    to: copyUpstream,
-    resumption,
-    reason,
-    outcome,
-    report,
-    at,
-  });
+  return [
+    countCopy("used"),
+    ...startResumption(state, request, {
+      to: copyUpstream,
+      resumption,
+      reason,
+      outcome,
+      report,
+      at,
+    }),
+  ];
 }
 
 function startResumption(
@@ -93,12 +97,15 @@
   const { lastEventId, upstream } = request;
   const address = state.upstreams.get(upstream)?.address ?? "";
   const resumption = { address, handle, lastEventId };
-  return startResumption(state, request, {
-    to,
-    resumption,
-    reason,
-    outcome: "cancelled",
-    report: null,
-    at,
-  });
+  return [
+    ...to === upstream ? [] : [countMove("saved")],
+    ...startResumption(state, request, {
+      to,
+      resumption,
+      reason,
+      outcome: "cancelled",
+      report: null,
+      at,
+    }),
+  ];
 }
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -18,6 +18,8 @@
   refusals: "Requests refused or failed, by error kind",
   retries: "Operations tried again, by reason",
   resumptions: "Streams that went on at another engine, by reason",
+  moves: "Moves of generations off engines that leave, by outcome",
+  copies: "Copies of generations made ahead, by what became of them",
 };
 
 const bucketsMs = [5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000];
@@ -75,6 +77,8 @@
       refusals: counter("refusals"),
       retries: counter("retries"),
       resumptions: counter("resumptions"),
+      moves: counter("moves"),
+      copies: counter("copies"),
     },
     storeCalls: new Counter({
       name: "lavenderferry_relay_store_calls_total",
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -153,7 +153,9 @@
   | "attempts"
   | "refusals"
   | "retries"
-  | "resumptions";
+  | "resumptions"
+  | "moves"
+  | "copies";
 
 /** Effects on the process. */
 export type ProcessEffect =
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -18,6 +18,7 @@
 import { closeUpstream } from "../state.ts";
 import { recordFinalEvents } from "../moves/departure_plan.ts";
 import { movePart } from "../moves/move_part.ts";
+import { countIfLost, countMove } from "../moves/rescue_counts.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
@@ -242,6 +243,7 @@
         longestPauseMs: Math.round(request.longestPauseMs),
       },
     }, at),
+    ...state.closeReasons.has(upstream) ? [countMove("ended")] : [],
     ...effects,
     { kind: "finish_events", exchangeId, head },
     ...provesComplete ? recordAnswered(state, suspectIdsOf(request), at) : [],
@@ -431,10 +433,12 @@
     sends: request.sends,
     ...(event.detail === undefined ? {} : { detail: event.detail }),
   };
+  const lostEffects = countIfLost(state, request);
   const endEffects = endAttempt(state, request, { outcome: "failed", at });
   if (!canRetry) {
     state.requests.delete(request.exchangeId);
     return [
+      ...lostEffects,
       recordDecision(state, {
         kind: "drop",
         subject: requestId,
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -7,6 +7,7 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
+import { countCopy } from "../moves/rescue_counts.ts";
 import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
@@ -265,6 +266,7 @@
   const copyTo = chooseCopyUpstream(state, request, { pool, at });
   return [
     count("attempts", request.route.name),
+    ...copyTo === null ? [] : [countCopy("made")],
     {
       kind: "send_request",
       attemptId,
