--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -8,6 +8,7 @@
 import {
   beginsNow,
   eventPeriodMs,
+  lastChanceMs,
   moveMsOf,
   scheduleDeparture,
 } from "./departure_schedule.ts";
@@ -20,12 +21,6 @@
  */
 const assumedNoticeMs = 1_500;
 
-/**
- * Milliseconds before the end of its engine at which a generation that should
- * have ended by itself is moved after all.
- */
-const lastChanceMs = 500;
-
 /** How the move of a generation goes on after a report. */
 export type DepartureDecision =
   | { readonly kind: "move" }
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEffect } from "../relay_effect.ts";
-import type { RunningGeneration } from "../relay_event.ts";
+import type { CopyOutcome, RunningGeneration } from "../relay_event.ts";
 
 const head = { status: 200, headers: [] };
 const others: readonly RunningGeneration[] = [
@@ -39,13 +39,10 @@
   const [sent] = only(relay.generate({ generation }), "send_request");
   const attemptId = sent?.attemptId ?? "";
   const stream = { bytes: Buffer.from("x"), lastEventId: `${events}`, head };
-  relay.reduce({
-    kind: "events_received",
-    attemptId,
-    exchangeId,
-    count: events,
-    ...stream,
-  });
+  const received = { kind: "events_received", ...stream } as const;
+  if (events > 0) {
+    relay.reduce({ ...received, attemptId, exchangeId, count: events });
+  }
   relay.list([{ ...leaving, state: "leaving" }, ...targets]);
   const timer = { kind: "evacuate", exchangeId } as const;
   relay.reduce({ kind: "timer_fired", timer });
@@ -145,3 +142,38 @@
   t.strictSame(countsOf(saved), ["saved"]);
   t.end();
 });
+
+// A request that was waiting for its first event was lost with its engine. It
+// may begin anew only if the engine states that nothing was generated.
+t.test("a generation that made nothing begins anew if it finds no room", (t) => {
+  for (const events of [0, 1, undefined]) {
+    const { relay, attemptId, copy } = reportDeparture({
+      leavesMs: 400,
+      events: 0,
+      runs: [],
+    });
+    t.match(copy, { stop: true });
+    const stated = events === undefined ? {} : { events };
+    const full = {
+      kind: "no_room",
+      handle: "h",
+      detail: "",
+      ...stated,
+    } as const;
+    const refuse = (outcome: CopyOutcome) =>
+      relay.reduce({
+        kind: "generation_copied",
+        attemptId,
+        exchangeId: "x1",
+        outcome,
+      });
+    t.equal(only(refuse(full), "copy_generation").length, 1);
+    const effects = refuse(full);
+    const [sent] = only(effects, "send_request");
+    t.equal(sent?.resumption === null, events === 0, `${events} events`);
+    t.equal(sent?.target.id !== "leaving", events === 0);
+    const { runs } = relay.state.requests.get("x1") ?? {};
+    t.equal(runs, events === 0 ? 1 : 0, "no refusal says that it has not run");
+  }
+  t.end();
+});
--- a/packages/relay/src/moves/departure_schedule.ts
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -37,6 +37,13 @@
 /** Milliseconds by which a move must be complete before its engine leaves. */
 const departureMarginMs = 60;
 
+/**
+ * Milliseconds before the end of its engine at which a generation is moved that
+ * should have ended by itself, or that has not begun. A copy between two data
+ * centres takes 400 ms.
+ */
+export const lastChanceMs = 500;
+
 /**
  * Moves of one departure that go to the same nearby engine before one in another
  * data centre is taken: they come one after another, so they do not wait for
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -20,7 +20,8 @@
 } from "./departure_plan.ts";
 import { mustStopAtOnce } from "./departure_schedule.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
-import { requestCopy } from "./request_copy.ts";
+import { copyAgain, requestCopy } from "./request_copy.ts";
+import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
 import { countCopy, countIfLost, countMove } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
@@ -47,29 +48,12 @@
 /** The same for a move whose turn has come: the link waits for it. */
 const scheduledRetryMs = 50;
 
-/**
- * Milliseconds from the termination notice within which memory may be copied
- * again while the generation runs. Tokens generated since the last copy are
- * copied after the generation stops, while the caller waits.
- */
-const copyAgainWindowMs = 600;
-
-/** Limit on copies made of a generation's memory while it keeps running. */
-const maxCopiesWhileRunning = 2;
-
 /**
  * Engines that may refuse a stopped generation before it is resumed where it
  * was. Its caller receives no events in the meantime.
  */
 const maxRefusalsAfterStop = 2;
 
-/**
- * Duration in milliseconds up to which a copy leaves little to copy again:
- * about ten tokens are generated in 100 ms, and a network link carries them in
- * 1 ms.
- */
-const quickCopyMs = 400;
-
 /**
  * Number of engines compared when the target of a move is chosen. Bounds the
  * time that the choice takes.
@@ -273,7 +257,8 @@
   if (pool === undefined || source === undefined) {
     return null;
   }
-  const to = request.events === 0
+  const stopsUnstarted = mustStopUnstarted(request, at);
+  const to = request.events === 0 && !stopsUnstarted
     ? null
     : pool.dispatcher.chooseTransferTarget({
       ...demand,
@@ -296,7 +281,7 @@
   const tokens = contextTokens(pool, request);
   const moveMs = expectedMoveMs(state, request, { to: target, tokens });
   const leavesMs = (request.departure?.leavesAt ?? Infinity) - at.monotonic;
-  const stopsNow = stop || mustStopAtOnce(leavesMs, moveMs);
+  const stopsNow = stop || stopsUnstarted || mustStopAtOnce(leavesMs, moveMs);
   const streamEnded = request.move?.streamEnded ?? false;
   const generationId = moveReservationId(attemptId);
   // The existing copy is kept to resume the generation if the move fails.
@@ -380,29 +365,6 @@
   }
 }
 
-/**
- * Requests the next copy of a generation's memory. It stops the generation if
- * little is left to copy or the limits of copies or time are reached.
- */
-function copyAgain(
-  state: RelayState,
-  request: RelayedRequest,
-  { move, at }: { readonly move: Move; readonly at: Moment },
-): readonly RelayEffect[] {
-  const now = at.monotonic;
-  const stop = now - move.copyRequestedAt <= quickCopyMs ||
-    move.copyCount >= maxCopiesWhileRunning ||
-    now - request.terminationNoticeAt >= copyAgainWindowMs;
-  const next: Move = {
-    ...move,
-    phase: stop ? "stopping" : "copying",
-    copyRequestedAt: at.monotonic,
-    copyCount: move.copyCount + 1,
-  };
-  request.move = next;
-  return [requestCopy(state, request, next)];
-}
-
 /**
  * Moves a generation to another engine after the first one had no room. If it
  * is already stopped and no other engine has room, it is resumed at the engine
@@ -411,10 +373,12 @@
 function moveElsewhere(
   state: RelayState,
   request: RelayedRequest,
-  { move, handle, detail, at }: {
+  { move, handle, detail, events, at }: {
     readonly move: Move;
     readonly handle: string | null;
     readonly detail: string;
+    /** Events that the stopped engine has generated; absent: unknown. */
+    readonly events?: number;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
@@ -434,6 +398,10 @@
   if (next !== null) {
     return next;
   }
+  const restartEffects = restartStopped(state, request, { events, at });
+  if (restartEffects !== null) {
+    return restartEffects;
+  }
   const to = request.upstream;
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
--- a/packages/relay/src/moves/rescue_counts.ts
+++ b/packages/relay/src/moves/rescue_counts.ts
@@ -11,6 +11,8 @@
   saved: "saved",
   /** It ended by itself at the engine that leaves. */
   ended: "ended",
+  /** It had generated nothing and began anew at another engine. */
+  restarted: "restarted",
   /** Its engine ended before a copy was requested. */
   lost_before_copy: "lost_before_copy",
   /** Its engine ended during a copy while it ran. */
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -71,6 +71,8 @@
     readonly kind: "no_room";
     /** Memory of a stopped generation, kept at its engine; `null`: none. */
     readonly handle: string | null;
+    /** Events that a stopped generation has had; absent: not stated. */
+    readonly events?: number;
     /** Message of the engine, for the log. */
     readonly detail: string;
   }
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -27,6 +27,7 @@
   endRequest,
   failRequest,
   generatedTokens,
+  maxSends,
   placeRequest,
   refuseRequest,
   releaseBacklogs,
@@ -40,9 +41,6 @@
   Extract<RequestEvent, { kind: Kind }>
 >;
 
-/** Limit on attempts of one request, including those refused without a run. */
-const maxSends = 4;
-
 /**
  * Delays in milliseconds before each retry of a refused resumption. Copies may
  * still arrive and memory may become free for some seconds, and a generation
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -12,6 +12,9 @@
 import { timerPeriodsMs } from "../process/timers.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
+/** Limit on attempts of one request, including those refused without a run. */
+export const maxSends = 4;
+
 /** Retry delay for callers whose service has no pool, in milliseconds. */
 const noPoolRetryMs = 1_000;
 
