--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -21,6 +21,12 @@
  */
 const assumedNoticeMs = 1_500;
 
+/**
+ * Milliseconds from the notice until all engines have left. Figures of a report
+ * are some hundred milliseconds old, so what it says may be too late.
+ */
+const maxNoticeMs = 2_100;
+
 /** How the move of a generation goes on after a report. */
 export type DepartureDecision =
   | { readonly kind: "move" }
@@ -48,8 +54,8 @@
   const { exchangeId, requestId, service, upstream } = request;
   const pool = state.pools.get(service);
   const source = state.upstreams.get(upstream);
-  const usesSchedule = report.leavesMs !== undefined ||
-    !state.fleet.exchangesWithAll;
+  const { leavesMs: reportedMs = null } = report;
+  const usesSchedule = reportedMs !== null || !state.fleet.exchangesWithAll;
   if (
     pool === undefined || source === undefined || !usesSchedule ||
     runs.length === 0
@@ -57,9 +63,12 @@
     return null;
   }
   const now = at.monotonic;
-  const leavesAt = report.leavesMs === undefined
-    ? request.terminationNoticeAt + assumedNoticeMs
-    : now + report.leavesMs;
+  const { terminationNoticeAt: noticedAt } = request;
+  const leavesAt = reportedMs === null ? noticedAt + assumedNoticeMs : Math.min(
+    now + reportedMs,
+    noticedAt + maxNoticeMs,
+    request.departure?.leavesAt ?? Infinity,
+  );
   const { turns = 0 } = request.departure ?? {};
   const leavesMs = Math.max(0, leavesAt - now);
   const { copyTokensPerMs } = pool.service.engines ?? {};
