--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -4,7 +4,7 @@
 import { allEnabled } from "./adaptive_options.ts";
 import type { WaitingDemand } from "./backlog.ts";
 import { Backlog } from "./backlog.ts";
-import type { Candidate } from "./candidate.ts";
+import type { Candidate, EvaluationContext } from "./candidate.ts";
 import { evaluateEngine } from "./candidate.ts";
 import { priorityOf } from "./class_targets.ts";
 import type {
@@ -30,7 +30,6 @@
 import { EnginePool } from "./engine_pool.ts";
 import type { Flight } from "./engine_view.ts";
 import {
-  sampleEngines,
   selectCandidates,
   selectReported,
   selectToAsk,
@@ -44,6 +43,7 @@
 import { Reservations } from "./reservations.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { chooseTransferTarget } from "./transfer_target.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 
 /** Share of the first queued demand's cost below which others overtake it. */
@@ -57,12 +57,6 @@
 const sharePenaltyMs = 2_000;
 /** Request ids remembered to tell retries from first attempts. */
 const maxRecentRequests = 4_096;
-/**
- * Engines with room among which a transfer takes the one with the most free
- * memory. Comparing all of them would make every process choose the same one.
- */
-const transferFinalists = 2;
-
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 
 /**
@@ -263,41 +257,17 @@
     demand: Demand,
     options: TransferOptions,
   ): string | null {
-    const {
-      at,
-      preferredDataCentre,
-      preferredEngines = [],
-      maxMemoryFraction = 1,
-      maxCandidates,
-    } = options;
     const estimate = this.#estimator.estimate(demand);
-    const eligible = this.#eligibleEngines(demand);
-    for (const id of preferredEngines) {
-      const engine = eligible.find((candidate) => candidate.id === id);
-      const candidate = engine === undefined
-        ? null
-        : this.#evaluate(engine, demand, { estimate, at });
-      if (candidate !== null && candidate.memoryFraction <= maxMemoryFraction) {
-        return id;
-      }
-    }
-    const preferred = preferredDataCentre === undefined
-      ? []
-      : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
-    for (const engines of [preferred, eligible]) {
-      // The random order makes other processes choose other engines.
-      const finalists = sampleEngines(engines, this.#random, maxCandidates)
-        .map((engine) => this.#evaluate(engine, demand, { estimate, at }))
-        .filter((candidate) => candidate !== null)
-        .filter(({ memoryFraction }) => memoryFraction <= maxMemoryFraction)
-        .slice(0, transferFinalists)
-        .sort((a, b) => a.memoryFraction - b.memoryFraction);
-      const best = finalists[0];
-      if (best !== undefined) {
-        return best.engine.id;
-      }
-    }
-    return null;
+    return chooseTransferTarget(this.#eligibleEngines(demand), options, {
+      random: this.#random,
+      evaluate: (engine, acceptsRisk) =>
+        evaluateEngine(engine, demand, {
+          ...this.#evaluation({ estimate, at: options.at }),
+          ...acceptsRisk
+            ? { options: { ...this.#options, admission: false } }
+            : {},
+        }),
+    });
   }
 
   sent(sent: SentGeneration, at: Moment): void {
@@ -486,12 +456,18 @@
     demand: Demand,
     context: { readonly estimate: Estimate; readonly at: Moment },
   ): Candidate | null {
-    return evaluateEngine(engine, demand, {
+    return evaluateEngine(engine, demand, this.#evaluation(context));
+  }
+
+  #evaluation(
+    context: { readonly estimate: Estimate; readonly at: Moment },
+  ): EvaluationContext {
+    return {
       ...context,
       options: this.#options,
       limits: this.#limits,
       riskBound: this.#riskBound,
-    });
+    };
   }
 
   /** Returns the engines that serve a demand's model and may be chosen. */
--- a/packages/policy/src/dispatcher.ts
+++ b/packages/policy/src/dispatcher.ts
@@ -219,6 +219,8 @@
   readonly preferredDataCentre?: string;
   /** Ids of engines that are tried first, in this order. */
   readonly preferredEngines?: readonly string[];
+  /** Whether only engines with a recent report are chosen; default `false`. */
+  readonly isReported?: boolean;
   /** Largest fraction of its memory that the engine may use; default 1. */
   readonly maxMemoryFraction?: number;
   /**
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -292,6 +292,12 @@
   );
   state.engineReports.retain(state.upstreams);
   state.upstreamsKnown = true;
+  for (const [name, { leaveRate }] of state.pools) {
+    const open = listed.filter(({ pool, state }) =>
+      pool === name && state === "live"
+    );
+    leaveRate.observe(open.length, at.monotonic);
+  }
   for (const upstream of listed) {
     if (previous.get(upstream.id)?.state !== upstream.state) {
       effects.push(recordUpstream(state, upstream, at));
@@ -424,6 +430,8 @@
   for (const pool of state.pools.values()) {
     closeUpstream(pool, id);
   }
+  const service = state.upstreams.get(id)?.pool ?? "";
+  state.pools.get(service)?.leaveRate.recordLeave();
   const effects: RelayEffect[] = [
     recordState(state, id, { reason: "closed", cause, at }),
   ];
--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -1,6 +1,7 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { EngineReport, RunningGeneration } from "../relay_event.ts";
+import { requestReports, usesReports } from "../reports/ask_engines.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { KnownUpstream, Pool, RelayState } from "../state.ts";
 import { recordDecision } from "../util/effects.ts";
@@ -27,13 +28,13 @@
  */
 const maxNoticeMs = 2_100;
 
+/** Targets of a move that are asked for their reports. */
+const askedTargets = 3;
+
 /** How the move of a generation goes on after a report. */
 export type DepartureDecision =
-  | { readonly kind: "move" }
-  | {
-    readonly kind: "wait";
-    readonly effects: readonly RelayEffect[];
-  };
+  | { readonly kind: "move"; readonly effects: readonly RelayEffect[] }
+  | { readonly kind: "wait"; readonly effects: readonly RelayEffect[] };
 
 /**
  * Decides by the report of a leaving engine when one of its generations is
@@ -109,7 +110,7 @@
     };
   }
   if (beginsNow(schedule, move, turns)) {
-    return { kind: "move" };
+    return { kind: "move", effects: askTargets(state, pool, { move, at }) };
   }
   const { startMs } = move;
   request.departure = { ...request.departure, turns: turns + 1 };
@@ -117,6 +118,7 @@
     kind: "wait",
     effects: [
       record("move_scheduled", startMs),
+      ...askTargets(state, pool, { move, at }),
       scheduleEvacuation(exchangeId, now + startMs),
     ],
   };
@@ -199,6 +201,20 @@
   return at.monotonic + moreEvents * periodMs <= endsBy;
 }
 
+/**
+ * Asks the preferred targets for their reports, where loads are not known
+ * otherwise. A target without room costs the move a call and its turn.
+ */
+function askTargets(
+  state: RelayState,
+  pool: Pool,
+  { move, at }: { readonly move: ScheduledMove; readonly at: Moment },
+): readonly RelayEffect[] {
+  return usesReports(state, pool)
+    ? requestReports(state, move.targets.slice(0, askedTargets), at)
+    : [];
+}
+
 function recordTurn(
   state: RelayState,
   request: RelayedRequest,
--- a/packages/relay/src/moves/final_events.ts
+++ b/packages/relay/src/moves/final_events.ts
@@ -27,6 +27,17 @@
     }
   }
 
+  /**
+   * Mean number of events with which generations end that have more than
+   * `events`; `null`: too few are known.
+   */
+  expectedAfter(events: number): number | null {
+    const longer = this.#samples.filter((final) => final > events);
+    return longer.length < minSamples
+      ? null
+      : longer.reduce((sum, final) => sum + final, 0) / longer.length;
+  }
+
   /** Whether a generation with `events` events ends within `more` others. */
   endsWithin(events: number, more: number): boolean {
     const longer = this.#samples.filter((final) => final > events);
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -208,7 +208,10 @@
     (decision?.kind === "move"
       ? 0
       : moveDelayMs(request.requestId, runs, tokensPerMs));
-  return moveWhenDue(state, request, at);
+  return [
+    ...decision?.effects ?? [],
+    ...moveWhenDue(state, request, at),
+  ];
 }
 
 /** Starts a move, or schedules a retry where none is possible yet. */
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -7,6 +7,11 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
+import {
+  copyMemoryLimit,
+  maxMemoryFractionWithCopy,
+} from "../moves/copy_value.ts";
+import { expectRemainder, minEventsToCopy } from "../moves/copy_offer.ts";
 import { countCopy } from "../moves/rescue_counts.ts";
 import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
@@ -370,23 +375,12 @@
   return `move/${attemptId}`;
 }
 
-/** Generations with fewer events finish before a copy would be of use. */
-const minEventsToCopy = 40;
-
 /**
  * Number of engines compared when a copy is placed. A small number makes
  * processes spread their copies over different engines.
  */
 const copyCandidates = 2;
 
-/**
- * Share of an engine's memory that may be in use after it has received a copy.
- * A copy doubles the memory that a generation takes, so beyond one half copies
- * would displace generations. Generations without a copy are moved one after
- * another when their engine leaves.
- */
-const maxMemoryFractionWithCopy = 0.5;
-
 /**
  * Chooses the engine that keeps a copy of a long generation's memory, reserves
  * the memory there and returns the engine's address.
@@ -398,21 +392,31 @@
 ): string | null {
   const { engines } = pool.service;
   const { demand, upstream, attemptId } = request;
-  // Copies of processes that do not know each other's would fill all memory.
-  if (engines === null || !engines.copies || !state.fleet.exchangesWithAll) {
+  if (engines === null || !engines.copies) {
     return null;
   }
   if (demand.maxTokens < minEventsToCopy * engines.tokensPerEvent) {
     return null;
   }
+  // Copies of processes that do not know each other's would fill all memory, so
+  // they need a recent report of the engine that keeps the copy.
+  const isReported = !state.fleet.exchangesWithAll;
+  const expected = isReported ? expectRemainder(state, request, pool) : null;
+  if (isReported && expected === null) {
+    return null;
+  }
   const excludedEngines = [...(demand.excludedEngines ?? []), upstream];
   const copyUpstream = pool.dispatcher.chooseTransferTarget({
     ...demand,
+    promptTokens: expected?.copyTokens ?? demand.promptTokens,
     excludedEngines,
   }, {
     at,
     maxCandidates: copyCandidates,
-    maxMemoryFraction: maxMemoryFractionWithCopy,
+    maxMemoryFraction: expected === null
+      ? maxMemoryFractionWithCopy
+      : copyMemoryLimit(expected),
+    isReported,
   });
   const vm = copyUpstream === null
     ? undefined
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -17,6 +17,7 @@
 import type { Suspension } from "./process/suspension.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { FinalEvents } from "./moves/final_events.ts";
+import { LeaveRate } from "./moves/leave_rate.ts";
 import type { PendingPlacement } from "./reports/ask_engines.ts";
 import type { AnswerTimes } from "./requests/answer_times.ts";
 import type { RelayedRequest } from "./requests/relayed_request.ts";
@@ -37,6 +38,8 @@
   readonly reporting: ReportingDispatcher | null;
   /** What the upstreams say of the rejections that they bear. */
   readonly brittleness: Brittleness;
+  /** How often its engines leave. */
+  readonly leaveRate: LeaveRate;
   /** Limits how many attempts are retries. */
   readonly retryBudget: RetryBudget;
   /** Ids of upstreams that the dispatcher may choose. */
@@ -270,6 +273,7 @@
     dispatcher: reporting ??
       new SlotDispatcher(seed, { dataCentre, limits, brittleness }),
     reporting,
+    leaveRate: new LeaveRate(),
     retryBudget: new RetryBudget({
       share: settings.retryShare,
       burst: computeRetryBurst(state),
