--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -182,3 +182,25 @@
   }
   t.end();
 });
+
+// A generation that arrived at an engine after its notice was cut there.
+t.test("a generation is moved again if its target leaves meanwhile", (t) => {
+  const { relay, attemptId, copy } = reportDeparture({
+    leavesMs: 400,
+    runs: [],
+  });
+  const vms = ["leaving", "nearby-1", "far"].map((id) =>
+    upstreamOf(id, { state: id === "far" ? "live" : "leaving" })
+  );
+  relay.list(vms);
+  const moved = relay.reduce({
+    kind: "generation_copied",
+    attemptId,
+    exchangeId: "x1",
+    outcome: { kind: "copied", handle: "h" },
+  });
+  t.match(only(moved, "send_request"), [{ target: { address: copy?.to } }]);
+  const timer = { kind: "evacuate", exchangeId: "x1" };
+  t.match(only(moved, "set_timer"), [{ timer, at: relay.now }]);
+  t.end();
+});
--- a/packages/relay/src/moves/resume_generation.ts
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -5,6 +5,7 @@
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import { beginEvacuation } from "./evacuation.ts";
 import { countCopy, countMove } from "./rescue_counts.ts";
 
 /**
@@ -97,6 +98,7 @@
   const { lastEventId, upstream } = request;
   const address = state.upstreams.get(upstream)?.address ?? "";
   const resumption = { address, handle, lastEventId };
+  const isScheduled = request.departure !== null;
   return [
     ...to === upstream ? [] : [countMove("saved")],
     ...startResumption(state, request, {
@@ -107,5 +109,9 @@
       report: null,
       at,
     }),
+    // It has got its notice during the move, when the generation was not there.
+    ...to !== upstream && isScheduled && state.closeReasons.has(to)
+      ? [beginEvacuation(request, at)]
+      : [],
   ];
 }
