--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -1,3 +1,4 @@
+import { markReasons } from "@lavenderferry/fleet";
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { EngineReport, RunningGeneration } from "../relay_event.ts";
@@ -166,7 +167,7 @@
 
 /** Returns the engines of a service that accept work and those that leave. */
 function listSites(
-  { upstreams }: RelayState,
+  { upstreams, closeReasons }: RelayState,
   { service, openUpstreams }: Pool,
 ): {
   readonly targets: readonly KnownUpstream[];
@@ -177,7 +178,11 @@
   );
   return {
     targets: engines.filter(({ id }) => openUpstreams.has(id)),
-    leaving: engines.filter(({ id }) => !openUpstreams.has(id)),
+    // Engines that are closed for other reasons stay, and move nothing.
+    leaving: engines.filter(({ id, state }) =>
+      state === "leaving" || closeReasons.get(id) === markReasons.leaving ||
+      closeReasons.get(id) === markReasons.draining
+    ),
   };
 }
 
--- a/packages/relay/src/moves/departure_schedule.ts
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -241,14 +241,17 @@
   },
 ): {
   readonly own: readonly EngineSite[];
+  /** All targets, those of other leaving engines included. */
   readonly others: readonly EngineSite[];
 } {
   const ids = leaving.map(({ id }) => id).sort();
   const share = Math.max(0, ids.indexOf(source.id));
   const isOwn = (_: EngineSite, index: number) =>
     index % Math.max(1, ids.length) === share;
+  // With fewer targets than leaving engines, each one begins at another target.
+  const first = share % Math.max(1, targets.length);
   return {
     own: targets.filter(isOwn),
-    others: targets.filter((target, index) => !isOwn(target, index)),
+    others: [...targets.slice(first), ...targets.slice(0, first)],
   };
 }
