--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -53,8 +53,8 @@
 interface LoadSample {
   /** Milliseconds since the Unix epoch at which the load was measured. */
   readonly wallMs: number;
-  /** Monotonic milliseconds at which the report arrived. */
-  readonly arrivedAt: number;
+  /** Moment at which the report arrived. */
+  readonly arrivedAt: Moment;
   readonly memoryTokens: number;
   readonly othersTokens: number;
   readonly othersRunning: number;
@@ -177,13 +177,13 @@
     const othersTokens = Math.max(0, usedTokens + waitingTokens - own.tokens);
     if (previous !== null) {
       this.pool.learnDrift(
-        othersTokens - previous.othersTokens,
+        (othersTokens - previous.othersTokens) / Math.max(1, memoryTokens),
         measuredAt - previous.wallMs,
       );
     }
     this.#sample = {
       wallMs: measuredAt,
-      arrivedAt: at.monotonic,
+      arrivedAt: at,
       memoryTokens,
       othersTokens,
       othersRunning: Math.max(0, running + waiting - own.count),
@@ -192,11 +192,36 @@
     this.#recordOwnSample(at);
   }
 
-  /** Age of the latest sample since its arrival; `Infinity`: there is none. */
+  /**
+   * Corrects the latest sample after the engine has rejected a generation: there
+   * was no room for it. Reports that were measured before do not change that.
+   */
+  recordRejection({ promptTokens }: Demand, at: Moment): void {
+    if (this.#sample === null) {
+      return;
+    }
+    const { memoryTokens, othersTokens, othersRunning } = this.#sample;
+    const leastOthers = memoryTokens - promptTokens - this.#ownTokens;
+    this.#sample = {
+      ...this.#sample,
+      wallMs: at.wall,
+      arrivedAt: at,
+      othersTokens: Math.max(othersTokens, leastOthers),
+      othersRunning: Math.max(1, othersRunning),
+    };
+    this.#forecastAt = -Infinity;
+  }
+
+  /**
+   * Age of the latest sample since its arrival; `Infinity`: there is none. The
+   * monotonic clock does not count the time for which a VM is suspended.
+   */
   sampleAgeMs(at: Moment): number {
-    return this.#sample === null
-      ? Infinity
-      : at.monotonic - this.#sample.arrivedAt;
+    const { arrivedAt } = this.#sample ?? {};
+    return arrivedAt === undefined ? Infinity : Math.max(
+      at.monotonic - arrivedAt.monotonic,
+      at.wall - arrivedAt.wall,
+    );
   }
 
   /** Whether a decision can rely on the latest sample. */
@@ -252,6 +277,20 @@
     this.#forecastAt = -Infinity;
   }
 
+  /**
+   * Returns the milliseconds until the memory for a prompt is expected to be free,
+   * if no generation starts in the meantime. Memory in use is freed evenly over
+   * the time for which generations hold it.
+   */
+  estimateRoomMs(promptTokens: number, at: Moment): number {
+    const { mean } = this.forecast(at);
+    const usedTokens = mean[0] ?? 0;
+    const missingTokens = usedTokens + promptTokens - this.memoryTokens;
+    return missingTokens <= 0
+      ? 0
+      : this.pool.holdMs * Math.min(1, missingTokens / usedTokens);
+  }
+
   /** Adds a generation of this process. */
   addFlight(generationId: string, flight: Flight, at: Moment): void {
     this.flights.set(generationId, flight);
@@ -359,9 +398,13 @@
    * with the age. The few generations of this process say nothing about those of
    * a large fleet.
    */
-  #addSampledOthers({ othersTokens, wallMs }: LoadSample, at: Moment): void {
+  #addSampledOthers(
+    { othersTokens, memoryTokens, wallMs }: LoadSample,
+    at: Moment,
+  ): void {
+    const variance = this.pool.varianceAfter(at.wall - wallMs);
     this.#forecast.addConstant(Math.max(othersTokens, this.#peerTokens(at)));
-    this.#forecast.addVariance(this.pool.varianceAfter(at.wall - wallMs));
+    this.#forecast.addVariance(variance * memoryTokens ** 2);
   }
 
   #peerTokens(at: Moment): number {
