--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -441,7 +441,8 @@
       effects.push(countCopy("engine_left"));
     }
     if (request.upstream === id && request.phase !== "waiting") {
-      effects.push(beginEvacuation(request, at));
+      const isScheduled = !state.fleet.exchangesWithAll;
+      effects.push(beginEvacuation(request, at, { isScheduled }));
     }
   }
   return effects;
--- a/packages/relay/src/moves/copy_value_test.ts
+++ b/packages/relay/src/moves/copy_value_test.ts
@@ -84,3 +84,33 @@
   }], "its resumption has a copy as well");
   t.end();
 });
+
+// Waiting for a copy took a second of a notice of one and a half, so that a move
+// came too late when the copy was missing.
+t.test("a large fleet moves a generation whose copy is incomplete", (t) => {
+  for (
+    const { ageMs, isComplete } of [
+      { ageMs: 1_600, isComplete: false },
+      { ageMs: 2_600, isComplete: true },
+    ]
+  ) {
+    const { relay, sent } = placeWith({ e1: 0, e22: 500, e333: 20_000 });
+    relay.reduce({
+      kind: "events_received",
+      attemptId: sent?.attemptId ?? "",
+      exchangeId: "x1",
+      head: { status: 200, headers: [] },
+      bytes: Buffer.from("x"),
+      count: 9,
+      lastEventId: "9",
+    });
+    relay.wait(ageMs);
+    const vms = ["e1", "e22", "e333"].map((id) =>
+      upstreamOf(id, { state: id === "e1" ? "leaving" : "live" })
+    );
+    const timers = only(relay.list(vms), "set_timer");
+    const due = timers.find(({ timer }) => timer.kind === "evacuate");
+    t.equal((due?.at ?? 0) - relay.now, isComplete ? 300 : 0);
+  }
+  t.end();
+});
--- a/packages/relay/src/moves/evacuation.ts
+++ b/packages/relay/src/moves/evacuation.ts
@@ -25,11 +25,13 @@
 
 /**
  * Schedules the evacuation of a generation whose engine is leaving. Waits for
- * the copy of its memory where that can be complete in time.
+ * the copy of its memory where that can be complete in time, unless the moves of
+ * its engine follow a schedule, in which the wait would use up its turn.
  */
 export function beginEvacuation(
   request: RelayedRequest,
   at: Moment,
+  { isScheduled = false }: { readonly isScheduled?: boolean } = {},
 ): RelayEffect {
   const { copyUpstream, exchangeId, firstEventAt } = request;
   const now = at.monotonic;
@@ -37,7 +39,8 @@
   request.moveAllowedAt = null;
   request.departure = null;
   const completeAt = (firstEventAt ?? Infinity) + copyCompletionMs;
-  const dueAt = copyUpstream === null || completeAt > now + maxCopyWaitMs
+  const maxWaitMs = isScheduled ? 0 : maxCopyWaitMs;
+  const dueAt = copyUpstream === null || completeAt > now + maxWaitMs
     ? now
     : Math.max(now + resumeDelayMs, completeAt);
   return scheduleEvacuation(exchangeId, dueAt);
