--- a/packages/relay/src/moves/copy_value_test.ts
+++ b/packages/relay/src/moves/copy_value_test.ts
@@ -111,6 +111,20 @@
     const timers = only(relay.list(vms), "set_timer");
     const due = timers.find(({ timer }) => timer.kind === "evacuate");
     t.equal((due?.at ?? 0) - relay.now, isComplete ? 300 : 0);
+    // The engine does not keep the copy.
+    const exchangeId = "x1";
+    const attemptId = sent?.attemptId ?? "";
+    const ids = { attemptId, exchangeId };
+    const timer = { kind: "evacuate", exchangeId } as const;
+    relay.reduce({ kind: "timer_fired", timer }, isComplete ? 300 : 0);
+    const runs = [
+      { requestId: "r1", tokens: 3_036, events: 9 },
+      { requestId: "r2", tokens: 3_400, events: 90 },
+    ];
+    const report = { keptTokens: 0, freeTokens: 0, runs, detail: "" };
+    relay.reduce({ kind: "copy_checked", ...ids, report });
+    const moved = relay.reduce({ kind: "runs_listed", ...ids, report });
+    t.equal(only(moved, "copy_generation").length, 1, "it is moved at once");
   }
   t.end();
 });
--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -69,9 +69,12 @@
   const leavesAt = reportedMs === null ? noticedAt + assumedNoticeMs : Math.min(
     now + reportedMs,
     noticedAt + maxNoticeMs,
-    request.departure?.leavesAt ?? Infinity,
+    request.departure?.isReported === true
+      ? request.departure.leavesAt
+      : Infinity,
   );
   const { turns = 0 } = request.departure ?? {};
+  const isReported = reportedMs !== null;
   const leavesMs = Math.max(0, leavesAt - now);
   const { copyTokensPerMs } = pool.service.engines ?? {};
   const finalEvents = state.finalEvents.get(service);
@@ -87,7 +90,8 @@
       finalEvents?.endsWithin(events, more) ?? false,
   });
   const move = schedule.moves.find((other) => other.requestId === requestId);
-  request.departure = { leavesAt, targets: move?.targets ?? [], turns };
+  const moveTargets = move?.targets ?? [];
+  request.departure = { leavesAt, isReported, targets: moveTargets, turns };
   const record = (reason: string, startMs: number) =>
     recordTurn(state, request, { reason, startMs, leavesMs, runs, move, at });
   if (endsInTime(pool, request, { endsBy: leavesAt - lastChanceMs, at })) {
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -200,7 +200,15 @@
   const { tokensPerMs } = state.copyRate;
   const copiedIds = listCopiedRequestIds(state, request.upstream, at);
   const runs = report.runs.filter((run) => !copiedIds.has(run.requestId));
-  const decision = decideDeparture(state, request, { report, runs, at });
+  // Its own copy is missing, or it would not need a move.
+  const movedRuns = report.runs.filter((run) =>
+    run.requestId === request.requestId || !copiedIds.has(run.requestId)
+  );
+  const decision = decideDeparture(state, request, {
+    report,
+    runs: movedRuns,
+    at,
+  });
   if (decision?.kind === "wait") {
     return decision.effects;
   }
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -63,6 +63,8 @@
 export interface DepartureTurn {
   /** Monotonic milliseconds at which the engine leaves. */
   readonly leavesAt: number;
+  /** Whether the engine has reported that time. */
+  readonly isReported: boolean;
   /** Ids of the engines that it may go to, the preferred one first. */
   readonly targets: readonly string[];
   /** How often it has waited for those before it. */
