--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -30,11 +30,7 @@
 import type { Engine } from "./engine.ts";
 import { EnginePool } from "./engine_pool.ts";
 import type { Flight } from "./engine_view.ts";
-import {
-  sampleEngines,
-  selectCandidates,
-  selectToAsk,
-} from "./engine_choice.ts";
+import { selectCandidates, selectToAsk } from "./engine_choice.ts";
 import type { Estimate } from "./estimator.ts";
 import { estimateStartDeadline, Estimator } from "./estimator.ts";
 import { OutputLengths } from "./output_lengths.ts";
@@ -46,14 +42,10 @@
 import { Reservations } from "./reservations.ts";
 import { RiskBound } from "./risk_bound.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { chooseTransferTarget } from "./transfer_target.ts";
 
 /** Queued demands that one release considers. */
 const maxReleaseCandidates = 16;
-/**
- * Engines with room among which a transfer takes the one with the most free
- * memory. Comparing all of them would make every process choose the same one.
- */
-const transferFinalists = 2;
 /**
  * Share of an engine's memory up to which a request there may be urgent. Beyond it,
  * the engine would preempt generations and process their prompts again.
@@ -260,30 +252,17 @@
     demand: Demand,
     options: TransferOptions,
   ): string | null {
-    const {
-      at,
-      preferredDataCentre,
-      maxMemoryFraction = 1,
-      maxCandidates,
-    } = options;
     const estimate = this.#estimator.estimate(demand);
-    const eligible = this.#eligibleEngines(demand);
-    const preferred = preferredDataCentre === undefined
-      ? []
-      : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
-    for (const engines of [preferred, eligible]) {
-      // The random order makes other processes choose other engines.
-      const sample = sampleEngines(engines, this.#random, maxCandidates);
-      const finalists = this.#evaluate(sample, demand, { estimate, at })
-        .filter(({ memoryFraction }) => memoryFraction <= maxMemoryFraction)
-        .slice(0, transferFinalists)
-        .sort((a, b) => a.memoryFraction - b.memoryFraction);
-      const best = finalists[0];
-      if (best !== undefined) {
-        return best.engine.id;
-      }
-    }
-    return null;
+    return chooseTransferTarget(this.#eligibleEngines(demand), options, {
+      random: this.#random,
+      evaluate: (engine, acceptsRisk) =>
+        evaluateEngine(engine, demand, {
+          ...this.#evaluation({ estimate, at: options.at }),
+          ...acceptsRisk
+            ? { options: { ...this.#options, admission: false } }
+            : {},
+        }),
+    });
   }
 
   sent(sent: SentGeneration, at: Moment): void {
@@ -472,21 +451,24 @@
     demand: Demand,
     context: Pick<EvaluationContext, "estimate" | "at">,
   ): Candidate[] {
-    const options = this.#options;
-    const limits = this.#limits;
-    const riskBound = this.#riskBound;
     return engines
       .map((engine) =>
-        evaluateEngine(engine, demand, {
-          ...context,
-          options,
-          limits,
-          riskBound,
-        })
+        evaluateEngine(engine, demand, this.#evaluation(context))
       )
       .filter((candidate) => candidate !== null);
   }
 
+  #evaluation(
+    context: Pick<EvaluationContext, "estimate" | "at">,
+  ): EvaluationContext {
+    return {
+      ...context,
+      options: this.#options,
+      limits: this.#limits,
+      riskBound: this.#riskBound,
+    };
+  }
+
   /** Returns the engines that serve a demand's model and may be chosen. */
   #eligibleEngines(
     { model, excludedEngines = [] }: Demand,
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -5,6 +5,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
 import { beginEvacuation } from "../moves/evacuation.ts";
+import { countCopy } from "../moves/rescue_counts.ts";
 import {
   mergeSuspects,
   recordEarlyEnd,
@@ -291,6 +292,12 @@
   );
   state.engineReports.retain(state.upstreams);
   state.upstreamsKnown = true;
+  for (const [name, { leaveRate }] of state.pools) {
+    const open = listed.filter(({ pool, state }) =>
+      pool === name && state === "live"
+    );
+    leaveRate.observe(open.length, at.monotonic);
+  }
   for (const upstream of listed) {
     if (previous.get(upstream.id)?.state !== upstream.state) {
       effects.push(recordUpstream(state, upstream, at));
@@ -423,15 +430,19 @@
   for (const pool of state.pools.values()) {
     closeUpstream(pool, id);
   }
+  const service = state.upstreams.get(id)?.pool ?? "";
+  state.pools.get(service)?.leaveRate.recordLeave();
   const effects: RelayEffect[] = [
     recordState(state, id, { reason: "closed", cause, at }),
   ];
   for (const request of state.requests.values()) {
     if (request.copyUpstream === id) {
       releaseCopy(state, request, at);
+      effects.push(countCopy("engine_left"));
     }
     if (request.upstream === id && request.phase !== "waiting") {
-      effects.push(beginEvacuation(request, at));
+      const isScheduled = !state.fleet.exchangesWithAll;
+      effects.push(beginEvacuation(request, at, { isScheduled }));
     }
   }
   return effects;
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -1,6 +1,6 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
-import type { RelayEffect, Resumption } from "../relay_effect.ts";
-import type { EngineReport, RequestEvent } from "../relay_event.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+import type { RequestEvent } from "../relay_event.ts";
 import {
   contextTokens,
   endAttempt,
@@ -9,13 +9,21 @@
   releaseBacklogs,
   releaseMove,
   reserveMemory,
-  startAttempt,
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import {
+  decideDeparture,
+  expectedMoveMs,
+  listCopiedRequestIds,
+} from "./departure_plan.ts";
+import { mustStopAtOnce } from "./departure_schedule.ts";
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
-import { requestCopy } from "./request_copy.ts";
+import { copyAgain, requestCopy } from "./request_copy.ts";
+import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
+import { countCopy, countIfLost, countMove } from "./rescue_counts.ts";
+import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
 
@@ -37,15 +45,8 @@
  */
 const moveRetryMs = 150;
 
-/**
- * Milliseconds from the termination notice within which memory may be copied
- * again while the generation runs. Tokens generated since the last copy are
- * copied after the generation stops, while the caller waits.
- */
-const copyAgainWindowMs = 600;
-
-/** Limit on copies made of a generation's memory while it keeps running. */
-const maxCopiesWhileRunning = 2;
+/** The same for a move whose turn has come: the link waits for it. */
+const scheduledRetryMs = 50;
 
 /**
  * Engines that may refuse a stopped generation before it is resumed where it
@@ -53,13 +54,6 @@
  */
 const maxRefusalsAfterStop = 2;
 
-/**
- * Duration in milliseconds up to which a copy leaves little to copy again:
- * about ten tokens are generated in 100 ms, and a network link carries them in
- * 1 ms.
- */
-const quickCopyMs = 400;
-
 /**
  * Number of engines compared when the target of a move is chosen. Bounds the
  * time that the choice takes.
@@ -146,6 +140,7 @@
   const reason = "copy_missing";
   return [
     recordDecision(state, { kind: "retry", subject, reason, figures }, at),
+    countCopy("missing"),
     ...moveWhenDue(state, request, at),
   ];
 }
@@ -170,7 +165,7 @@
   }
   const reason = "leaving";
   return resumeFromCopy(state, request, { reason, at }) ??
-    [retryEvacuation(exchangeId, at)];
+    [retryEvacuation(request, at)];
 }
 
 /**
@@ -205,99 +200,25 @@
   const { tokensPerMs } = state.copyRate;
   const copiedIds = listCopiedRequestIds(state, request.upstream, at);
   const runs = report.runs.filter((run) => !copiedIds.has(run.requestId));
-  request.moveAllowedAt = at.monotonic +
-    moveDelayMs(request.requestId, runs, tokensPerMs);
-  return moveWhenDue(state, request, at);
-}
-
-/**
- * Returns the ids of an engine's generations that can be resumed from a
- * complete copy. They need no move.
- */
-function listCopiedRequestIds(
-  state: RelayState,
-  upstream: string,
-  at: Moment,
-): ReadonlySet<string> {
-  const ids = new Set<string>();
-  for (const request of state.requests.values()) {
-    if (request.upstream === upstream && hasCompleteCopy(request, at)) {
-      ids.add(request.requestId);
-    }
-  }
-  return ids;
-}
-
-/**
- * Resumes a generation at the engine that keeps a copy of its memory, or
- * returns `null` if there is no copy. The connection of the previous attempt
- * is closed first, so that its engine stops generating.
- */
-export function resumeFromCopy(
-  state: RelayState,
-  request: RelayedRequest,
-  { reason, report = null, at }: {
-    readonly reason: string;
-    /** Report of the engine with the copy; `null`: it was not asked. */
-    readonly report?: EngineReport | null;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] | null {
-  const { copyUpstream, lastEventId, requestId } = request;
-  const vm = copyUpstream === null
-    ? undefined
-    : state.upstreams.get(copyUpstream);
-  if (copyUpstream === null || vm === undefined) {
-    return null;
-  }
-  const resumption = { address: vm.address, handle: requestId, lastEventId };
-  const outcome = reason === "leaving" ? "cancelled" : "failed";
-  return startResumption(state, request, {
-    to: copyUpstream,
-    resumption,
-    reason,
-    outcome,
+  // Its own copy is missing, or it would not need a move.
+  const movedRuns = report.runs.filter((run) =>
+    run.requestId === request.requestId || !copiedIds.has(run.requestId)
+  );
+  const decision = decideDeparture(state, request, {
     report,
+    runs: movedRuns,
     at,
   });
-}
-
-function startResumption(
-  state: RelayState,
-  request: RelayedRequest,
-  options: {
-    readonly to: string;
-    readonly resumption: Resumption;
-    readonly reason: string;
-    readonly outcome: "cancelled" | "failed";
-    readonly report: EngineReport | null;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { to: upstream, resumption, reason, outcome, report, at } = options;
-  const { upstream: from, events, requestId, lastEventId } = request;
-  const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
-  const endEffects = endAttempt(state, request, { outcome, at });
-  const after = lastEventId ?? "";
-  const figures = {
-    from,
-    upstream,
-    events,
-    after,
-    ageMs,
-    keptTokens: report?.keptTokens ?? -1,
-    freeTokens: report?.freeTokens ?? -1,
-  };
+  if (decision?.kind === "wait") {
+    return decision.effects;
+  }
+  request.moveAllowedAt = at.monotonic +
+    (decision?.kind === "move"
+      ? 0
+      : moveDelayMs(request.requestId, runs, tokensPerMs));
   return [
-    recordDecision(state, {
-      kind: "resume",
-      subject: requestId,
-      reason,
-      figures,
-    }, at),
-    count("resumptions", reason),
-    ...endEffects,
-    ...startAttempt(state, request, { upstream, resumption, at }),
+    ...decision?.effects ?? [],
+    ...moveWhenDue(state, request, at),
   ];
 }
 
@@ -307,7 +228,7 @@
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { exchangeId, service } = request;
+  const { service } = request;
   if (state.pools.get(service)?.service.engines?.moves !== true) {
     return [];
   }
@@ -317,11 +238,15 @@
     at,
   });
   // Nothing has been generated yet, or no engine has room. Either may change.
-  return move ?? [retryEvacuation(exchangeId, at)];
+  return move ?? [retryEvacuation(request, at)];
 }
 
-function retryEvacuation(exchangeId: string, at: Moment): RelayEffect {
-  return scheduleEvacuation(exchangeId, at.monotonic + moveRetryMs);
+function retryEvacuation(
+  { exchangeId, departure }: RelayedRequest,
+  at: Moment,
+): RelayEffect {
+  const delayMs = departure === null ? moveRetryMs : scheduledRetryMs;
+  return scheduleEvacuation(exchangeId, at.monotonic + delayMs);
 }
 
 /**
@@ -343,7 +268,8 @@
   if (pool === undefined || source === undefined) {
     return null;
   }
-  const to = request.events === 0
+  const stopsUnstarted = mustStopUnstarted(request, at);
+  const to = request.events === 0 && !stopsUnstarted
     ? null
     : pool.dispatcher.chooseTransferTarget({
       ...demand,
@@ -355,6 +281,7 @@
       ],
     }, {
       preferredDataCentre: source.dataCentre,
+      preferredEngines: request.departure?.targets ?? [],
       maxCandidates: moveCandidates,
       at,
     });
@@ -362,6 +289,10 @@
   if (to === null || target === undefined) {
     return null;
   }
+  const tokens = contextTokens(pool, request);
+  const moveMs = expectedMoveMs(state, request, { to: target, tokens });
+  const leavesMs = (request.departure?.leavesAt ?? Infinity) - at.monotonic;
+  const stopsNow = stop || stopsUnstarted || mustStopAtOnce(leavesMs, moveMs);
   const streamEnded = request.move?.streamEnded ?? false;
   const generationId = moveReservationId(attemptId);
   // The existing copy is kept to resume the generation if the move fails.
@@ -369,7 +300,7 @@
   reserveMemory(pool, request, { generationId, engine: to, at });
   const move: Move = {
     to,
-    phase: stop ? "stopping" : "copying",
+    phase: stopsNow ? "stopping" : "copying",
     copyRequestedAt: at.monotonic,
     copyCount: 1,
     excludedEngines,
@@ -381,7 +312,7 @@
     from: upstream,
     upstream: to,
     events: request.events,
-    stop,
+    stop: stopsNow,
   };
   return [
     recordDecision(state, {
@@ -390,6 +321,7 @@
       reason: "move",
       figures,
     }, at),
+    ...excludedEngines.length === 0 ? [countMove("begun")] : [],
     requestCopy(state, request, move),
   ];
 }
@@ -434,7 +366,7 @@
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
       releaseMove(state, request, at);
-      return [retryEvacuation(exchangeId, at)];
+      return [retryEvacuation(request, at)];
     case "not_running":
       return failMove(state, request, { move, reason: outcome.kind, at });
     case "unknown": {
@@ -444,29 +376,6 @@
   }
 }
 
-/**
- * Requests the next copy of a generation's memory. It stops the generation if
- * little is left to copy or the limits of copies or time are reached.
- */
-function copyAgain(
-  state: RelayState,
-  request: RelayedRequest,
-  { move, at }: { readonly move: Move; readonly at: Moment },
-): readonly RelayEffect[] {
-  const now = at.monotonic;
-  const stop = now - move.copyRequestedAt <= quickCopyMs ||
-    move.copyCount >= maxCopiesWhileRunning ||
-    now - request.terminationNoticeAt >= copyAgainWindowMs;
-  const next: Move = {
-    ...move,
-    phase: stop ? "stopping" : "copying",
-    copyRequestedAt: at.monotonic,
-    copyCount: move.copyCount + 1,
-  };
-  request.move = next;
-  return [requestCopy(state, request, next)];
-}
-
 /**
  * Moves a generation to another engine after the first one had no room. If it
  * is already stopped and no other engine has room, it is resumed at the engine
@@ -475,10 +384,12 @@
 function moveElsewhere(
   state: RelayState,
   request: RelayedRequest,
-  { move, handle, detail, at }: {
+  { move, handle, detail, events, at }: {
     readonly move: Move;
     readonly handle: string | null;
     readonly detail: string;
+    /** Events that the stopped engine has generated; absent: unknown. */
+    readonly events?: number;
     readonly at: Moment;
   },
 ): readonly RelayEffect[] {
@@ -487,7 +398,7 @@
   if (!stop) {
     releaseMove(state, request, at);
     return startMove(state, request, { excludedEngines, stop, at }) ??
-      [retryEvacuation(request.exchangeId, at)];
+      [retryEvacuation(request, at)];
   }
   if (handle === null) {
     return failMove(state, request, { move, reason: "no_room", detail, at });
@@ -498,38 +409,18 @@
   if (next !== null) {
     return next;
   }
+  const restartEffects = restartStopped(state, request, { events, at });
+  if (restartEffects !== null) {
+    return restartEffects;
+  }
   const to = request.upstream;
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
     // Its engine is still leaving, so another evacuation is due.
-    retryEvacuation(request.exchangeId, at),
+    retryEvacuation(request, at),
   ];
 }
 
-/** Resumes a generation whose memory its stopped engine keeps by a handle. */
-function resumeStopped(
-  state: RelayState,
-  request: RelayedRequest,
-  { to, handle, reason, at }: {
-    readonly to: string;
-    readonly handle: string;
-    readonly reason: string;
-    readonly at: Moment;
-  },
-): readonly RelayEffect[] {
-  const { lastEventId, upstream } = request;
-  const address = state.upstreams.get(upstream)?.address ?? "";
-  const resumption = { address, handle, lastEventId };
-  return startResumption(state, request, {
-    to,
-    resumption,
-    reason,
-    outcome: "cancelled",
-    report: null,
-    at,
-  });
-}
-
 /**
  * Handles a failed move. If the stream has not ended, the generation is still
  * running, as its engine was not asked to stop it or refused to; the end of one
@@ -558,16 +449,18 @@
     return [
       recordDecision(state, { ...decision, kind: "retry", reason }, at),
       count("retries", reason),
-      retryEvacuation(request.exchangeId, at),
+      retryEvacuation(request, at),
     ];
   }
   const effects = resumeFromCopy(state, request, { reason: "copy_failed", at });
   if (effects !== null) {
     return effects;
   }
+  const lostEffects = countIfLost(state, request);
   const endEffects = endAttempt(state, request, { outcome: "failed", at });
   state.requests.delete(request.exchangeId);
   return [
+    ...lostEffects,
     recordDecision(state, { ...decision, kind: "drop" }, at),
     ...endEffects,
     ...failRequest(request, { error: "generation_lost", notRun: false }),
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -20,6 +20,8 @@
   refusals: "Requests refused or failed, by error kind",
   retries: "Operations tried again, by reason",
   resumptions: "Streams that went on at another engine, by reason",
+  moves: "Moves of generations off engines that leave, by outcome",
+  copies: "Copies of generations made ahead, by what became of them",
   reports: "Reports requested from engines before a choice, by outcome",
   documents: "Routings read at other relays, by outcome",
 };
@@ -82,6 +84,8 @@
       refusals: counter("refusals"),
       retries: counter("retries"),
       resumptions: counter("resumptions"),
+      moves: counter("moves"),
+      copies: counter("copies"),
       reports: counter("reports"),
       documents: counter("documents"),
     },
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -172,7 +172,9 @@
   | "retries"
   | "resumptions"
   | "reports"
-  | "documents";
+  | "documents"
+  | "moves"
+  | "copies";
 
 /** Effects on the process. */
 export type ProcessEffect =
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -16,7 +16,10 @@
 } from "../forwarding/forwarding_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
-import { movePart, resumeFromCopy } from "../moves/move_part.ts";
+import { recordFinalEvents } from "../moves/departure_plan.ts";
+import { movePart } from "../moves/move_part.ts";
+import { countIfLost, countMove } from "../moves/rescue_counts.ts";
+import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   copyReservationId,
@@ -24,6 +27,7 @@
   endRequest,
   failRequest,
   generatedTokens,
+  maxSends,
   placeRequest,
   refuseRequest,
   releaseBacklogs,
@@ -37,9 +41,6 @@
   Extract<RequestEvent, { kind: Kind }>
 >;
 
-/** Limit on attempts of one request, including those refused without a run. */
-const maxSends = 4;
-
 /**
  * Delays in milliseconds before each retry of a refused resumption. Copies may
  * still arrive and memory may become free for some seconds, and a generation
@@ -223,6 +224,7 @@
     const tokens = generatedTokens(pool, request);
     const streamMs = ms - firstEventMs;
     recordAnswerTime(state, request, { firstEventMs, streamMs, tokens });
+    recordFinalEvents(state, request);
   }
   const effects = endRequest(state, request, { outcome: "finished", at });
   return [
@@ -239,6 +241,7 @@
         longestPauseMs: Math.round(request.longestPauseMs),
       },
     }, at),
+    ...state.closeReasons.has(upstream) ? [countMove("ended")] : [],
     ...effects,
     { kind: "finish_events", exchangeId, head },
     ...provesComplete ? recordAnswered(state, suspectIdsOf(request), at) : [],
@@ -432,10 +435,12 @@
     sends: request.sends,
     ...(event.detail === undefined ? {} : { detail: event.detail }),
   };
+  const lostEffects = countIfLost(state, request);
   const endEffects = endAttempt(state, request, { outcome: "failed", at });
   if (!canRetry) {
     state.requests.delete(request.exchangeId);
     return [
+      ...lostEffects,
       recordDecision(state, {
         kind: "drop",
         subject: requestId,
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -8,6 +8,12 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
+import {
+  copyMemoryLimit,
+  maxMemoryFractionWithCopy,
+} from "../moves/copy_value.ts";
+import { expectRemainder, minEventsToCopy } from "../moves/copy_offer.ts";
+import { countCopy } from "../moves/rescue_counts.ts";
 import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import {
@@ -17,6 +23,9 @@
 } from "../reports/ask_engines.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 
+/** Limit on attempts of one request, including those refused without a run. */
+export const maxSends = 4;
+
 /** Retry delay for callers whose service has no pool, in milliseconds. */
 const noPoolRetryMs = 1_000;
 
@@ -306,6 +315,7 @@
   const copyTo = chooseCopyUpstream(state, request, { pool, at });
   return [
     count("attempts", request.route.name),
+    ...copyTo === null ? [] : [countCopy("made")],
     {
       kind: "send_request",
       attemptId,
@@ -371,23 +381,12 @@
   return `move/${attemptId}`;
 }
 
-/** Generations with fewer events finish before a copy would be of use. */
-const minEventsToCopy = 40;
-
 /**
  * Number of engines compared when a copy is placed. A small number makes
  * processes spread their copies over different engines.
  */
 const copyCandidates = 2;
 
-/**
- * Share of an engine's memory that may be in use after it has received a copy.
- * A copy doubles the memory that a generation takes, so beyond one half copies
- * would displace generations. Generations without a copy are moved one after
- * another when their engine leaves.
- */
-const maxMemoryFractionWithCopy = 0.5;
-
 /**
  * Chooses the engine that keeps a copy of a long generation's memory, reserves
  * the memory there and returns the engine's address.
@@ -399,21 +398,31 @@
 ): string | null {
   const { engines } = pool.service;
   const { demand, upstream, attemptId } = request;
-  // Copies of processes that do not know each other's would fill all memory.
-  if (engines === null || !engines.copies || !state.fleet.exchangesWithAll) {
+  if (engines === null || !engines.copies) {
     return null;
   }
   if (demand.maxTokens < minEventsToCopy * engines.tokensPerEvent) {
     return null;
   }
+  // Copies of processes that do not know each other's would fill all memory, so
+  // they need a recent report of the engine that keeps the copy.
+  const isReported = !state.fleet.exchangesWithAll;
+  const expected = isReported ? expectRemainder(state, request, pool) : null;
+  if (isReported && expected === null) {
+    return null;
+  }
   const excludedEngines = [...(demand.excludedEngines ?? []), upstream];
   const copyUpstream = pool.dispatcher.chooseTransferTarget({
     ...demand,
+    promptTokens: expected?.copyTokens ?? demand.promptTokens,
     excludedEngines,
   }, {
     at,
     maxCandidates: copyCandidates,
-    maxMemoryFraction: maxMemoryFractionWithCopy,
+    maxMemoryFraction: expected === null
+      ? maxMemoryFractionWithCopy
+      : copyMemoryLimit(expected),
+    isReported,
   });
   const vm = copyUpstream === null
     ? undefined
