--- a/packages/proof/src/harness/restartable_program.ts
+++ b/packages/proof/src/harness/restartable_program.ts
@@ -1,7 +1,7 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 
 const bytesPerMb = 1_000_000;
 const bytesPerKb = 1_024;
@@ -53,6 +53,15 @@
     return this.#peakKb * bytesPerKb / bytesPerMb;
   }
 
+  /** Number of descriptors that the program has open; 0 if it does not run. */
+  get openDescriptors(): number {
+    try {
+      return readdirSync(`/proc/${this.#child?.pid ?? 0}/fd`).length;
+    } catch {
+      return 0;
+    }
+  }
+
   /** Whether the program has a handler for a signal, by its number. */
   catches(signalNumber: number): boolean {
     const [, mask = "0"] = /SigCgt:\s*([0-9a-f]+)/.exec(this.#status) ?? [];
