--- /dev/null
+++ b/packages/runtime/src/connection_guard.ts
@@ -0,0 +1,151 @@
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerOptions,
+} from "node:http";
+import { createServer } from "node:http";
+import { GuardedConnection } from "./guarded_connection.ts";
+import {
+  connectionOf,
+  GuardedRequest,
+  GuardedResponse,
+} from "./guarded_messages.ts";
+import { announce } from "./process.ts";
+
+/** Why a guard closes a connection or does not accept it. */
+export const closeReasons = {
+  /** More was sent behind a request in progress than is kept. */
+  pipelined: "pipelined",
+  /** More of a body was sent after its answer than is discarded. */
+  bodyNotRead: "body_not_read",
+  /** Empty lines were sent in place of a request. */
+  emptyLines: "empty_lines",
+  /** Neither the request nor the answer progressed for long. */
+  stalled: "stalled",
+  /** The process held too much, and this connection most of it. */
+  memory: "memory",
+} as const;
+
+/** A value of `closeReasons`. */
+export type CloseReason = (typeof closeReasons)[keyof typeof closeReasons];
+
+/** An account of the bytes that one connection holds. */
+export interface HeldBytesAccount {
+  readonly set: (bytes: number) => void;
+  readonly close: () => void;
+}
+
+/** Limits of the connections of one server. */
+export interface ConnectionLimits {
+  /** Bytes that are kept behind a request in progress, for each connection. */
+  readonly pipelinedBytes: number;
+  /** Bytes of a body that are discarded after its answer. */
+  readonly discardedBytes: number;
+  /** Milliseconds without progress of a request's body or of an answer. */
+  readonly stalledMs: number;
+}
+
+/** Limits that no client reaches that sends one request at a time. */
+export const defaultConnectionLimits: ConnectionLimits = {
+  pipelinedBytes: 131_072,
+  discardedBytes: 4_194_304,
+  stalledMs: 60_000,
+};
+
+/** Limits of servers for probes, queries and scrapes, which have no bodies. */
+export const sideConnectionLimits: ConnectionLimits = {
+  ...defaultConnectionLimits,
+  discardedBytes: 65_536,
+};
+
+/** Dependencies of a guard. */
+export interface ConnectionGuardOptions {
+  /** Name of the server in log lines. */
+  readonly server: string;
+  readonly limits: ConnectionLimits;
+  /** Counts a connection that was closed or not accepted. */
+  readonly onClosed?: (reason: CloseReason) => void;
+  /** Opens an account of what a connection holds; `end` closes it. */
+  readonly openAccount?: (end: () => void) => HeldBytesAccount;
+}
+
+/** Least milliseconds between two log lines with the same reason. */
+const logPeriodMs = 5_000;
+
+/** Milliseconds between two checks for connections without progress. */
+const stallCheckMs = 1_000;
+
+/**
+ * Bounds what clients can make a server hold and do. The next request of a
+ * connection is parsed once the answer before it has been written, and
+ * connections take turns within each iteration of the event loop.
+ */
+export class ConnectionGuard {
+  readonly limits: ConnectionLimits;
+  readonly openAccount: ConnectionGuardOptions["openAccount"];
+  readonly #options: ConnectionGuardOptions;
+  readonly #connections = new Set<GuardedConnection>();
+  readonly #logs = new Map<CloseReason, { at: number; unlogged: number }>();
+  #stallTimer: NodeJS.Timeout | null = null;
+
+  constructor(options: ConnectionGuardOptions) {
+    this.#options = options;
+    this.limits = options.limits;
+    this.openAccount = options.openAccount;
+  }
+
+  /** Creates a server whose connections are guarded. */
+  createServer(options: ServerOptions, listener: RequestListener): Server {
+    const server = createServer(
+      {
+        ...options,
+        IncomingMessage: GuardedRequest as typeof IncomingMessage,
+        ServerResponse: GuardedResponse,
+      },
+      (request, response) => {
+        if (connectionOf(request.socket)?.isCurrent(response) !== false) {
+          listener(request, response);
+        }
+      },
+    );
+    server.on("connection", (socket) => {
+      const connection = new GuardedConnection(socket, this);
+      this.#connections.add(connection);
+      this.#stallTimer ??= setInterval(() => this.#closeStalled(), stallCheckMs)
+        .unref();
+      socket.on("close", () => this.#remove(connection));
+    });
+    return server;
+  }
+
+  /** Counts a connection that was closed, and logs it now and then. */
+  report(reason: CloseReason): void {
+    this.#options.onClosed?.(reason);
+    const now = performance.now();
+    const log = this.#logs.get(reason) ?? { at: -Infinity, unlogged: 0 };
+    this.#logs.set(reason, log);
+    log.unlogged += 1;
+    if (now - log.at >= logPeriodMs) {
+      const { server } = this.#options;
+      announce("connection_closed", { server, reason, count: log.unlogged });
+      log.at = now;
+      log.unlogged = 0;
+    }
+  }
+
+  #remove(connection: GuardedConnection): void {
+    this.#connections.delete(connection);
+    if (this.#connections.size === 0 && this.#stallTimer !== null) {
+      clearInterval(this.#stallTimer);
+      this.#stallTimer = null;
+    }
+  }
+
+  #closeStalled(): void {
+    const now = performance.now();
+    for (const connection of this.#connections) {
+      connection.closeIfStalled(now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -0,0 +1,233 @@
+import fc from "fast-check";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { connect } from "node:net";
+import { once } from "node:events";
+import { text } from "node:stream/consumers";
+import type { Test } from "tap";
+import t from "tap";
+import type { CloseReason, ConnectionLimits } from "./connection_guard.ts";
+import {
+  ConnectionGuard,
+  defaultConnectionLimits,
+} from "./connection_guard.ts";
+
+type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Starts a guarded server; returns what it reports and holds. */
+async function startServer(
+  t: Test,
+  listener: Listener,
+  change: Partial<ConnectionLimits> = {},
+) {
+  const reasons: CloseReason[] = [];
+  const held = new Map<object, number>();
+  const guard = new ConnectionGuard({
+    server: "test",
+    limits: { ...defaultConnectionLimits, ...change },
+    onClosed: (reason) => reasons.push(reason),
+    openAccount: () => {
+      const account = {
+        set: (bytes: number) => void held.set(account, bytes),
+        close: () => void held.delete(account),
+      };
+      return account;
+    },
+  });
+  const server: Server = guard.createServer({}, listener);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const sockets: Socket[] = [];
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+  });
+  const open = () => {
+    const { port } = server.address() as AddressInfo;
+    const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+    socket.on("error", () => undefined);
+    sockets.push(socket);
+    return socket;
+  };
+  const heldBytes = () => [...held.values()].reduce((sum, n) => sum + n, 0);
+  return { reasons, open, heldBytes };
+}
+
+const get = (path: string) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`;
+
+const chunkedHead = "POST /1 HTTP/1.1\r\nhost: a\r\n" +
+  "transfer-encoding: chunked\r\n\r\n";
+
+/** Resolves once a socket has closed, after an error or without. */
+const closeOf = (socket: Socket) =>
+  new Promise<void>((resolve) => socket.once("close", () => resolve()));
+
+const turn = () => new Promise((resolve) => setImmediate(resolve));
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  while (!check()) {
+    await turn();
+  }
+}
+
+// A pipelined request was dispatched as it arrived, before its turn.
+t.test("a pipelined request begins once the answer before is written", async (t) => {
+  const begun: [string, ServerResponse][] = [];
+  const { open, heldBytes } = await startServer(t, ({ url = "" }, response) => {
+    begun.push([url, response]);
+  });
+  const socket = open().resume();
+  socket.write(get("/1") + get("/2") + get("/3"));
+  await waitUntil(() => heldBytes() > 0);
+  for (const count of [1, 2, 3]) {
+    await waitUntil(() => begun.length >= count);
+    await turn();
+    await turn();
+    t.equal(begun.length, count);
+    begun.at(-1)?.[1].end();
+  }
+  t.strictSame(begun.map(([url]) => url), ["/1", "/2", "/3"]);
+  await waitUntil(() => heldBytes() === 0);
+});
+
+// A caller's close must end its running request at once, and the promise that a
+// waiting request has not run must hold.
+t.test("a close is noticed behind pipelined requests, which do not run", async (t) => {
+  const begun: ServerResponse[] = [];
+  const { open, heldBytes, reasons } = await startServer(
+    t,
+    ({ url }, response) => {
+      if (url === "/quick") {
+        response.end();
+      } else {
+        begun.push(response);
+      }
+    },
+  );
+  const socket = open().resume();
+  // Reading has been paused by the time at which the last request begins.
+  socket.write(get("/quick").repeat(5) + get("/1").repeat(2_500));
+  await waitUntil(() => begun.length === 1 && heldBytes() > 0);
+  socket.write(get("/1").repeat(100));
+  for (let turns = 0; turns < 10; turns++) {
+    await turn();
+  }
+  const [first] = begun;
+  const closed = once(first as ServerResponse, "close");
+  socket.destroy();
+  await closed;
+  await turn();
+  t.equal(begun.length, 1);
+  t.equal(heldBytes(), 0);
+  t.strictSame(reasons, []);
+});
+
+// Reading went on while requests awaited their turn, faster than they had it.
+t.test("what waits on a connection is bounded", async (t) => {
+  const { open, heldBytes } = await startServer(t, (_, response) => {
+    response.end();
+  });
+  const socket = open();
+  socket.write(get("/1").repeat(200_000));
+  let most = 0;
+  for (let turns = 0; turns < 1_000; turns++) {
+    await turn();
+    most = Math.max(most, heldBytes());
+  }
+  t.ok(most > 0);
+  t.ok(most <= 3 * 65_536, `${most} bytes were held`);
+});
+
+// Pieces that the parser gets must not depend on how the bytes arrive.
+t.test("requests are read the same however their bytes are split", async (t) => {
+  const received: string[] = [];
+  const { open, reasons } = await startServer(t, (request, response) => {
+    void text(request).then((body) => {
+      received.push(`${request.url} ${body}`);
+      response.end();
+    });
+  });
+  const body = fc.string({ unit: fc.constantFrom("a", "\r", "\n", "0") });
+  const message = fc.record({ body, isChunked: fc.boolean() });
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(message, { minLength: 1, maxLength: 5 }),
+      fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 }),
+      async (messages, sizes) => {
+        received.length = 0;
+        const socket = open().resume();
+        let bytes = messages.map((message, index) => write(index, message))
+          .join("");
+        for (let index = 0; bytes !== ""; index++) {
+          const size = sizes[index % sizes.length] ?? 1;
+          socket.write(bytes.slice(0, size));
+          bytes = bytes.slice(size);
+          await turn();
+        }
+        await waitUntil(() => received.length === messages.length);
+        socket.destroy();
+        t.strictSame(
+          received,
+          messages.map(({ body }, index) => `/${index} ${body}`),
+        );
+      },
+    ),
+    { seed: 1, numRuns: 60 },
+  );
+  t.strictSame(reasons, []);
+});
+
+function write(
+  index: number,
+  { body, isChunked }: { readonly body: string; readonly isChunked: boolean },
+): string {
+  const head = `POST /${index} HTTP/1.1\r\nhost: a\r\n`;
+  if (!isChunked) {
+    return `${head}content-length: ${body.length}\r\n\r\n${body}`;
+  }
+  const size = body.length.toString(16);
+  const chunk = body === "" ? "" : `${size}\r\n${body}\r\n`;
+  return `${head}transfer-encoding: chunked\r\n\r\n${chunk}0\r\nx: y\r\n\r\n`;
+}
+
+// The rest of a body is read after an early answer, so that the answer arrives.
+t.test("the rest of a body is discarded after an early answer, to a bound", async (t) => {
+  const { open, reasons } = await startServer(t, (_, response) => {
+    response.end("early");
+  }, { discardedBytes: 500_000 });
+  const socket = open();
+  let answers = 0;
+  socket.on(
+    "data",
+    (bytes) => answers += String(bytes).split("early").length - 1,
+  );
+  const head = "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 400000\r\n\r\n";
+  socket.write(head);
+  await waitUntil(() => answers === 1);
+  socket.write("x".repeat(400_000) + get("/2"));
+  await waitUntil(() => answers === 2);
+  t.strictSame(reasons, []);
+  socket.write(head.replace("400000", "999999999"));
+  await waitUntil(() => answers === 3);
+  socket.write("x".repeat(900_000));
+  await closeOf(socket);
+  t.strictSame(reasons, ["body_not_read"]);
+});
+
+// Each of these took memory, descriptors or time without a bound.
+const excesses = [
+  { reason: "pipelined", text: get("/1").repeat(20_000) },
+  { reason: "empty_lines", text: "\r\n".repeat(200) },
+  { reason: "stalled", text: `${chunkedHead}5\r\nx` },
+] as const;
+for (const { reason, text } of excesses) {
+  t.test(`a connection is closed with the reason ${reason}`, async (t) => {
+    const { open, reasons } = await startServer(t, () => undefined, {
+      stalledMs: 1_500,
+    });
+    const socket = open().resume();
+    socket.write(text);
+    await closeOf(socket);
+    t.strictSame(reasons, [reason]);
+  });
+}
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -1,6 +1,7 @@
 /** Reducer loop, clocks, logs and random numbers that all programs share. */
 export * from "./chunk_buffer.ts";
 export * from "./clock.ts";
+export * from "./connection_guard.ts";
 export * from "./decision_log.ts";
 export * from "./decisions.ts";
 export * from "./end_process.ts";
