--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
 import { randomBytes } from "node:crypto";
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { ConnectionGuard, Dispatch } from "@lavenderferry/runtime";
 import { announce, ChunkBuffer } from "@lavenderferry/runtime";
 import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
@@ -12,7 +11,6 @@
 import { areWritableHeaders } from "./are_writable_headers.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
-import { readInTurns } from "./read_in_turns.ts";
 
 /** Dependencies of the callers' server. */
 export interface FrontServerOptions {
@@ -20,6 +18,8 @@
   readonly exchanges: CallerExchanges;
   /** Bounds what all requests hold. */
   readonly budget: ByteBudget;
+  /** Bounds what clients send. */
+  readonly guard: ConnectionGuard;
   readonly dispatch: Dispatch<RelayEvent>;
 }
 
@@ -54,7 +54,7 @@
 
   constructor(options: FrontServerOptions) {
     this.#options = options;
-    this.#server = createServer(
+    this.#server = options.guard.createServer(
       {
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeadersTimeoutMs,
@@ -172,7 +172,7 @@
       response.once("close", opened.close);
       return opened;
     };
-    readInTurns(request, (chunk) => {
+    request.on("data", (chunk: Buffer) => {
       length += chunk.length;
       if (length <= maxBytes && !isRefused) {
         body.push(chunk);
--- a/packages/relay/src/http/unsendable_request_test.ts
+++ b/packages/relay/src/http/unsendable_request_test.ts
@@ -1,4 +1,8 @@
 import { connect } from "node:net";
+import {
+  ConnectionGuard,
+  defaultConnectionLimits,
+} from "@lavenderferry/runtime";
 import t from "tap";
 import {
   codec,
@@ -25,6 +29,10 @@
       codec,
       exchanges: new CallerExchanges(codec, unlimitedBudget),
       budget: unlimitedBudget,
+      guard: new ConnectionGuard({
+        server: "callers",
+        limits: defaultConnectionLimits,
+      }),
       dispatch: (event) => dispatched.push(event),
     });
     await server.listen({ ip: "127.0.0.1", port: 0 });
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -8,6 +8,8 @@
   readonly counters: Readonly<Record<CounterName, Counter<"reason">>>;
   /** Operations of the platform's store. */
   readonly storeCalls: Counter<"reason">;
+  /** Connections that were closed or not accepted as they exceed a limit. */
+  readonly connectionsClosed: Counter<"reason">;
   /** Milliseconds until the answer, or the first event of a stream. */
   readonly answerMs: Histogram<"route">;
 }
@@ -82,6 +84,12 @@
       labelNames: ["reason"],
       registers: [registry],
     }),
+    connectionsClosed: new Counter({
+      name: "lavenderferry_relay_connections_closed_total",
+      help: "Connections that were closed as they exceed a limit, by limit",
+      labelNames: ["reason"],
+      registers: [registry],
+    }),
     answerMs: new Histogram({
       name: "lavenderferry_relay_answer_ms",
       help: "Milliseconds until the answer, or its first event, by route",
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,8 +8,14 @@
   PeerServer,
   toExplainReply,
 } from "@lavenderferry/protocol";
-import type { Dispatch } from "@lavenderferry/runtime";
-import { announce, Loop, systemClock } from "@lavenderferry/runtime";
+import type { ConnectionLimits, Dispatch } from "@lavenderferry/runtime";
+import {
+  announce,
+  ConnectionGuard,
+  defaultConnectionLimits,
+  Loop,
+  systemClock,
+} from "@lavenderferry/runtime";
 import { SourceRunner } from "./fleet/source_runner.ts";
 import { CallerExchanges } from "./http/caller_exchanges.ts";
 import { FrontServer } from "./http/front_server.ts";
@@ -95,10 +101,21 @@
     },
   });
   const dispatch: Dispatch<RelayEvent> = loop.dispatch;
+  const guardOf = (server: string, limits: ConnectionLimits) =>
+    new ConnectionGuard({
+      server,
+      limits,
+      onClosed: (reason) => metrics.connectionsClosed.inc({ reason }),
+      openAccount: (end) => budget.open(end),
+    });
   const frontServer: FrontServer = new FrontServer({
     codec: ports.headers,
     exchanges: callerExchanges,
     budget,
+    guard: guardOf("callers", {
+      ...defaultConnectionLimits,
+      ...settings.connections,
+    }),
     dispatch,
   });
   const peerServer = new PeerServer(
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,5 @@
 import type { SocketAddress } from "@lavenderferry/fleet";
+import type { ConnectionLimits } from "@lavenderferry/runtime";
 
 /** Settings of one relay process. */
 export interface RelaySettings {
@@ -25,6 +26,8 @@
   readonly freshnessMs: number;
   /** Bytes that all requests and answers in progress may hold in memory. */
   readonly heldBytes: number;
+  /** Limits of callers' connections; those left out have their defaults. */
+  readonly connections?: Partial<ConnectionLimits>;
   /** Burst of retries per window, across all processes of the fleet. */
   readonly retryBurst: number;
   /** Retries allowed per first attempt. */
