--- a/packages/relay/src/http/side_server.ts
+++ b/packages/relay/src/http/side_server.ts
@@ -1,6 +1,6 @@
 import type { Server } from "node:http";
-import { createServer } from "node:http";
 import { listEntries } from "@lavenderferry/fleet";
+import type { ConnectionGuard } from "@lavenderferry/runtime";
 import { announce } from "@lavenderferry/runtime";
 import polka from "polka";
 import type { Registry } from "prom-client";
@@ -24,17 +24,19 @@
 export function createReadinessServer(
   state: RelayState,
   path: string,
+  guard: ConnectionGuard,
 ): Server {
   const application = polka().get(path, (_request, response) => {
     response.writeHead(isReady(state) ? 200 : 503).end();
   });
-  return serverOf(application);
+  return serverOf(application, guard);
 }
 
 /** Serves the addresses that callers should use; 503 when none is known. */
 export function createAddressServer(
   state: RelayState,
   codec: AddressCodec,
+  guard: ConnectionGuard,
 ): Server {
   let rotation = 0;
   const application = polka().get(codec.path, (request, response) => {
@@ -49,11 +51,15 @@
     response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify(document));
   });
-  return serverOf(application);
+  return serverOf(application, guard);
 }
 
 /** Serves the metrics of the process. */
-export function createMetricsServer(registry: Registry, path: string): Server {
+export function createMetricsServer(
+  registry: Registry,
+  path: string,
+  guard: ConnectionGuard,
+): Server {
   const application = polka().get(path, (_request, response) => {
     registry.metrics().then(
       (text) => {
@@ -66,7 +72,7 @@
       },
     );
   });
-  return serverOf(application);
+  return serverOf(application, guard);
 }
 
 /**
@@ -92,8 +98,11 @@
   return entries.map(({ address }) => address);
 }
 
-function serverOf(application: ReturnType<typeof polka>): Server {
-  return createServer((request, response) => {
+function serverOf(
+  application: ReturnType<typeof polka>,
+  guard: ConnectionGuard,
+): Server {
+  return guard.createServer({}, (request, response) => {
     try {
       void application.handler(request as never, response as never);
     } catch (error) {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -14,6 +14,7 @@
   ConnectionGuard,
   defaultConnectionLimits,
   Loop,
+  sideConnectionLimits,
   systemClock,
 } from "@lavenderferry/runtime";
 import { SourceRunner } from "./fleet/source_runner.ts";
@@ -126,11 +127,23 @@
   // A server of gRPC that could not listen once never does.
   await waitUntilFree(settings.peers);
   await peerServer.listen(ip, port);
-  const readinessServer = createReadinessServer(state, ports.readinessPath);
+  const readinessServer = createReadinessServer(
+    state,
+    ports.readinessPath,
+    guardOf("readiness", sideConnectionLimits),
+  );
   await listen(readinessServer, settings.readiness);
-  const addressServer = createAddressServer(state, ports.addresses);
+  const addressServer = createAddressServer(
+    state,
+    ports.addresses,
+    guardOf("addresses", sideConnectionLimits),
+  );
   await listen(addressServer, settings.addresses);
-  const metricsServer = createMetricsServer(metrics.registry, metricsPath);
+  const metricsServer = createMetricsServer(
+    metrics.registry,
+    metricsPath,
+    guardOf("metrics", sideConnectionLimits),
+  );
   if (settings.metrics !== null) {
     await listen(metricsServer, settings.metrics);
   }
