--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -15,6 +15,8 @@
 
 /** Why a guard closes a connection or does not accept it. */
 export const closeReasons = {
+  /** The socket had as many connections as it may, and this one gave way. */
+  tooManyConnections: "too_many_connections",
   /** More was sent behind a request in progress than is kept. */
   pipelined: "pipelined",
   /** The body consists of very small chunks. */
@@ -40,6 +42,8 @@
 
 /** Limits of the connections of one server. */
 export interface ConnectionLimits {
+  /** Connections that are open at a time. */
+  readonly connections: number;
   /** Bytes that are kept behind a request in progress, for each connection. */
   readonly pipelinedBytes: number;
   /** Bytes of a body that are discarded after its answer. */
@@ -50,6 +54,7 @@
 
 /** Limits that no client reaches that sends one request at a time. */
 export const defaultConnectionLimits: ConnectionLimits = {
+  connections: 1_024,
   pipelinedBytes: 131_072,
   discardedBytes: 4_194_304,
   stalledMs: 60_000,
@@ -58,6 +63,7 @@
 /** Limits of servers for probes, queries and scrapes, which have no bodies. */
 export const sideConnectionLimits: ConnectionLimits = {
   ...defaultConnectionLimits,
+  connections: 128,
   discardedBytes: 65_536,
 };
 
@@ -112,7 +118,14 @@
       },
     );
     server.on("connection", (socket) => {
+      if (this.#connections.size >= this.limits.connections) {
+        this.#makeRoom();
+      }
       const connection = new GuardedConnection(socket, this);
+      if (this.#connections.size >= this.limits.connections) {
+        connection.close(closeReasons.tooManyConnections);
+        return;
+      }
       this.#connections.add(connection);
       this.#stallTimer ??= setInterval(() => this.#closeStalled(), stallCheckMs)
         .unref();
@@ -136,6 +149,24 @@
     }
   }
 
+  /**
+   * Closes the connection that has been without a request for longest; one that
+   * never had a request goes first. Otherwise clients that only open connections
+   * would keep out all others.
+   */
+  #makeRoom(): void {
+    const [first, ...others] = [...this.#connections]
+      .filter(({ isIdle }) => isIdle);
+    if (first !== undefined) {
+      const last = others.reduce(
+        (last, other) => last.yieldsBefore(other) ? last : other,
+        first,
+      );
+      this.#connections.delete(last);
+      last.close(closeReasons.tooManyConnections);
+    }
+  }
+
   #remove(connection: GuardedConnection): void {
     this.#connections.delete(connection);
     if (this.#connections.size === 0 && this.#stallTimer !== null) {
--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -250,3 +250,31 @@
     t.strictSame(reasons, [reason]);
   });
 }
+
+// Clients that only open connections must not keep out those with requests.
+t.test("beyond the limit, a connection without a request gives way", async (t) => {
+  const { open, reasons } = await startServer(t, ({ url }, response) => {
+    if (url === "/1") {
+      response.end();
+    }
+  }, { connections: 2 });
+  const first = open();
+  first.write(get("/1"));
+  await once(first, "data");
+  const second = open();
+  const closed = closeOf(second.resume());
+  await once(second, "connect");
+  const third = open();
+  third.write(get("/1"));
+  await once(third, "data");
+  await closed;
+  t.strictSame(reasons, ["too_many_connections"]);
+  first.write(get("/1"));
+  await once(first, "data");
+  first.write(get("/wait"));
+  third.write(get("/1"));
+  await once(third, "data");
+  third.write(get("/wait"));
+  await closeOf(open().resume());
+  t.notOk(first.closed || third.closed, "requests in progress go on");
+});
--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -49,6 +49,8 @@
   #bodyLeft: number | null = null;
   #discardedBytes = 0;
   #emptyLines = 0;
+  #hasServed = false;
+  #idleSince = performance.now();
   #isPaused = false;
   #isScheduled = false;
   #progress = { bytesRead: 0, unwritten: 0, at: performance.now() };
@@ -70,6 +72,18 @@
     return this.#isPaused;
   }
 
+  /** Whether no complete head has arrived since the last answer. */
+  get isIdle(): boolean {
+    return this.#request === null && !this.#hasBytes;
+  }
+
+  /** Whether this idle connection is closed rather than another one. */
+  yieldsBefore(other: GuardedConnection): boolean {
+    return this.#hasServed === other.#hasServed
+      ? this.#idleSince <= other.#idleSince
+      : !this.#hasServed;
+  }
+
   /** Whether a response is that of the request in progress. */
   isCurrent(response: ServerResponse): boolean {
     return this.#response === response && !this.#socket.destroyed;
@@ -237,6 +251,8 @@
   #endIfComplete(): void {
     if (this.#response === null && this.#request?.complete === true) {
       this.#request = null;
+      this.#hasServed = true;
+      this.#idleSince = performance.now();
       this.#lines.reset();
       if (this.#hasBytes) {
         this.#schedule();
