--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
 import { randomBytes } from "node:crypto";
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { ConnectionGuard, Dispatch } from "@lavenderferry/runtime";
 import { announce, ChunkBuffer } from "@lavenderferry/runtime";
 import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
@@ -12,7 +11,6 @@
 import { areWritableHeaders } from "./are_writable_headers.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
-import { readInTurns } from "./read_in_turns.ts";
 
 /** Dependencies of the callers' server. */
 export interface FrontServerOptions {
@@ -20,6 +18,8 @@
   readonly exchanges: CallerExchanges;
   /** Bounds what all requests hold. */
   readonly budget: ByteBudget;
+  /** Bounds what clients send. */
+  readonly guard: ConnectionGuard;
   readonly dispatch: Dispatch<RelayEvent>;
 }
 
@@ -54,7 +54,7 @@
 
   constructor(options: FrontServerOptions) {
     this.#options = options;
-    this.#server = createServer(
+    this.#server = options.guard.createServer(
       {
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeadersTimeoutMs,
@@ -149,7 +149,8 @@
   /**
    * Reads a body; an incomplete one is dropped with its connection. Its bytes
    * are held to account until the answer has ended. If the process holds too
-   * much, the request is refused, or fails if it was dispatched.
+   * much, the request is refused, or fails if it was dispatched. What follows
+   * after a refusal is discarded as far as the guard allows.
    */
   #readBody(
     id: string,
@@ -172,28 +173,28 @@
       response.once("close", opened.close);
       return opened;
     };
-    readInTurns(request, (chunk) => {
+    request.on("data", (chunk: Buffer) => {
       length += chunk.length;
-      if (length <= maxBytes && !isRefused) {
+      if (isRefused) {
+        return;
+      }
+      if (length <= maxBytes) {
         body.push(chunk);
         account ??= openAccount();
         account.set(body.capacity);
-      } else {
-        body.clear();
-        account?.set(0);
+        return;
       }
+      isRefused = true;
+      body.clear();
+      account?.set(0);
+      const error = "body_too_large";
+      exchanges.sendFailure(response, { error, notRun: true });
     });
     request.on("end", () => {
       isRead = true;
-      if (isRefused) {
-        return;
-      }
-      if (length <= maxBytes) {
+      if (!isRefused) {
         onBody(body.take());
-        return;
       }
-      const error = "body_too_large";
-      exchanges.sendFailure(response, { error, notRun: true });
     });
     // The caller aborted an incomplete request; nothing was relayed.
     request.on("error", () => response.destroy());
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,8 +8,15 @@
   PeerServer,
   toExplainReply,
 } from "@lavenderferry/protocol";
-import type { Dispatch } from "@lavenderferry/runtime";
-import { announce, Loop, systemClock } from "@lavenderferry/runtime";
+import type { ConnectionLimits, Dispatch } from "@lavenderferry/runtime";
+import {
+  announce,
+  ConnectionGuard,
+  defaultConnectionLimits,
+  Loop,
+  sideConnectionLimits,
+  systemClock,
+} from "@lavenderferry/runtime";
 import { SourceRunner } from "./fleet/source_runner.ts";
 import { CallerExchanges } from "./http/caller_exchanges.ts";
 import { FrontServer } from "./http/front_server.ts";
@@ -96,10 +103,21 @@
     },
   });
   const dispatch: Dispatch<RelayEvent> = loop.dispatch;
+  const guardOf = (server: string, limits: ConnectionLimits) =>
+    new ConnectionGuard({
+      server,
+      limits,
+      onClosed: (reason) => metrics.connectionsClosed.inc({ reason }),
+      openAccount: (end) => budget.open(end),
+    });
   const frontServer: FrontServer = new FrontServer({
     codec: ports.headers,
     exchanges: callerExchanges,
     budget,
+    guard: guardOf("callers", {
+      ...defaultConnectionLimits,
+      ...settings.connections,
+    }),
     dispatch,
   });
   const peerServer = new PeerServer(
@@ -110,11 +128,23 @@
   // A server of gRPC that could not listen once never does.
   await waitUntilFree(settings.peers);
   await peerServer.listen(ip, port);
-  const readinessServer = createReadinessServer(state, ports.readinessPath);
+  const readinessServer = createReadinessServer(
+    state,
+    ports.readinessPath,
+    guardOf("readiness", sideConnectionLimits),
+  );
   await listen(readinessServer, settings.readiness);
-  const addressServer = createAddressServer(state, ports.addresses);
+  const addressServer = createAddressServer(
+    state,
+    ports.addresses,
+    guardOf("addresses", sideConnectionLimits),
+  );
   await listen(addressServer, settings.addresses);
-  const metricsServer = createMetricsServer(metrics.registry, metricsPath);
+  const metricsServer = createMetricsServer(
+    metrics.registry,
+    metricsPath,
+    guardOf("metrics", sideConnectionLimits),
+  );
   if (settings.metrics !== null) {
     await listen(metricsServer, settings.metrics);
   }
