--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -131,6 +131,15 @@
       runs,
     });
     t.strictSame(countsOf(effects), isMoving ? ["begun"] : []);
+    if (isMoving) {
+      const ids = { attemptId, exchangeId: "x1" } as const;
+      const outcome = { kind: "busy" } as const;
+      relay.reduce({ kind: "generation_copied", ...ids, outcome });
+      const timer = { kind: "evacuate", exchangeId: "x1" } as const;
+      const again = relay.reduce({ kind: "timer_fired", timer }, 50);
+      t.equal(only(again, "copy_generation").length, 1);
+      t.strictSame(countsOf(again), [], "a retry is no other move");
+    }
     const kind = "attempt_failed";
     const reason = "connection_lost";
     const lost = { kind, attemptId, exchangeId: "x1", reason } as const;
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -22,7 +22,7 @@
 import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { copyAgain, requestCopy } from "./request_copy.ts";
 import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
-import { countCopy, countIfLost, countMove } from "./rescue_counts.ts";
+import { countBegun, countCopy, countIfLost } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
@@ -321,7 +321,7 @@
       reason: "move",
       figures,
     }, at),
-    ...excludedEngines.length === 0 ? [countMove("begun")] : [],
+    ...countBegun(request),
     requestCopy(state, request, move),
   ];
 }
--- a/packages/relay/src/moves/rescue_counts.ts
+++ b/packages/relay/src/moves/rescue_counts.ts
@@ -38,6 +38,13 @@
   return count("moves", moveOutcomes[outcome]);
 }
 
+/** Counts the first move after a notice; the others are retries of it. */
+export function countBegun(request: RelayedRequest): readonly RelayEffect[] {
+  const { terminationNoticeAt, countedNoticeAt } = request;
+  request.countedNoticeAt = terminationNoticeAt;
+  return terminationNoticeAt === countedNoticeAt ? [] : [countMove("begun")];
+}
+
 /** Counts what became of a copy. */
 export function countCopy(outcome: keyof typeof copyOutcomes): RelayEffect {
   return count("copies", copyOutcomes[outcome]);
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -117,6 +117,8 @@
   firstEventAt: number | null;
   /** Monotonic milliseconds of the upstream's termination notice; 0: none. */
   terminationNoticeAt: number;
+  /** Notice after which a move was last counted as begun; 0: none was. */
+  countedNoticeAt: number;
   /** Monotonic milliseconds from which a move may start; `null`: unknown. */
   moveAllowedAt: number | null;
   /** Its turn in the schedule of its engine; `null`: there is none yet. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -301,6 +301,7 @@
     move: null,
     firstEventAt: null,
     terminationNoticeAt: 0,
+    countedNoticeAt: 0,
     moveAllowedAt: null,
     departure: null,
     firstEventMs: 0,
