--- a/packages/relay/src/moves/departure_schedule.ts
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -54,6 +54,12 @@
 /** Engines that are tried for one move. */
 const maxTargetsPerMove = 8;
 
+/**
+ * Targets that the schedule of one departure considers. An engine has fewer
+ * slots, and a pool may have thousands of engines.
+ */
+const maxRankedTargets = 64;
+
 /** Place of an engine. */
 export interface EngineSite {
   readonly id: string;
@@ -114,9 +120,10 @@
   const { runs, leavesMs } = departure;
   const mayEnd = runs.filter((run) => mayEndInTime(run, departure));
   const mustMove = runs.filter((run) => !mayEnd.includes(run));
-  const moves = scheduleMoves(mustMove, departure);
+  const turns = listTurns(departure);
+  const moves = scheduleMoves(mustMove, departure, turns);
   const endMs = moves.at(-1)?.endMs ?? 0;
-  const all = scheduleMoves([...mustMove, ...mayEnd], departure);
+  const all = scheduleMoves([...mustMove, ...mayEnd], departure, turns);
   const reservedMs = (all.at(-1)?.endMs ?? 0) - endMs;
   const latestStartMs = leavesMs - departureMarginMs - reservedMs;
   if (moves.length === 0 && latestStartMs < minReviewMs) {
@@ -170,13 +177,9 @@
 
 function scheduleMoves(
   runs: readonly RunningGeneration[],
-  departure: Departure,
+  { source, tokensPerMs }: Departure,
+  turns: readonly EngineSite[],
 ): readonly ScheduledMove[] {
-  const { source, targets, tokensPerMs } = departure;
-  const dataCentres = new Map(
-    targets.map((site) => [site.id, site.dataCentre]),
-  );
-  const turns = listTurns(departure);
   const ranked = [...new Set(turns)];
   const moves: ScheduledMove[] = [];
   let endMs = 0;
@@ -185,12 +188,12 @@
   );
   for (const [index, { requestId, tokens }] of ordered.entries()) {
     const preferred = turns[index % Math.max(1, turns.length)];
-    const isRemote = dataCentres.get(preferred ?? "") !== source.dataCentre;
+    const isRemote = preferred?.dataCentre !== source.dataCentre;
     const startMs = endMs;
     endMs += moveMsOf(tokens, tokensPerMs, isRemote);
-    const others = ranked.filter((id) => id !== preferred);
-    const ids = preferred === undefined ? [] : [preferred, ...others];
-    const candidates = ids.slice(0, maxTargetsPerMove);
+    const others = ranked.filter((site) => site !== preferred);
+    const sites = preferred === undefined ? [] : [preferred, ...others];
+    const candidates = sites.slice(0, maxTargetsPerMove).map(({ id }) => id);
     moves.push({ requestId, startMs, endMs, targets: candidates });
   }
   return moves;
@@ -203,7 +206,7 @@
  */
 function listTurns(
   { source, leaving, targets }: Departure,
-): readonly string[] {
+): readonly EngineSite[] {
   const leavingCounts = new Map<string, number>();
   for (const { dataCentre } of leaving) {
     leavingCounts.set(dataCentre, (leavingCounts.get(dataCentre) ?? 0) + 1);
@@ -229,7 +232,7 @@
     remote.own,
     nearby.others,
     remote.others,
-  ].flat().map(({ id }) => id);
+  ].flat().slice(0, maxRankedTargets);
 }
 
 /** Divides targets evenly among the leaving engines. */
