--- a/packages/policy/src/admission_test.ts
+++ b/packages/policy/src/admission_test.ts
@@ -138,6 +138,20 @@
   t.end();
 });
 
+// An engine whose slots are taken rejects, however much memory is free.
+t.test("an engine whose slots are taken gets nothing until one is free", (t) => {
+  const dispatcher = new AdaptiveDispatcher(1);
+  const engine = { id: "e0", dataCentre: "a", pool: "models", slots: 4 };
+  dispatcher.addEngine(engine);
+  dispatcher.loadReported("e0", reportOf({ memoryTokens }), at(0));
+  const demand = requestOf("r", 4_000);
+  report(dispatcher, "e0", { usedTokens: 4 * 3_300, now: 1_000 });
+  t.equal(dispatcher.placeAmong(demand, ["e0"], at(1_000)).kind, "wait");
+  report(dispatcher, "e0", { usedTokens: 3 * 3_300, now: 1_100 });
+  t.match(dispatcher.release(at(1_100)), [{ placement: { engine: "e0" } }]);
+  t.end();
+});
+
 // A silent engine looks empty if its last report did.
 t.test("an engine without a recent report is not preferred", (t) => {
   const dispatcher = createDispatcher(3_000);
--- a/packages/policy/src/candidate.ts
+++ b/packages/policy/src/candidate.ts
@@ -56,6 +56,9 @@
   }
   const forecast = view.forecast(at);
   const { memoryTokens, isSampled } = view;
+  if (options.admission && isSampled && view.running >= engine.slots) {
+    return null;
+  }
   const heldTokens = (forecast.mean[0] ?? 0) + demand.promptTokens;
   const memoryFraction = heldTokens / memoryTokens;
   const risk = forecast.overflowRiskWith(
--- a/packages/policy/src/engine.ts
+++ b/packages/policy/src/engine.ts
@@ -10,6 +10,8 @@
   readonly id: string;
   readonly dataCentre: string;
   readonly hash: number;
+  /** Maximum number of concurrent requests; `Infinity`: not declared. */
+  readonly slots: number;
   readonly view: EngineView;
   readonly circuit = new Circuit();
   readonly prefixes = new KnownPrefixes();
@@ -24,6 +26,7 @@
     this.id = description.id;
     this.dataCentre = description.dataCentre;
     this.hash = hashText(description.id);
+    this.slots = description.slots ?? Infinity;
     this.view = new EngineView(lagCorrection, statistics);
   }
 
