--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -1,12 +1,12 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { verifyCallerKey, verifyEventId } from "@lavenderferry/credentials";
 import type { Failure } from "@lavenderferry/errors";
 import { KnownError, toFailure, toProblem } from "@lavenderferry/errors";
 import { listAddresses } from "@lavenderferry/fleet";
 import type { Dispatch } from "@lavenderferry/runtime";
+import { ConnectionGuard } from "@lavenderferry/runtime";
 import polka from "polka";
 import type { EntryEvent } from "../events.ts";
 import type { ReaderRunner } from "../generations/reader_runner.ts";
@@ -99,7 +99,13 @@
           this.#requestCall(request, response)
         ),
       );
-    this.#server = createServer(
+    const { state, metrics } = options;
+    const guard = new ConnectionGuard({
+      server: "callers",
+      limits: state.settings.connections,
+      onClosed: (reason) => metrics.counters.connections_closed.inc({ reason }),
+    });
+    this.#server = guard.createServer(
       { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs },
       (request, response) => {
         void application.handler(request as never, response as never);
--- a/packages/entry/src/process/metrics.ts
+++ b/packages/entry/src/process/metrics.ts
@@ -17,6 +17,7 @@
   tokens: "Tokens relayed, by class",
   calls: "Calls sent to plain services, by service",
   replays: "Calls answered from their record",
+  connections_closed: "Connections that exceeded a limit, by limit",
 };
 
 const histogramHelp: Readonly<Record<HistogramName, string>> = {
--- a/packages/entry/src/process/process_effect.ts
+++ b/packages/entry/src/process/process_effect.ts
@@ -9,7 +9,8 @@
   | "late_tokens"
   | "tokens"
   | "calls"
-  | "replays";
+  | "replays"
+  | "connections_closed";
 
 /** Histograms that the reducer observes, in milliseconds. */
 export type HistogramName = "first_token" | "between_tokens" | "stall";
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -1,4 +1,5 @@
 import { isIP } from "node:net";
+import { defaultConnectionLimits } from "@lavenderferry/runtime";
 import { z } from "zod";
 import { isLogPattern } from "./util/is_log_pattern.ts";
 
@@ -44,6 +45,22 @@
   authority: z.string(),
 });
 
+/** Limits of the connections of clients over HTTP. */
+export const connectionsSchema = z.strictObject({
+  /** Connections that are open at a time. */
+  connections: z.int().min(1).max(65_535)
+    .default(defaultConnectionLimits.connections),
+  /** Bytes that are kept behind a request in progress, for each connection. */
+  pipelinedBytes: z.int().min(1_024).max(67_108_864)
+    .default(defaultConnectionLimits.pipelinedBytes),
+  /** Bytes of a body that are discarded after its answer. */
+  discardedBytes: z.int().min(1_024).max(67_108_864)
+    .default(defaultConnectionLimits.discardedBytes),
+  /** Milliseconds without progress of a request's body or of an answer. */
+  stalledMs: z.int().min(1_000).max(3_600_000)
+    .default(defaultConnectionLimits.stalledMs),
+});
+
 /** Members that the settings of every daemon have. */
 export const daemonSchema = z.strictObject({
   vm: nameSchema,
@@ -56,4 +73,5 @@
   /** TLS files for connections to peers; required except on loopback. */
   tls: tlsSchema.optional(),
   logs: logsSchema.prefault({}),
+  connections: connectionsSchema.prefault({}),
 });
--- a/packages/steward/src/operators/operator_server.ts
+++ b/packages/steward/src/operators/operator_server.ts
@@ -1,9 +1,9 @@
 import { timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { KnownError, toFailure } from "@lavenderferry/errors";
-import type { Dispatch } from "@lavenderferry/runtime";
+import type { CloseReason, Dispatch } from "@lavenderferry/runtime";
+import { ConnectionGuard } from "@lavenderferry/runtime";
 import type { Polka } from "polka";
 import polka from "polka";
 import type { Registry } from "prom-client";
@@ -24,6 +24,8 @@
   readonly settings: StewardSettings;
   readonly dispatch: Dispatch<StewardEvent>;
   readonly replies: PendingReplies;
+  /** Counts a connection that was closed as it exceeds a limit. */
+  readonly onConnectionClosed: (reason: CloseReason) => void;
 }
 
 type Request = IncomingMessage & {
@@ -88,7 +90,12 @@
           vm: String(request.params["vm"]),
         })),
       );
-    this.#server = createServer((request, response) => {
+    const guard = new ConnectionGuard({
+      server: "operators",
+      limits: options.settings.connections,
+      onClosed: options.onConnectionClosed,
+    });
+    this.#server = guard.createServer({}, (request, response) => {
       void application.handler(request as never, response as never);
     });
     this.#application = application;
--- a/packages/steward/src/process/metrics.ts
+++ b/packages/steward/src/process/metrics.ts
@@ -6,7 +6,8 @@
   | "refusals"
   | "changes"
   | "settlements"
-  | "retries";
+  | "retries"
+  | "connections_closed";
 
 /** Registry of the steward's metrics, and its counters by name. */
 export interface StewardMetrics {
@@ -20,6 +21,7 @@
   changes: "Changes of the configuration, by outcome",
   settlements: "Settlements of usage, by outcome",
   retries: "Operations tried again, by reason",
+  connections_closed: "Connections that exceeded a limit, by limit",
 };
 
 /** Creates the steward's metrics; `gauges` has a function for each value. */
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -66,7 +66,13 @@
       }),
     },
   });
-  const operatorServer = new OperatorServer({ settings, dispatch, replies });
+  const operatorServer = new OperatorServer({
+    settings,
+    dispatch,
+    replies,
+    onConnectionClosed: (reason) =>
+      metrics.counters.connections_closed.inc({ reason }),
+  });
   const peerServer = new PeerServer(
     createPeerMethods({ state, exchanges, dispatch }),
     credentials.server,
