--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -23,13 +23,25 @@
 /** Bytes from which those buffered for a caller are held to account. */
 const minAccountedBytes = 16_384;
 
+/**
+ * Bytes for which each buffered write counts besides its own. Node keeps an
+ * object with its callback for each, which for short events is most of them.
+ */
+const writeCostBytes = 512;
+
+/** What is buffered for a caller that reads slowly. */
+interface Buffered {
+  /** Writes since the buffer was last empty. */
+  writes: number;
+  account: ByteAccount | null;
+}
+
 /** Holds the open requests of callers and writes their answers. */
 export class CallerExchanges {
   readonly #exchanges = new Map<string, CallerExchange>();
   readonly #codec: HeaderCodec;
   readonly #budget: ByteBudget;
-  /** Accounts of the bytes buffered for callers. */
-  readonly #buffered = new Map<ServerResponse, ByteAccount>();
+  readonly #buffered = new Map<ServerResponse, Buffered>();
   /** Ended responses whose last bytes the system has not accepted yet. */
   readonly #writing = new Set<ServerResponse>();
   /** Whether answers ask callers to close their connections. */
@@ -102,8 +114,9 @@
       if (!response.headersSent) {
         this.#writeHead(response, head.status, head.headers);
       }
+      const wasEmpty = response.writableLength === 0;
       response.write(bytes);
-      this.#accountBuffered(response);
+      this.#accountBuffered(response, wasEmpty);
       if (response.writableLength > maxBufferedBytes) {
         response.destroy();
         this.#exchanges.delete(exchangeId);
@@ -184,27 +197,34 @@
   #endResponse(response: ServerResponse, body?: Buffer): void {
     this.#writing.add(response);
     response.once("close", () => this.#writing.delete(response));
+    const wasEmpty = response.writableLength === 0;
     response.end(body);
-    this.#accountBuffered(response);
+    this.#accountBuffered(response, wasEmpty);
   }
 
   /** States what is buffered for a caller, until its answer is written. */
-  #accountBuffered(response: ServerResponse): void {
-    const known = this.#buffered.get(response);
-    const bytes = response.writableLength;
-    if (known === undefined && bytes < minAccountedBytes) {
-      return;
-    }
-    const account = known ?? this.#budget.open(() => response.destroy());
-    if (known === undefined) {
-      this.#buffered.set(response, account);
-      response.on("drain", () => account.set(response.writableLength));
-      response.once("close", () => {
-        this.#buffered.delete(response);
-        account.close();
-      });
+  #accountBuffered(response: ServerResponse, wasEmpty: boolean): void {
+    const buffered = this.#buffered.get(response) ??
+      this.#addBuffered(response);
+    buffered.writes = wasEmpty ? 1 : buffered.writes + 1;
+    const bytes = response.writableLength === 0
+      ? 0
+      : response.writableLength + buffered.writes * writeCostBytes;
+    if (bytes >= minAccountedBytes) {
+      buffered.account ??= this.#budget.open(() => response.destroy());
     }
-    account.set(bytes);
+    buffered.account?.set(bytes);
+  }
+
+  #addBuffered(response: ServerResponse): Buffered {
+    const buffered: Buffered = { writes: 0, account: null };
+    this.#buffered.set(response, buffered);
+    response.on("drain", () => buffered.account?.set(response.writableLength));
+    response.once("close", () => {
+      this.#buffered.delete(response);
+      buffered.account?.close();
+    });
+    return buffered;
   }
 
   #writeHead(
--- a/packages/relay/src/http/caller_exchanges_test.ts
+++ b/packages/relay/src/http/caller_exchanges_test.ts
@@ -81,6 +81,36 @@
   await t.resolves(exchanges.waitUntilWritten(60_000));
 });
 
+// Short events take many times their bytes while a caller does not read them.
+t.test("events that a caller does not read count with their writes", async (t) => {
+  const budget = new ByteBudget(Infinity);
+  const { exchanges, answer, response } = await openExchange(t, budget);
+  const events = (bytes: Buffer) =>
+    exchanges.handlers.send_events({
+      kind: "send_events",
+      exchangeId: "x1",
+      head: { status: 200, headers: [] },
+      bytes,
+    }, () => undefined);
+  events(Buffer.alloc(1));
+  await answer;
+  // Fills the buffers of the connection, which the caller no longer empties.
+  while (response.writableLength === 0) {
+    events(Buffer.alloc(262_144));
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  const before = budget.heldBytes;
+  for (let event = 0; event < 1_000; event++) {
+    events(Buffer.from("id: 1\n\n"));
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  t.ok(budget.heldBytes - before > 500_000);
+  const closed = once(response, "close");
+  response.destroy();
+  await closed;
+  t.equal(budget.heldBytes, 0);
+});
+
 // Each caller that stopped reading had a bound of its own, the process had none.
 t.test("answers that callers do not read are bounded together", async (t) => {
   const budget = new ByteBudget(1.5 * bodyBytes);
