--- a/packages/protocol/src/exchange_stream_test.ts
+++ b/packages/protocol/src/exchange_stream_test.ts
@@ -1,4 +1,5 @@
 import { once } from "node:events";
+import { connect } from "node:http2";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import type { ServiceError } from "@grpc/grpc-js";
@@ -9,6 +10,7 @@
   ExchangeMessage,
   ExchangeMessage__Output,
 } from "./generated/lavenderferry/v1/ExchangeMessage.ts";
+import { maxCallsPerConnection } from "./limits.ts";
 import { PeerClient } from "./peer_client.ts";
 import type { PeerMethods } from "./peer_server.ts";
 import { PeerServer } from "./peer_server.ts";
@@ -149,3 +151,14 @@
   t.ok(error.code);
   t.equal((await client.exchange({ sequence: 7 })).sequence, 7);
 });
+
+// A client may open streams without end, each of which takes memory.
+t.test("the calls of one connection are bounded", async (t) => {
+  const { port } = await startPeer(t, echo);
+  const session = connect(`http://${ip}:${port}`);
+  t.teardown(() => session.close());
+  const [settings] = await once(session, "remoteSettings") as [
+    { readonly maxConcurrentStreams?: number },
+  ];
+  t.equal(settings.maxConcurrentStreams, maxCallsPerConnection);
+});
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -21,7 +21,7 @@
 import type { TakeOverReply } from "./generated/lavenderferry/v1/TakeOverReply.ts";
 import type { TakeOverRequest__Output } from "./generated/lavenderferry/v1/TakeOverRequest.ts";
 import type { PeerHandlers } from "./generated/lavenderferry/v1/Peer.ts";
-import { maxMessageBytes } from "./limits.ts";
+import { maxCallsPerConnection, maxMessageBytes } from "./limits.ts";
 import { peerService } from "./peer_service.ts";
 
 /** The part of a call that identifies the caller. */
@@ -56,6 +56,7 @@
     this.#server = new Server({
       "grpc.max_receive_message_length": maxMessageBytes,
       "grpc.max_send_message_length": maxMessageBytes,
+      "grpc.max_concurrent_streams": maxCallsPerConnection,
       "grpc.enable_channelz": 0,
     });
     const exchange: Method<ExchangeMessage__Output, ExchangeMessage> = (
