--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -258,6 +258,7 @@
       evaluate: (engine, acceptsRisk) =>
         evaluateEngine(engine, demand, {
           ...this.#evaluation({ estimate, at: options.at }),
+          mayWait: false,
           ...acceptsRisk
             ? { options: { ...this.#options, admission: false } }
             : {},
@@ -463,6 +464,7 @@
   ): EvaluationContext {
     return {
       ...context,
+      mayWait: true,
       options: this.#options,
       limits: this.#limits,
       riskBound: this.#riskBound,
--- a/packages/policy/src/candidate.ts
+++ b/packages/policy/src/candidate.ts
@@ -15,13 +15,14 @@
 /** Share of the target that the expected time between tokens may reach. */
 const maxStepTimeShare = 0.9;
 /**
- * Cost of a full memory, in milliseconds. It is charged by reports only: of two
- * engines without risk the one with more free memory is chosen, so that room is
- * left for what other processes send at the same time. Where half of the
- * prompts share a prefix, 309 of 12,160 generations were rejected or preempted
- * without it and 193 with it (70 processes; 223 and 246 with 300).
+ * Cost of a full memory, in milliseconds, and the share in use from which memory
+ * counts. It is charged by reports only: of two engines without risk the one with
+ * more free memory is chosen, so that room is left for what other processes send at
+ * the same time. Below that share, processes with the same old reports would all
+ * choose the same engine for a difference that nobody notices.
  */
 const fullMemoryMs = 1_000;
+const minChargedFraction = 0.5;
 
 /** An engine that may take a demand. */
 export interface Candidate {
@@ -40,6 +41,8 @@
   readonly limits: RequestLimits;
   readonly riskBound: RiskBound;
   readonly estimate: Estimate;
+  /** Whether the demand may wait at the engine until memory becomes free. */
+  readonly mayWait: boolean;
   readonly at: Moment;
 }
 
@@ -47,7 +50,7 @@
 export function evaluateEngine(
   engine: Engine,
   demand: Demand,
-  { options, limits, riskBound, estimate, at }: EvaluationContext,
+  { options, limits, riskBound, estimate, mayWait, at }: EvaluationContext,
 ): Candidate | null {
   const { view, circuit } = engine;
   const allowance = options.circuits ? circuit.allowanceAt(at.monotonic) : 1;
@@ -70,7 +73,7 @@
   const stepTime = isSampled ? view.pool.stepTime : view.stepTime;
   const stepMs = stepTime.expectedMs(view.running + 1);
   if (options.admission && view.running > 0) {
-    const overflows = isSampled
+    const overflows = isSampled && mayWait
       ? memoryFraction > maxAdmittedFraction
       : risk > riskBound.boundFor(demand.targets);
     if (overflows || exceedsStepTime(view, demand)) {
@@ -81,7 +84,9 @@
     ? engine.prefixes.countHeldBlocks(demand.prefix)
     : 0;
   const savedMs = cachedBlocks * tokensPerBlock * prefillMsPerToken;
-  const loadMs = isSampled ? fullMemoryMs * memoryFraction : 0;
+  const loadMs = isSampled
+    ? fullMemoryMs * Math.max(0, memoryFraction - minChargedFraction)
+    : 0;
   // Engines process prompts one after another, so those ahead delay the first token.
   const queueMs = isSampled
     ? view.pool.prefillRate.msFor(view.unreadTokens(at))
