--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -4,7 +4,7 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
-import { beginEvacuation } from "../moves/evacuation.ts";
+import { beginDeparture } from "../moves/departure.ts";
 import {
   mergeSuspects,
   recordEarlyEnd,
@@ -411,7 +411,7 @@
 }
 
 /**
- * Stops sending new requests to an upstream and begins to evacuate those that
+ * Stops sending new requests to an upstream and begins to take those off that
  * it runs.
  */
 function drainUpstream(
@@ -430,7 +430,7 @@
       releaseCopy(state, request, at);
     }
     if (request.upstream === id && request.phase !== "waiting") {
-      effects.push(beginEvacuation(request, at));
+      effects.push(beginDeparture(request, at));
     }
   }
   return effects;
--- a/packages/relay/src/moves/evacuation.ts
+++ b/packages/relay/src/moves/departure.ts
@@ -24,10 +24,10 @@
 const maxCopyWaitMs = 1_000;
 
 /**
- * Schedules the evacuation of a generation whose engine is leaving. Waits for
+ * Schedules the departure of a generation whose engine is leaving. Waits for
  * the copy of its memory where that can be complete in time.
  */
-export function beginEvacuation(
+export function beginDeparture(
   request: RelayedRequest,
   at: Moment,
 ): RelayEffect {
@@ -39,7 +39,7 @@
   const dueAt = copyUpstream === null || completeAt > now + maxCopyWaitMs
     ? now
     : Math.max(now + resumeDelayMs, completeAt);
-  return scheduleEvacuation(exchangeId, dueAt);
+  return scheduleDeparture(exchangeId, dueAt);
 }
 
 /** Whether enough time has passed for a generation's copy to be complete. */
@@ -51,11 +51,11 @@
     firstEventAt + copyCompletionMs <= at.monotonic;
 }
 
-/** Creates the timer that evacuates a generation. */
-export function scheduleEvacuation(
+/** Creates the timer that takes a generation off its engine. */
+export function scheduleDeparture(
   exchangeId: string,
   dueAt: number,
 ): RelayEffect {
-  const timer = { kind: "evacuate", exchangeId } as const;
+  const timer = { kind: "depart", exchangeId } as const;
   return { kind: "set_timer", timer, at: dueAt };
 }
--- a/packages/relay/src/moves/evacuation_test.ts
+++ b/packages/relay/src/moves/departure_test.ts
@@ -89,7 +89,7 @@
 
   #apply(relay: RelayFixture, effects: readonly RelayEffect[]): void {
     for (const { timer, at } of only(effects, "set_timer")) {
-      if (timer.kind === "evacuate") {
+      if (timer.kind === "depart") {
         const dueAt = Math.max(this.#now, at - this.#noticeTimeOf(relay));
         this.#schedule(relay, { kind: "timer_fired", timer }, dueAt);
       }
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -14,7 +14,7 @@
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
-import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
+import { hasCompleteCopy, scheduleDeparture } from "./departure.ts";
 import { requestCopy } from "./request_copy.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
@@ -79,10 +79,10 @@
 };
 
 /**
- * Evacuates a generation from an engine that is leaving: resumes it from its
- * copy, or moves it to another engine. Called by the `evacuate` timer.
+ * Takes a generation off an engine that is leaving: resumes it from its
+ * copy, or moves it to another engine. Called by the `depart` timer.
  */
-export function evacuate(
+export function depart(
   state: RelayState,
   exchangeId: string,
   at: Moment,
@@ -163,14 +163,14 @@
     return [];
   }
   if (!isSilent(request, at)) {
-    return [scheduleEvacuation(exchangeId, at.monotonic)];
+    return [scheduleDeparture(exchangeId, at.monotonic)];
   }
   if (mayRunOn(request, report)) {
     return stopBeforeResumption(state, request, at);
   }
   const reason = "leaving";
   return resumeFromCopy(state, request, { reason, at }) ??
-    [retryEvacuation(exchangeId, at)];
+    [retryDeparture(exchangeId, at)];
 }
 
 /**
@@ -189,7 +189,7 @@
     return [{ kind: "list_runs", attemptId, exchangeId, address }];
   }
   if (moveAllowedAt !== null && moveAllowedAt > at.monotonic) {
-    return [scheduleEvacuation(exchangeId, moveAllowedAt)];
+    return [scheduleDeparture(exchangeId, moveAllowedAt)];
   }
   return startMoveOrRetry(state, request, at);
 }
@@ -317,11 +317,11 @@
     at,
   });
   // Nothing has been generated yet, or no engine has room. Either may change.
-  return move ?? [retryEvacuation(exchangeId, at)];
+  return move ?? [retryDeparture(exchangeId, at)];
 }
 
-function retryEvacuation(exchangeId: string, at: Moment): RelayEffect {
-  return scheduleEvacuation(exchangeId, at.monotonic + moveRetryMs);
+function retryDeparture(exchangeId: string, at: Moment): RelayEffect {
+  return scheduleDeparture(exchangeId, at.monotonic + moveRetryMs);
 }
 
 /**
@@ -434,7 +434,7 @@
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
       releaseMove(state, request, at);
-      return [retryEvacuation(exchangeId, at)];
+      return [retryDeparture(exchangeId, at)];
     case "not_running":
       return failMove(state, request, { move, reason: outcome.kind, at });
     case "unknown": {
@@ -487,7 +487,7 @@
   if (!stop) {
     releaseMove(state, request, at);
     return startMove(state, request, { excludedEngines, stop, at }) ??
-      [retryEvacuation(request.exchangeId, at)];
+      [retryDeparture(request.exchangeId, at)];
   }
   if (handle === null) {
     return failMove(state, request, { move, reason: "no_room", detail, at });
@@ -501,8 +501,8 @@
   const to = request.upstream;
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
-    // Its engine is still leaving, so another evacuation is due.
-    retryEvacuation(request.exchangeId, at),
+    // Its engine is still leaving, so another departure is due.
+    retryDeparture(request.exchangeId, at),
   ];
 }
 
@@ -558,7 +558,7 @@
     return [
       recordDecision(state, { ...decision, kind: "retry", reason }, at),
       count("retries", reason),
-      retryEvacuation(request.exchangeId, at),
+      retryDeparture(request.exchangeId, at),
     ];
   }
   const effects = resumeFromCopy(state, request, { reason: "copy_failed", at });
--- a/packages/relay/src/moves/move_part_test.ts
+++ b/packages/relay/src/moves/move_part_test.ts
@@ -53,7 +53,7 @@
 
 function evacuate(relay: RelayFixture, afterMs: number) {
   continueStream(relay, afterMs);
-  const timer = { kind: "evacuate", exchangeId: "x1" } as const;
+  const timer = { kind: "depart", exchangeId: "x1" } as const;
   return answerListRuns(relay, relay.reduce({ kind: "timer_fired", timer }, 0));
 }
 
@@ -122,7 +122,7 @@
   const { relay, attemptId, upstream, copyUpstream } = startStreaming();
   const noticed = listAsLeaving(relay, upstream);
   const [timer] = only(noticed, "set_timer").filter(({ timer }) =>
-    timer.kind === "evacuate"
+    timer.kind === "depart"
   );
   t.ok((timer?.at ?? 0) > relay.now);
   const target = engines.find(({ id }) => id === copyUpstream);
@@ -162,7 +162,7 @@
   const { upstream = "", copyUpstream } = relay.state.requests.get("x1") ?? {};
   const noticed = listAsLeaving(relay, upstream);
   const [timer] = only(noticed, "set_timer").filter(({ timer }) =>
-    timer.kind === "evacuate"
+    timer.kind === "depart"
   );
   t.ok((timer?.at ?? 0) - relay.now > 800, "the copy gets time to complete");
   const early = evacuate(relay, 500);
@@ -179,7 +179,7 @@
   const { upstream = "" } = relay.state.requests.get("x1") ?? {};
   const noticed = listAsLeaving(relay, upstream);
   const [timer] = only(noticed, "set_timer").filter(({ timer }) =>
-    timer.kind === "evacuate"
+    timer.kind === "depart"
   );
   t.equal(timer?.at, relay.now);
   t.end();
@@ -383,7 +383,7 @@
     const effects = finishCopy(relay, attemptId, outcome);
     t.equal(only(effects, "abort_answer").length, 0);
     t.equal(only(effects, "drop_attempt").length, 0);
-    t.match(only(effects, "set_timer"), [{ timer: { kind: "evacuate" } }]);
+    t.match(only(effects, "set_timer"), [{ timer: { kind: "depart" } }]);
     const forwarded = receiveEvents(relay, attemptId, 8);
     t.equal(only(forwarded, "send_events").length, 1);
     const failed = relay.reduce({
@@ -476,7 +476,7 @@
     target: { address: source },
     resumption: { address: source, handle: "h", lastEventId: "7" },
   }]);
-  t.match(only(effects, "set_timer"), [{ timer: { kind: "evacuate" } }]);
+  t.match(only(effects, "set_timer"), [{ timer: { kind: "depart" } }]);
   t.end();
 });
 
--- a/packages/relay/src/moves/silent_connection_test.ts
+++ b/packages/relay/src/moves/silent_connection_test.ts
@@ -49,7 +49,7 @@
     ),
   );
   const exchangeId = "x1";
-  const timer = { kind: "evacuate", exchangeId } as const;
+  const timer = { kind: "depart", exchangeId } as const;
   relay.reduce({ kind: "timer_fired", timer });
   const checked = relay.reduce({
     kind: "copy_checked",
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -9,7 +9,7 @@
 import { applyUpstreams, listMembersIfDue } from "../fleet/source_part.ts";
 import { readIfDue, startRead } from "../fleet/store_reads.ts";
 import { continueProbes } from "../forwarding/forwarding_part.ts";
-import { evacuate } from "../moves/move_part.ts";
+import { depart } from "../moves/move_part.ts";
 import { checkEngine } from "../quarantine/quarantine_part.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { ProcessEvent } from "../relay_event.ts";
@@ -92,7 +92,7 @@
     expireRequest(state, exchangeId, at),
   refuse_unconfirmed: (state, { exchangeId }, at) =>
     refuseUnconfirmed(state, exchangeId, at),
-  evacuate: (state, { exchangeId }, at) => evacuate(state, exchangeId, at),
+  depart: (state, { exchangeId }, at) => depart(state, exchangeId, at),
   retry_resumption: (state, { exchangeId }, at) =>
     retryResumption(state, exchangeId, at),
   check_engine: (state, { upstream }, at) => checkEngine(state, upstream, at),
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -11,7 +11,7 @@
   | { readonly kind: "confirm_removals" }
   | { readonly kind: "request_deadline"; readonly exchangeId: string }
   | { readonly kind: "refuse_unconfirmed"; readonly exchangeId: string }
-  | { readonly kind: "evacuate"; readonly exchangeId: string }
+  | { readonly kind: "depart"; readonly exchangeId: string }
   | { readonly kind: "retry_resumption"; readonly exchangeId: string }
   | { readonly kind: "check_engine"; readonly upstream: string }
   | { readonly kind: "probe_upstreams" }
