--- a/packages/entry/src/quarantine/quarantine_part_test.ts
+++ b/packages/entry/src/quarantine/quarantine_part_test.ts
@@ -133,6 +133,7 @@
         sequence: ++this.#peerMessages,
         acknowledged: 0,
         upstreams: null,
+        evacuations: null,
         full: false,
         configurationVersion: 0,
         storeEra: 0,
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -1,4 +1,4 @@
-import type { ExchangeMessage, UpstreamNews } from "@lavenderferry/protocol";
+import type { ExchangeMessage } from "@lavenderferry/protocol";
 import type { Moment, Random } from "@lavenderferry/runtime";
 import {
   ExchangeBudget,
@@ -32,8 +32,11 @@
   readonly configurationAgeMs?: number;
 }
 
-/** Returns what a peer lacks of the list of upstreams; `null` if none is known. */
-export type NewsSource = (link: Link, at: Moment) => UpstreamNews | null;
+/** What a message tells of the platform's store; `null` if that is not known. */
+export type StoreNews = Pick<ExchangeMessage, "upstreams" | "evacuations">;
+
+/** Returns the news of the platform's store for a peer. */
+export type NewsSource = (link: Link, at: Moment) => StoreNews;
 
 /** The origin of a change and how soon it must be sent. */
 export interface ChangeOptions {
@@ -79,7 +82,7 @@
   constructor(
     self: string,
     random: Random,
-    newsFor: NewsSource = () => null,
+    newsFor: NewsSource = () => ({}),
   ) {
     this.#newsFor = newsFor;
     this.#self = self;
@@ -141,6 +144,7 @@
       link.epoch = epoch;
       link.configurationVersion = 0;
       link.listVersion = 0;
+      link.evacuationsVersion = 0;
       link.lastRequestSequence = 0;
       link.lastReplySequence = 0;
       this.#queueState(link, at);
@@ -187,6 +191,13 @@
     }
   }
 
+  /** Marks links as urgent whose peers have older evacuations. */
+  announceEvacuations(version: number): void {
+    for (const link of this.#links.values()) {
+      link.urgent ||= link.evacuationsVersion < version;
+    }
+  }
+
   /**
    * Returns when a request is due next, in monotonic milliseconds; now if an
    * urgent one could not be sent yet.
@@ -246,12 +257,11 @@
     this.#budget.spend(full ? 0 : bytes + messageOverheadBytes, at);
     const sequence = ++this.#sequence;
     link.replySent(sequence, items);
-    const upstreams = this.#newsFor(link, at);
     return {
       ...header,
       sequence,
       full: false,
-      upstreams,
+      ...this.#newsFor(link, at),
       ...groupByKind(items),
     };
   }
@@ -288,7 +298,6 @@
     const sequence = ++this.#sequence;
     const acknowledged = link.lastReplySequence;
     link.requestSentAt = at.monotonic;
-    const upstreams = this.#newsFor(link, at);
     return {
       peer: link.id,
       address: link.address,
@@ -296,7 +305,7 @@
         ...header,
         sequence,
         acknowledged,
-        upstreams,
+        ...this.#newsFor(link, at),
         ...groupByKind(items),
       },
     };
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -3,18 +3,24 @@
 import type {
   ExchangeMessage,
   ExchangeMessage__Output,
-  LengthSketch,
   RequestLimitRecord__Output,
-  SuspectBlockRecord,
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
+import { applyMemberRecord } from "./apply_member_record.ts";
 import type { DutyHolder } from "./duty_directory.ts";
 import { DutyDirectory } from "./duty_directory.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
+import { Evacuations } from "./evacuations.ts";
+import type { EvacuationList } from "./evacuations.ts";
 import { Exchange } from "./exchange.ts";
 import { ConfigurationHistory } from "./configuration_history.ts";
 import type { FleetNodeOptions } from "./fleet_node_options.ts";
+import {
+  publishLengths,
+  publishLimit,
+  publishSuspect,
+} from "./publish_records.ts";
 import { publishShares } from "./publish_shares.ts";
 import { PeerWorkTable } from "./peer_work_table.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
@@ -22,8 +28,7 @@
 import { ListRelay } from "./list_relay.ts";
 import { MarkRelay } from "./mark_relay.ts";
 import { markReasons, Marks } from "./marks.ts";
-import type { Member, MemberRole, MemberState } from "./member.ts";
-import { memberStates } from "./member.ts";
+import type { Member } from "./member.ts";
 import { MemberProbe } from "./member_probe.ts";
 import { Membership } from "./membership.ts";
 import type {
@@ -35,6 +40,7 @@
 import { createUpdates } from "./fleet_updates.ts";
 import { readConfiguration } from "./read_configuration.ts";
 import { choosePeers, createIntervals } from "./peer_selection.ts";
+import { queueSenderRecord } from "./queue_sender_record.ts";
 import type { ReaderRank } from "./readers.ts";
 import { rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
@@ -58,6 +64,8 @@
   readonly membership: Membership;
   readonly marks = new Marks();
   readonly duties = new DutyDirectory();
+  /** The data centres under evacuation, as read here or at a peer. */
+  readonly evacuations = new Evacuations();
   readonly #options: FleetNodeOptions<Document>;
   readonly #exchange: Exchange;
   readonly #configurations: ConfigurationHistory<Document>;
@@ -90,7 +98,10 @@
     this.#exchange = new Exchange(
       id,
       random,
-      (link, at) => this.#listRelay.newsFor(link, at),
+      (link, at) => ({
+        upstreams: this.#listRelay.newsFor(link, at),
+        evacuations: this.evacuations.newsAt(at),
+      }),
     );
     this.#markRelay = new MarkRelay(this.marks, this.#exchange);
     this.membership = new Membership({
@@ -215,6 +226,7 @@
   addAge(milliseconds: number): void {
     this.#configurations.addAge(milliseconds);
     this.upstreams.addAge(milliseconds);
+    this.evacuations.addAge(milliseconds);
     for (const link of this.#exchange.links) {
       link.requestSentAt -= milliseconds;
     }
@@ -230,6 +242,18 @@
     }
   }
 
+  /**
+   * Applies the evacuations that the platform was asked for at `askedAt`, in
+   * monotonic milliseconds; returns whether the data centres have changed.
+   */
+  readEvacuations(list: EvacuationList, askedAt: number): boolean {
+    const isChanged = this.evacuations.read(list, askedAt);
+    if (isChanged) {
+      this.#exchange.announceEvacuations(this.evacuations.changedIn);
+    }
+    return isChanged;
+  }
+
   /** Sets the monotonic deadline until which unlisted upstreams are retained. */
   retainUnlisted(deadline: number): void {
     this.#listRelay.retainUnlisted(deadline);
@@ -247,21 +271,12 @@
 
   /** Publishes counts of output lengths that changed. */
   setLengths(sketches: readonly LengthCounts[], at: Moment): void {
-    for (const { workClass, model, counts } of sketches) {
-      const key = `${workClass}\n${model}`;
-      const value: LengthSketch = { workClass, model, counts: [...counts] };
-      this.#exchange.publish("lengths", { key, value }, { at });
-    }
+    publishLengths(this.#exchange, sketches, at);
   }
 
   /** Publishes a changed record of a suspect block. */
   setSuspect(record: SuspectRecord, at: Moment): void {
-    const { block, ends } = record;
-    const value: SuspectBlockRecord = { ...record, ends: [...ends] };
-    this.#exchange.publish("suspects", { key: block, value }, {
-      at,
-      urgent: true,
-    });
+    publishSuspect(this.#exchange, record, at);
   }
 
   /** Stops sending the record of a suspect block. */
@@ -271,8 +286,7 @@
 
   /** Publishes a changed record of a limit on requests. */
   setLimit(value: RequestLimitRecord__Output, at: Moment): void {
-    const { upstream: key } = value;
-    this.#exchange.publish("limits", { key, value }, { at, urgent: true });
+    publishLimit(this.#exchange, value, at);
   }
 
   /** Stops sending the record of a limit on requests. */
@@ -406,10 +420,10 @@
       message.configurationVersion,
     );
     for (const record of message.members) {
-      this.#applyMember(record, { at, link });
+      applyMemberRecord(this.membership, record, { at, link });
     }
     this.membership.recordAnswer(from, message.epoch);
-    this.#queueSenderRecord(message, link);
+    queueSenderRecord(this.membership, this.#exchange, link);
     this.#publishMembers(at, from);
     for (const record of message.marks) {
       this.#applyPeerMark(record, { at, link });
@@ -430,6 +444,7 @@
     this.#applyConfigurations(message.configurations);
     this.#configurations.confirmBy(message, sentAt);
     this.#applyNews(message.upstreams, link, { at, sentAt });
+    this.#applyEvacuations(message.evacuations, link, sentAt);
     link.urgent ||= message.configurationVersion > this.#configurations.version;
   }
 
@@ -450,41 +465,24 @@
     }
   }
 
-  get #readers(): readonly Member[] {
-    this.#rankedReaders ??= rankReaders(this.membership.all());
-    return this.#rankedReaders;
-  }
-
-  #applyMember(
-    record: ExchangeMessage__Output["members"][number],
-    { at, link }: { readonly at: Moment; readonly link: Link },
+  #applyEvacuations(
+    news: ExchangeMessage__Output["evacuations"],
+    link: Link,
+    sentAt: number,
   ): void {
-    const state = record.state as MemberState;
-    const role = record.role as MemberRole;
-    if (!(state in memberStates) || !(role === "entry" || role === "steward")) {
+    if (this.#options.followsEvacuations !== true || !news) {
       return;
     }
-    const changed = this.membership.merge({ ...record, state, role }, at);
-    if (!changed && this.membership.get(record.id)?.state === state) {
-      link.remove("members", record.id);
+    link.evacuationsVersion = news.version;
+    if (this.evacuations.merge(news, sentAt)) {
+      this.#updates.evacuationsChanged = true;
+      this.#exchange.announceEvacuations(this.evacuations.changedIn);
     }
   }
 
-  /**
-   * Queues the sender's own record unless it is live here, so that the sender
-   * can refute it.
-   */
-  #queueSenderRecord(message: ExchangeMessage__Output, link: Link): void {
-    const record = this.membership.get(message.sender);
-    if (record === undefined || record.state === "live") {
-      link.address = record?.peers ?? link.address;
-      return;
-    }
-    link.address = record.peers;
-    const known = this.#exchange.store.get("members", message.sender);
-    if (known !== undefined) {
-      link.add("members", message.sender);
-    }
+  get #readers(): readonly Member[] {
+    this.#rankedReaders ??= rankReaders(this.membership.all());
+    return this.#rankedReaders;
   }
 
   #applyPeerMark(
@@ -590,11 +588,8 @@
   /** Forgets the work of peers that tell of it no more. */
   #dropUnlinkedWork(): void {
     const linked = new Set(this.#exchange.links.map(({ id }) => id));
-    for (const id of this.#peerWork.peers()) {
-      if (!linked.has(id)) {
-        this.#peerWork.delete(id);
-        this.#updates.shares.set(id, []);
-      }
+    for (const id of this.#peerWork.retain(linked)) {
+      this.#updates.shares.set(id, []);
     }
   }
 }
--- a/packages/fleet/src/fleet_node_options.ts
+++ b/packages/fleet/src/fleet_node_options.ts
@@ -25,4 +25,6 @@
    * at least one of them.
    */
   readonly freshnessMs?: number;
+  /** Whether this process follows the evacuations of data centres. */
+  readonly followsEvacuations?: boolean;
 }
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -164,6 +164,7 @@
     full: false,
     acknowledged: 0,
     upstreams: null,
+    evacuations: null,
   };
   return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
 }
--- a/packages/fleet/src/fleet_updates.ts
+++ b/packages/fleet/src/fleet_updates.ts
@@ -40,6 +40,8 @@
   readonly limits: readonly RequestLimitRecord__Output[];
   /** Latest era of the platform's table that a peer has read; 0 if unknown. */
   readonly storeEra: number;
+  /** Whether a peer's news changed the data centres under evacuation. */
+  readonly evacuationsChanged: boolean;
   /** The list of upstreams, if a peer's news changed or confirmed it. */
   readonly upstreams: RelayedUpstreams | null;
 }
@@ -60,6 +62,7 @@
   readonly suspects: SuspectRecord[];
   readonly limits: RequestLimitRecord__Output[];
   storeEra: number;
+  evacuationsChanged: boolean;
   upstreams: RelayedUpstreams | null;
 }
 
@@ -74,6 +77,7 @@
     suspects: [],
     limits: [],
     storeEra: 0,
+    evacuationsChanged: false,
     upstreams: null,
   };
 }
--- a/packages/fleet/src/link.ts
+++ b/packages/fleet/src/link.ts
@@ -30,6 +30,8 @@
   configurationVersion = 0;
   /** Version of the list of upstreams that the peer last stated. */
   listVersion = 0;
+  /** Version of the evacuations that the peer last stated. */
+  evacuationsVersion = 0;
   /** Whether the peer wants all upstreams if it lacks earlier changes. */
   wantsUpstreams = false;
   /** Monotonic milliseconds at which the last request was sent. */
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./duties.ts";
 export * from "./duty_directory.ts";
 export * from "./engine_check.ts";
+export * from "./evacuations.ts";
 export * from "./exchange_budget.ts";
 export * from "./exchange_effect.ts";
 export * from "./exchange_event.ts";
--- a/packages/fleet/src/peer_work_table.ts
+++ b/packages/fleet/src/peer_work_table.ts
@@ -24,9 +24,15 @@
     return this.#workByPeer.delete(peer);
   }
 
-  /** Returns the peers that have told of their work. */
-  peers(): readonly string[] {
-    return [...this.#workByPeer.keys()];
+  /** Forgets the work of all other peers; returns those that told of any. */
+  retain(peers: ReadonlySet<string>): readonly string[] {
+    const forgotten = [...this.#workByPeer.keys()].filter((peer) =>
+      !peers.has(peer)
+    );
+    for (const peer of forgotten) {
+      this.#workByPeer.delete(peer);
+    }
+    return forgotten;
   }
 
   /** Returns the requests that a peer runs; `undefined` if it told of none. */
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -27,6 +27,10 @@
   EngineShare,
   EngineShare__Output,
 } from "./generated/lavenderferry/v1/EngineShare.ts";
+export type {
+  EvacuationNews,
+  EvacuationNews__Output,
+} from "./generated/lavenderferry/v1/EvacuationNews.ts";
 export type {
   ExchangeMessage,
   ExchangeMessage__Output,
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -16,12 +16,9 @@
 import { computeRetryBurst } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { mergeLimits, removeExpiredLimits } from "../limits/limit_part.ts";
-import {
-  applyRouting,
-  applyUpstreams,
-  retainUnlisted,
-  reviewUpstream,
-} from "./source_part.ts";
+import { applyEvacuations } from "./apply_evacuations.ts";
+import { reviewUpstream } from "./review_upstream.ts";
+import { applyRouting, applyUpstreams, retainUnlisted } from "./source_part.ts";
 import { reviewReads } from "./store_reads.ts";
 
 /** Handles exchanges with peers and applies the updates they contain. */
@@ -105,6 +102,9 @@
       dispatcher.learnLengths(peer, sketches);
     }
   }
+  if (updates.evacuationsChanged) {
+    effects.push(...applyEvacuations(state, at));
+  }
   for (const routing of updates.configurations) {
     effects.push(...applyRouting(state, routing, at));
   }
--- /dev/null
+++ b/packages/relay/src/fleet/review_upstream.ts
@@ -0,0 +1,71 @@
+import type { Moment } from "@lavenderferry/runtime";
+import { beginDeparture } from "../moves/departure.ts";
+import type { RelayEffect } from "../relay_effect.ts";
+import { releaseCopy } from "../requests/place_request.ts";
+import type { RelayState } from "../state.ts";
+import { closeUpstream } from "../state.ts";
+import { isDeparture } from "../upstreams/evacuations.ts";
+import { recordState } from "./source_decisions.ts";
+import { openUpstream } from "./source_part.ts";
+import { findCloseReason } from "./upstream_closure.ts";
+
+/**
+ * Closes or opens an upstream as the store's list, the marks of peers and the
+ * evacuations say. An upstream that is not listed here yet is reviewed when it
+ * is. One that is closed by an evacuation departs once it gives notice.
+ */
+export function reviewUpstream(
+  state: RelayState,
+  id: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const upstream = state.upstreams.get(id);
+  if (upstream === undefined) {
+    return [];
+  }
+  const { closeReasons } = state;
+  const reason = findCloseReason(state, upstream, at);
+  const former = closeReasons.get(id);
+  if (reason === null) {
+    closeReasons.delete(id);
+    openUpstream(state, upstream, at);
+    return former === undefined
+      ? []
+      : [recordState(state, id, { reason: "opened", at })];
+  }
+  closeReasons.set(id, reason);
+  const departs = isDeparture(reason) && !isDeparture(former);
+  if (former !== undefined && !departs) {
+    return [];
+  }
+  if (former === undefined) {
+    closeInPools(state, id, at);
+  }
+  return [
+    recordState(state, id, { reason: "closed", cause: reason, at }),
+    ...departs ? departFrom(state, id, at) : [],
+  ];
+}
+
+/** Stops sending new requests and copies to an upstream. */
+function closeInPools(state: RelayState, id: string, at: Moment): void {
+  for (const pool of state.pools.values()) {
+    closeUpstream(pool, id);
+  }
+  for (const request of state.requests.values()) {
+    if (request.copyUpstream === id) {
+      releaseCopy(state, request, at);
+    }
+  }
+}
+
+/** Begins to take the generations off an upstream. */
+function departFrom(
+  { requests }: RelayState,
+  id: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  return [...requests.values()]
+    .filter(({ upstream, phase }) => upstream === id && phase !== "waiting")
+    .map((request) => beginDeparture(request, at));
+}
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -4,12 +4,11 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
-import { beginDeparture } from "../moves/departure.ts";
 import {
   mergeSuspects,
   recordEarlyEnd,
 } from "../quarantine/quarantine_part.ts";
-import { releaseBacklogs, releaseCopy } from "../requests/place_request.ts";
+import { releaseBacklogs } from "../requests/place_request.ts";
 import { receiveConfirmed } from "../requests/request_part.ts";
 import { refuseAllUnconfirmed } from "../requests/unconfirmed_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
@@ -20,21 +19,22 @@
   RelayState,
   UpstreamList,
 } from "../state.ts";
-import { closeUpstream, createPool } from "../state.ts";
+import { createPool } from "../state.ts";
 import { withSuspension } from "../process/suspension.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import type { EvacuationList } from "@lavenderferry/fleet";
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
+import { readEvacuations } from "./apply_evacuations.ts";
 import { applyUpdates } from "./exchange_part.ts";
+import { reviewUpstream } from "./review_upstream.ts";
 import {
   recordFailure,
-  recordState,
   recordStoreState,
   recordUnreadable,
   recordUpstream,
 } from "./source_decisions.ts";
 import { readAgain, readSoon, scheduleRead } from "./store_reads.ts";
-import { findCloseReason } from "./upstream_closure.ts";
 
 /** Milliseconds until a failed operation is retried. */
 const retryDelaysMs = {
@@ -83,26 +83,35 @@
   leaving_reported: (state, { upstream, at }) =>
     markDraining(state, upstream, at),
   store_era_learned: applyStoreEra,
-  routing_learned: (state, { routing, confirmedAt, at }) => {
+  routing_learned: (state, event) => {
+    const { routing, at } = event;
+    // A new service must not open upstreams that are evacuated.
+    const evacuationEffects = confirmRouting(state, event);
     const effects = applyRouting(state, routing, at);
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
     return [
+      ...evacuationEffects,
       ...effects,
       ...sendDueExchanges(state, at),
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
     ];
   },
-  routing_unchanged: (state, { confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
+  routing_unchanged: (state, event) => {
+    const { at } = event;
+    const effects = confirmRouting(state, event);
     return [
+      ...effects,
+      ...effects.length > 0 ? sendDueExchanges(state, at) : [],
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
     ];
   },
-  routing_unreadable: (state, { version, confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
+  routing_unreadable: (state, event) => {
+    const { version, at } = event;
+    const effects = confirmRouting(state, event);
     return [
+      ...effects,
+      ...effects.length > 0 ? sendDueExchanges(state, at) : [],
       recordUnreadable(state, "routing", { version, at }),
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
@@ -178,6 +187,20 @@
   member_failed: (state, event) => retryOperation(state, "state_member", event),
 };
 
+/** Records when the routing was read, and applies the evacuations beside it. */
+function confirmRouting(
+  state: RelayState,
+  { confirmedAt, evacuations, at }: {
+    readonly confirmedAt: number;
+    readonly evacuations?: EvacuationList;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const askedAt = withSuspension(state, confirmedAt);
+  state.fleet.confirmConfiguration(askedAt);
+  return readEvacuations(state, evacuations, { askedAt, at });
+}
+
 /**
  * Tells peers the era of the store. After a restore, writes this process's own
  * rows again, since the store may have lost them.
@@ -326,31 +349,6 @@
   state.fleet.retainUnlisted(state.keepMissingUntil);
 }
 
-/**
- * Closes or opens an upstream as the store's list and the marks of peers say.
- * An upstream that is not listed here yet is reviewed when it is.
- */
-export function reviewUpstream(
-  state: RelayState,
-  id: string,
-  at: Moment,
-): readonly RelayEffect[] {
-  const upstream = state.upstreams.get(id);
-  if (upstream === undefined) {
-    return [];
-  }
-  const { closeReasons } = state;
-  const reason = findCloseReason(state, upstream, at);
-  const isClosed = closeReasons.has(id);
-  if (reason === null) {
-    closeReasons.delete(id);
-    openUpstream(state, upstream, at);
-    return isClosed ? [recordState(state, id, { reason: "opened", at })] : [];
-  }
-  closeReasons.set(id, reason);
-  return isClosed ? [] : drainUpstream(state, id, { cause: reason, at });
-}
-
 /** Closes an upstream that reports that it is leaving, here and at peers. */
 function markDraining(
   state: RelayState,
@@ -410,32 +408,6 @@
   return [recordStoreState(state, { reason: "regained", figures, at })];
 }
 
-/**
- * Stops sending new requests to an upstream and begins to take those off that
- * it runs.
- */
-function drainUpstream(
-  state: RelayState,
-  id: string,
-  { cause, at }: { readonly cause: string; readonly at: Moment },
-): readonly RelayEffect[] {
-  for (const pool of state.pools.values()) {
-    closeUpstream(pool, id);
-  }
-  const effects: RelayEffect[] = [
-    recordState(state, id, { reason: "closed", cause, at }),
-  ];
-  for (const request of state.requests.values()) {
-    if (request.copyUpstream === id) {
-      releaseCopy(state, request, at);
-    }
-    if (request.upstream === id && request.phase !== "waiting") {
-      effects.push(beginDeparture(request, at));
-    }
-  }
-  return effects;
-}
-
 function updateMembership(
   state: RelayState,
   at: Moment,
@@ -447,7 +419,7 @@
 }
 
 /** Adds an upstream to the dispatcher of its service. */
-function openUpstream(state: RelayState, vm: Vm, at: Moment): void {
+export function openUpstream(state: RelayState, vm: Vm, at: Moment): void {
   const { id, dataCentre, slots } = vm;
   const pool = state.pools.get(vm.pool ?? "");
   // Reporting its memory again would reset its circuit breaker.
--- a/packages/relay/src/fleet/source_runner.ts
+++ b/packages/relay/src/fleet/source_runner.ts
@@ -1,5 +1,6 @@
 import { toFailure } from "@lavenderferry/errors";
-import type { Row, Vm } from "@lavenderferry/platform";
+import type { EvacuationList } from "@lavenderferry/fleet";
+import type { Row, StoreVersion, Vm } from "@lavenderferry/platform";
 import { RowFollower, versionInEra, vmSchema } from "@lavenderferry/platform";
 import type { SuspectBlock } from "@lavenderferry/policy";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
@@ -55,6 +56,8 @@
   readonly #onCall: (kind: SourceEffect["kind"]) => void;
   readonly #routings = new RowFollower();
   readonly #upstreams = new RowFollower();
+  /** Version of the routing's row that was last decoded. */
+  #routingVersion: StoreVersion = 0;
   #era: number | null = null;
   #memberVersion: number | null = null;
   #suspectsVersion: number | null = null;
@@ -118,15 +121,27 @@
       rows.routingPrefix,
       limits,
     );
+    const evacuations = this.#listEvacuations();
     const row = this.#routings.rows.get(rows.routingKey);
-    if (!changed || row === undefined) {
-      return { kind: "routing_unchanged", confirmedAt };
+    // Other rows of the table may have changed.
+    if (!changed || row === undefined || row.version === this.#routingVersion) {
+      return { kind: "routing_unchanged", confirmedAt, evacuations };
     }
+    this.#routingVersion = row.version;
     const routing = rows.readRouting(row.value);
     const version = versionInEra(row.version);
     return routing === null
-      ? { kind: "routing_unreadable", version, confirmedAt }
-      : { kind: "routing_learned", routing, confirmedAt };
+      ? { kind: "routing_unreadable", version, confirmedAt, evacuations }
+      : { kind: "routing_learned", routing, confirmedAt, evacuations };
+  }
+
+  /** Returns the data centres whose rows the table of the routing has. */
+  #listEvacuations(): EvacuationList {
+    const { evacuationPrefix: prefix } = this.#ports.rows;
+    const dataCentres = [...this.#routings.rows.keys()]
+      .filter((key) => key.startsWith(prefix))
+      .map((key) => key.slice(prefix.length));
+    return { version: this.#routings.version, dataCentres };
   }
 
   async #followUpstreams(limits: FollowLimits): Promise<RelayEvent> {
--- a/packages/relay/src/fleet/store_reads.ts
+++ b/packages/relay/src/fleet/store_reads.ts
@@ -3,6 +3,7 @@
 import { countReaders } from "@lavenderferry/fleet";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RelayState } from "../state.ts";
+import { routingConfirmedAt } from "../upstreams/evacuations.ts";
 
 /** What a process reads of the store, for itself or for others too. */
 export type SharedSource = "routing" | "upstreams";
@@ -96,7 +97,7 @@
         : random.jitter(readPeriodMs(state), jitterShare));
   }
   const confirmedAt = source === "routing"
-    ? fleet.configurationConfirmedAt
+    ? routingConfirmedAt(state)
     : fleet.upstreams.askedAt;
   const ageMs = ownReadAgeShares[rank] * settings.freshnessMs;
   return confirmedAt + random.jitter(ageMs, ageJitterShare);
--- a/packages/relay/src/fleet/upstream_closure.ts
+++ b/packages/relay/src/fleet/upstream_closure.ts
@@ -4,6 +4,7 @@
 import { eraOf, toStoreVersion, versionInEra } from "@lavenderferry/platform";
 import type { Moment } from "@lavenderferry/runtime";
 import type { KnownUpstream, RelayState } from "../state.ts";
+import { evacuatedReason, isEvacuated } from "../upstreams/evacuations.ts";
 
 /** What is compared with a mark. */
 interface Comparison {
@@ -56,11 +57,26 @@
 }
 
 /**
- * Returns why an upstream takes no new requests, or `null` if it does. Compares
- * versions, so the order in which the list and the marks of peers are received
- * does not matter.
+ * Returns why an upstream takes no new requests, or `null` if it does. That it is
+ * leaving comes first, as what it runs must then be moved.
  */
 export function findCloseReason(
+  state: Pick<
+    RelayState,
+    "fleet" | "closeReasons" | "eraStart" | "upstreams"
+  >,
+  upstream: KnownUpstream,
+  at: Moment,
+): string | null {
+  return findDepartureReason(state, upstream, at) ??
+    (isEvacuated(state, upstream.id) ? evacuatedReason : null);
+}
+
+/**
+ * Returns why an upstream leaves, or `null` if it stays. Compares versions, so the
+ * order in which the list and the marks of peers are received does not matter.
+ */
+function findDepartureReason(
   state: Pick<RelayState, "fleet" | "closeReasons" | "eraStart">,
   upstream: KnownUpstream,
   at: Moment,
--- a/packages/relay/src/forwarding/forwarding_part.ts
+++ b/packages/relay/src/forwarding/forwarding_part.ts
@@ -1,5 +1,5 @@
 import type { EventHandlers, Moment } from "@lavenderferry/runtime";
-import { reviewUpstream } from "../fleet/source_part.ts";
+import { reviewUpstream } from "../fleet/review_upstream.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RefusalReason, UpstreamConnected } from "../relay_event.ts";
 import {
@@ -10,7 +10,8 @@
   releaseBacklogs,
 } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
-import type { RelayState } from "../state.ts";
+import type { KnownUpstream, RelayState } from "../state.ts";
+import { isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { forwardRequest } from "./forward_request.ts";
 
@@ -78,9 +79,8 @@
   upstream: string,
   at: Moment,
 ): readonly RelayEffect[] {
-  const { reachability, upstreams } = state;
-  const live = [...upstreams.values()].filter((vm) => vm.state === "live");
-  const liveIds = new Set(live.map(({ id }) => id));
+  const { reachability } = state;
+  const liveIds = new Set(usableUpstreams(state).map(({ id }) => id));
   if (!liveIds.has(upstream)) {
     return [];
   }
@@ -127,11 +127,12 @@
 
 /** Connects to some live upstreams, first to those that were not tried. */
 function probeUpstreams(
-  { reachability, earlyLosses, random, upstreams }: RelayState,
+  state: RelayState,
   exceptId = "",
 ): readonly RelayEffect[] {
-  const live = [...upstreams.values()].filter(({ id, state }) =>
-    state === "live" && id !== exceptId && !earlyLosses.isPending(id)
+  const { reachability, earlyLosses, random } = state;
+  const live = usableUpstreams(state).filter(({ id }) =>
+    id !== exceptId && !earlyLosses.isPending(id)
   );
   const untried = live.filter(({ id }) => !reachability.isUnreached(id));
   const candidates = untried.length > 0 ? untried : live;
@@ -145,6 +146,13 @@
     }));
 }
 
+/** Returns the upstreams that are live and not under evacuation. */
+function usableUpstreams(state: RelayState): readonly KnownUpstream[] {
+  return [...state.upstreams.values()].filter((upstream) =>
+    upstream.state === "live" && !isEvacuated(state, upstream.id)
+  );
+}
+
 function scheduleProbe(at: Moment): RelayEffect {
   const timer = { kind: "probe_upstreams" } as const;
   return { kind: "set_timer", timer, at: at.monotonic + probePeriodMs };
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -13,11 +13,13 @@
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isDeparting, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { hasCompleteCopy, scheduleDeparture } from "./departure.ts";
 import { requestCopy } from "./request_copy.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
+import { awaitResumption } from "./stopped_generation.ts";
 
 type GenerationCopied = Extract<RequestEvent, { kind: "generation_copied" }>;
 type CopyChecked = Extract<RequestEvent, { kind: "copy_checked" }>;
@@ -88,10 +90,10 @@
   at: Moment,
 ): readonly RelayEffect[] {
   const request = state.requests.get(exchangeId);
-  const isLeaving = !acceptsWork(state, request?.upstream ?? "");
+  const isLeaving = isDeparting(state, request?.upstream ?? "");
   if (
     request === undefined || request.phase === "waiting" || !isLeaving ||
-    request.move !== null
+    request.move !== null || request.isStopped
   ) {
     return [];
   }
@@ -416,6 +418,11 @@
       return effects;
     }
   }
+  if (outcome.kind === "copied" && isEvacuated(state, move.to)) {
+    const { handle } = outcome;
+    const detail = "evacuated";
+    return moveElsewhere(state, request, { move, handle, detail, at });
+  }
   switch (outcome.kind) {
     case "copied":
       if (move.copyCount === 1) {
@@ -470,7 +477,7 @@
 /**
  * Moves a generation to another engine after the first one had no room. If it
  * is already stopped and no other engine has room, it is resumed at the engine
- * where it ran, which still keeps its memory.
+ * where it ran, which still keeps its memory, unless that one is evacuated.
  */
 function moveElsewhere(
   state: RelayState,
@@ -498,6 +505,9 @@
   if (next !== null) {
     return next;
   }
+  if (isEvacuated(state, request.upstream)) {
+    return awaitResumption(state, request, { handle, at });
+  }
   const to = request.upstream;
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
@@ -574,9 +584,3 @@
     ...releaseBacklogs(state, at),
   ];
 }
-
-/** Whether an upstream is listed as live and has not been closed. */
-function acceptsWork(state: RelayState, id: string): boolean {
-  return state.upstreams.get(id)?.state === "live" &&
-    !state.closeReasons.has(id);
-}
--- a/packages/relay/src/moves/silence.ts
+++ b/packages/relay/src/moves/silence.ts
@@ -3,6 +3,7 @@
 import type { EngineReport } from "../relay_event.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isEvacuated } from "../upstreams/evacuations.ts";
 import { recordDecision } from "../util/effects.ts";
 import { requestCopy } from "./request_copy.ts";
 
@@ -80,10 +81,11 @@
  * connection. An engine that has seen the old one close runs it no more.
  */
 export function stopSilentGeneration(
-  { pools, upstreams }: RelayState,
+  state: RelayState,
   request: RelayedRequest,
   at: Moment,
 ): readonly RelayEffect[] {
+  const { pools, upstreams } = state;
   const { service, upstream, copyUpstream, requestId } = request;
   const source = upstreams.get(upstream);
   const movesGenerations = pools.get(service)?.service.engines?.moves === true;
@@ -91,8 +93,9 @@
     return [];
   }
   const target = upstreams.get(copyUpstream ?? "") ??
-    [...upstreams.values()].find(({ id, pool, state }) =>
-      id !== upstream && pool === service && state === "live"
+    [...upstreams.values()].find((vm) =>
+      vm.id !== upstream && vm.pool === service && vm.state === "live" &&
+      !isEvacuated(state, vm.id)
     );
   return target === undefined ? [] : [{
     kind: "stop_generation",
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -119,6 +119,8 @@
   readUpstream(key: string, value: Json): Vm | null;
   /** Key prefix of the rows of routings. */
   readonly routingPrefix: string;
+  /** Key prefix of the rows that order evacuations, each of a data centre. */
+  readonly evacuationPrefix: string;
   /** Key of the row of the routing in force. */
   readonly routingKey: string;
   /** Returns `null` if the row is not a valid routing. */
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CounterName } from "../relay_effect.ts";
 import type { RelayState } from "../state.ts";
+import { evacuatedReason } from "../upstreams/evacuations.ts";
 
 /** Prometheus metrics of one relay process. */
 export interface RelayMetrics {
@@ -29,6 +30,11 @@
   ).length;
 }
 
+/** Counts upstreams that are closed for a reason. */
+function countClosed({ closeReasons }: RelayState, reason: string): number {
+  return [...closeReasons.values()].filter((known) => known === reason).length;
+}
+
 /** Returns the age of a moment, in milliseconds; `NaN` if it never was. */
 function ageMsOf(moment: number): number {
   return moment === -Infinity ? Number.NaN : performance.now() - moment;
@@ -48,6 +54,9 @@
     store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
     upstreams_age_ms: () => ageMsOf(state.fleet.upstreams.askedAt),
     routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
+    evacuated_data_centres: () => state.fleet.evacuations.dataCentres.size,
+    evacuated_upstreams: () => countClosed(state, evacuatedReason),
+    evacuations_age_ms: () => ageMsOf(state.fleet.evacuations.confirmedAt),
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
--- a/packages/relay/src/quarantine/quarantine_part.ts
+++ b/packages/relay/src/quarantine/quarantine_part.ts
@@ -12,6 +12,7 @@
 import { dropRequest, releaseBacklogs } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isDeparting } from "../upstreams/evacuations.ts";
 import { recordDecision } from "../util/effects.ts";
 
 /** Mean milliseconds until a changed quarantine is written to the store. */
@@ -153,7 +154,7 @@
   if (!isEarlyLoss(firstEventAt, at)) {
     return "begun_long_ago";
   }
-  return closeReasons.has(upstream) || !upstreams.has(upstream)
+  return isDeparting({ closeReasons, upstreams }, upstream)
     ? "upstream_closed"
     : "";
 }
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -1,5 +1,9 @@
 import type { ErrorKind } from "@lavenderferry/errors";
-import type { EngineChecked, ExchangeEvent } from "@lavenderferry/fleet";
+import type {
+  EngineChecked,
+  EvacuationList,
+  ExchangeEvent,
+} from "@lavenderferry/fleet";
 import type { SuspectBlock } from "@lavenderferry/policy";
 import type { StoreVersion, Vm } from "@lavenderferry/platform";
 import type { GenerationDemand } from "./requests/relayed_request.ts";
@@ -255,17 +259,21 @@
     readonly kind: "routing_learned";
     readonly routing: Routing;
     readonly confirmedAt: number;
+    readonly evacuations?: EvacuationList;
   }
   | { readonly kind: "routing_failed" } & SourceFailure
   | {
     readonly kind: "routing_unchanged";
     /** Monotonic milliseconds at which the routing was the newest one. */
     readonly confirmedAt: number;
+    /** The data centres under evacuation, as read with the routing. */
+    readonly evacuations?: EvacuationList;
   }
   | {
     /** A newer row is not a valid routing; the current one stays in force. */
     readonly kind: "routing_unreadable";
     readonly confirmedAt: number;
+    readonly evacuations?: EvacuationList;
     /** Version of the row. */
     readonly version: number;
   }
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -17,6 +17,8 @@
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { movePart, resumeFromCopy } from "../moves/move_part.ts";
+import { resumeElsewhere } from "../moves/stopped_generation.ts";
+import { isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   copyReservationId,
@@ -32,6 +34,7 @@
 import type { AnswerTime } from "./answer_times.ts";
 import { AnswerTimes } from "./answer_times.ts";
 import type { RelayedRequest, RequestPhase } from "./relayed_request.ts";
+import { scheduleResumption } from "./resumption_retry.ts";
 
 type Event<Kind extends RequestEvent["kind"]> = Timed<
   Extract<RequestEvent, { kind: Kind }>
@@ -40,13 +43,6 @@
 /** Limit on attempts of one request, including those refused without a run. */
 const maxSends = 4;
 
-/**
- * Delays in milliseconds before each retry of a refused resumption. Copies may
- * still arrive and memory may become free for some seconds, and a generation
- * that is not resumed is lost.
- */
-const resumptionRetryDelaysMs = [100, 150, 250, 500, 1_000, 1_500];
-
 /** Retry delay for callers after upstreams refused, in milliseconds. */
 const refusedRetryMs = 400;
 
@@ -284,15 +280,9 @@
     : [];
   const figures = { upstream, sends, runs, detail };
   if (isResumption && reason === "not_executed") {
-    const retryDelayMs = resumptionRetryDelaysMs[request.refusedResumptions];
-    request.refusedResumptions += 1;
-    const dueAt = Math.max(
-      at.monotonic + (retryDelayMs ?? Infinity),
-      state.requestLimits.pauseEndsAt(upstream),
-    );
-    if (dueAt < request.deadline) {
-      const { exchangeId } = request;
-      const timer = { kind: "retry_resumption", exchangeId } as const;
+    const notBefore = state.requestLimits.pauseEndsAt(upstream);
+    const timer = scheduleResumption(request, { notBefore, at });
+    if (timer !== null) {
       return [
         recordDecision(state, {
           kind: "retry",
@@ -301,7 +291,7 @@
           figures,
         }, at),
         count("retries", reason),
-        { kind: "set_timer", timer, at: dueAt },
+        timer,
       ];
     }
   }
@@ -381,6 +371,9 @@
   if (refusedResumptions === 0 || !state.upstreams.has(upstream)) {
     return [];
   }
+  if (isEvacuated(state, upstream)) {
+    return resumeElsewhere(state, request, at);
+  }
   return startAttempt(state, request, { upstream, resumption, at });
 }
 
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -4,6 +4,7 @@
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import type { Pool, RelayState } from "../state.ts";
 import { nextId } from "../state.ts";
+import { evacuatedReason, isStranded } from "../upstreams/evacuations.ts";
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
@@ -65,10 +66,14 @@
   at: Moment,
 ): readonly RelayEffect[] {
   const effects: RelayEffect[] = [];
-  for (const { dispatcher } of state.pools.values()) {
+  for (const pool of state.pools.values()) {
+    const { dispatcher } = pool;
     if (dispatcher.waiting === 0) {
       continue;
     }
+    if (isStranded(state, pool)) {
+      effects.push(...refuseStranded(state, pool, at));
+    }
     for (const { demand, placement } of dispatcher.release(at)) {
       const request = state.requests.get(demand.requestId);
       if (request !== undefined) {
@@ -79,6 +84,28 @@
   return effects;
 }
 
+/** Refuses the queued requests of a service without upstreams. */
+function refuseStranded(
+  state: RelayState,
+  { service, openUpstreams }: Pool,
+  at: Moment,
+): readonly RelayEffect[] {
+  return [...state.requests.values()]
+    .filter((request) =>
+      request.phase === "waiting" && request.service === service.name
+    )
+    .flatMap((request) => [
+      recordDecision(state, {
+        kind: "refuse",
+        subject: request.requestId,
+        reason: evacuatedReason,
+        figures: { service: service.name, open: openUpstreams.size },
+      }, at),
+      ...endRequest(state, request, { outcome: "cancelled", at }),
+      ...refuseRequest(request, "no_upstream", noPoolRetryMs),
+    ]);
+}
+
 /**
  * Sets the timer that releases queued requests, unless it is set or none is
  * queued.
@@ -251,6 +278,7 @@
   request.sends += 1;
   request.resumption = resumption;
   request.firstEventAt = null;
+  request.isStopped = false;
   if (request.phase === "waiting") {
     request.phase = "sent";
   }
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -101,6 +101,8 @@
   resumption: Resumption | null;
   /** Refusals of the current resumption in a row. */
   refusedResumptions: number;
+  /** Whether no engine runs it until one outside an evacuation has room. */
+  isStopped: boolean;
   /** Monotonic milliseconds of the current attempt's first event. */
   firstEventAt: number | null;
   /** Monotonic milliseconds of the upstream's termination notice; 0: none. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -8,6 +8,7 @@
 } from "../relay_event.ts";
 import type { Route } from "../routing/routing.ts";
 import type { RelayState } from "../state.ts";
+import { mayPlaceRequests } from "../upstreams/evacuations.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import {
   dropRequest,
@@ -152,7 +153,9 @@
   const { exchangeId, requestId, host, path, at } = event;
   state.lastRequestAt = at.monotonic;
   const { routeTable } = state;
-  if (routeTable === null || !state.upstreamsKnown) {
+  if (
+    routeTable === null || !state.upstreamsKnown || !mayPlaceRequests(state)
+  ) {
     return [
       recordDecision(state, {
         kind: "refuse",
@@ -306,6 +309,7 @@
     longestPauseMs: 0,
     resumption: null,
     refusedResumptions: 0,
+    isStopped: false,
     lastProgressAt: arrivedAt,
   };
 }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -23,6 +23,11 @@
    * routing and of the upstreams.
    */
   readonly freshnessMs: number;
+  /**
+   * Milliseconds within which the upstreams of a data centre under evacuation get
+   * no more requests; `null`: evacuations are not followed.
+   */
+  readonly evacuationMs: number | null;
   /** Bytes that all requests and answers in progress may hold in memory. */
   readonly heldBytes: number;
   /** Burst of retries per window, across all processes of the fleet. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -92,6 +92,8 @@
   upstreamsKnown: boolean;
   /** Reasons why closed upstreams take no new work, by upstream id. */
   readonly closeReasons: Map<string, string>;
+  /** Data centres under evacuation, as they were last applied. */
+  evacuated: ReadonlySet<string>;
   /** Keys of rows that could not be parsed when they were last read. */
   readonly unreadable: {
     upstreams: readonly string[];
@@ -184,6 +186,7 @@
     eraStart: null,
     upstreamsKnown: false,
     closeReasons: new Map(),
+    evacuated: new Set(),
     unreadable: { upstreams: [], members: [] },
     members: [],
     membersKnown: false,
@@ -202,6 +205,7 @@
       keptVersions: keptRoutingVersions,
       meshSize,
       freshnessMs: settings.freshnessMs,
+      followsEvacuations: settings.evacuationMs !== null,
       readConfiguration: (document) => {
         const parsed = routingSchema.safeParse(document);
         return parsed.success ? parsed.data : null;
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -17,6 +17,7 @@
       "port": 8740,
     },
     "dataCentre": "lodz-a",
+    "evacuationMs": null,
     "freshnessMs": 5000,
     "heldBytes": 12500000,
     "metrics": Object {
