--- a/packages/fleet/src/list_relay.ts
+++ b/packages/fleet/src/list_relay.ts
@@ -118,15 +118,26 @@
 
   /**
    * Whether a later version of a row outranks a mark that the known version does
-   * not, or shows that the row was written since the store was restored.
+   * not, shows that the row was written since the store was restored, or tells
+   * that an upstream has become cold or warm.
    */
-  #isNews(
-    { id, version: known = 0 }: Vm,
-    { version: later = 0 }: Vm,
-  ): boolean {
+  #isNews(knownVm: Vm, laterVm: Vm): boolean {
+    const { id, version: known = 0 } = knownVm;
+    const { version: later = 0 } = laterVm;
+    if (later > known && hasChangedWarmth(knownVm, laterVm)) {
+      return true;
+    }
     const markVersion = this.#marks.get(id)?.version ?? -1;
     return [markVersion, this.#eraStart].some((version) =>
       known <= version && version < later
     );
   }
 }
+
+/** Whether an upstream became cold, was started anew while cold, or is warm. */
+function hasChangedWarmth(
+  { coldMs: known = 0 }: Vm,
+  { coldMs: later = known }: Vm,
+): boolean {
+  return later > known || (later === 0 && known > 0);
+}
--- a/packages/platform/src/vm_list.ts
+++ b/packages/platform/src/vm_list.ts
@@ -31,6 +31,11 @@
   instance: z.string().optional(),
   /** Requests that an upstream runs at the same time. */
   slots: z.int().min(1).optional(),
+  /**
+   * Milliseconds for which an upstream that has just started is cold, from the
+   * time of the row on; 0: it is warm.
+   */
+  coldMs: z.number().min(0).optional(),
   /** Version of the list's row, where the platform counts versions. */
   version: z.int().min(0).optional(),
   /** Whether orders with an outdated fence are refused; `false` by default. */
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -243,10 +243,12 @@
     } = options;
     const estimate = this.#estimator.estimate(demand);
     const eligible = this.#eligibleEngines(demand);
+    const warm = eligible.filter(({ id }) => !this.#limits.isCold(id));
+    const cold = eligible.filter(({ id }) => this.#limits.isCold(id));
     const preferred = preferredDataCentre === undefined
       ? []
-      : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
-    for (const engines of [preferred, eligible]) {
+      : warm.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
+    for (const engines of [preferred, warm, cold]) {
       // The random order makes other processes choose other engines.
       const finalists = sampleEngines(engines, this.#random, maxCandidates)
         .map((engine) => this.#evaluate(engine, demand, { estimate, at }))
@@ -256,7 +258,10 @@
         .sort((a, b) => a.memoryFraction - b.memoryFraction);
       const best = finalists[0];
       if (best !== undefined) {
-        return best.engine.id;
+        const { id } = best.engine;
+        // A transfer leads to a request, and several are chosen at once.
+        this.#limits.cold?.recordStart(id, at);
+        return id;
       }
     }
     return null;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./least_load.ts";
 export * from "./prefix_digests.ts";
 export * from "./reachability.ts";
+export * from "./cold_limits.ts";
 export * from "./request_limits.ts";
 export * from "./retry_budget.ts";
 export * from "./round_robin.ts";
--- a/packages/policy/src/request_limits.ts
+++ b/packages/policy/src/request_limits.ts
@@ -1,5 +1,6 @@
 import type { Moment } from "@lavenderferry/runtime";
 import { hashText } from "@lavenderferry/runtime";
+import type { ColdLimits } from "./cold_limits.ts";
 import { scoreRendezvous } from "./rendezvous.ts";
 
 /** A limit that an upstream names, as it is sent between processes. */
@@ -65,6 +66,8 @@
  * messages, and different upstreams have different ones.
  */
 export class RequestLimits {
+  /** Limits of cold upstreams; `null`: they are not limited. */
+  readonly cold: ColdLimits | null;
   readonly #member: string;
   readonly #limits = new Map<string, KnownLimit>();
   /** Monotonic milliseconds at which pauses end, by upstream. */
@@ -74,7 +77,9 @@
   /** Index of this process among them. */
   #position = 0;
 
-  constructor(member: string) {
+  /** `cold` limits the requests to cold upstreams, if they are limited. */
+  constructor(member: string, cold: ColdLimits | null = null) {
+    this.cold = cold;
     this.#member = member;
     this.#members = [member];
   }
@@ -96,6 +101,11 @@
     return limit !== undefined && limit.requestsPerSecond !== null;
   }
 
+  /** Whether the requests to an upstream are limited as it is cold. */
+  isCold(upstream: string): boolean {
+    return this.cold?.isCold(upstream) === true;
+  }
+
   /** Sets the processes between which limits are divided. */
   setMembers(members: readonly string[], at: Moment): void {
     this.#members = [...new Set([...members, this.#member])].sort();
@@ -164,14 +174,17 @@
    * `-Infinity` if there is neither a limit nor a pause.
    */
   nextStartAt(upstream: string): number {
-    const pauseEndsAt = this.pauseEndsAt(upstream);
+    const earliestAt = Math.max(
+      this.pauseEndsAt(upstream),
+      this.cold?.nextStartAt(upstream) ?? -Infinity,
+    );
     const limit = this.#limits.get(upstream);
     if (limit === undefined || limit.requestsPerSecond === null) {
-      return pauseEndsAt;
+      return earliestAt;
     }
     return limit.ratePerMs === 0
       ? Infinity
-      : Math.max(pauseEndsAt, limit.nextStartAt);
+      : Math.max(earliestAt, limit.nextStartAt);
   }
 
   /** Returns the first time at which one of several upstreams may be sent one. */
@@ -223,13 +236,15 @@
   /** Returns the requests a millisecond that this process may send. */
   ratePerMs(upstream: string): number {
     const limit = this.#limits.get(upstream);
+    const coldRatePerMs = this.cold?.ratePerMs(upstream) ?? Infinity;
     return limit === undefined || limit.requestsPerSecond === null
-      ? Infinity
-      : limit.ratePerMs;
+      ? coldRatePerMs
+      : Math.min(coldRatePerMs, limit.ratePerMs);
   }
 
   /** Records that a request is sent to an upstream. */
   recordStart(upstream: string, at: Moment): void {
+    this.cold?.recordStart(upstream, at);
     const limit = this.#limits.get(upstream);
     if (limit !== undefined && limit.ratePerMs !== 0) {
       limit.nextStartAt = Math.max(limit.nextStartAt, at.monotonic) +
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -19,6 +19,10 @@
 import { applyEvacuations } from "./apply_evacuations.ts";
 import { reviewUpstream } from "./review_upstream.ts";
 import { applyRouting, applyUpstreams, retainUnlisted } from "./source_part.ts";
+import {
+  divideColdLimits,
+  removeExpiredCold,
+} from "../upstreams/cold_upstreams.ts";
 import { reviewReads } from "./store_reads.ts";
 
 /** Handles exchanges with peers and applies the updates they contain. */
@@ -42,6 +46,7 @@
   const expiryEffects = [
     ...removeExpiredSuspects(state, at),
     ...removeExpiredLimits(state, at),
+    ...removeExpiredCold(state, at),
   ];
   const pools = [...state.pools.values()];
   const shares = pools.flatMap(({ dispatcher }) =>
@@ -92,6 +97,7 @@
       members.filter((member) => member.state !== "gone").map(({ id }) => id),
       at,
     );
+    divideColdLimits(state, at);
     effects.push(...reviewReads(state, at));
   }
   for (const { dispatcher } of state.pools.values()) {
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -20,6 +20,11 @@
   UpstreamList,
 } from "../state.ts";
 import { createPool } from "../state.ts";
+import {
+  applyColdLimits,
+  divideColdLimits,
+  learnColdRates,
+} from "../upstreams/cold_upstreams.ts";
 import { withSuspension } from "../process/suspension.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import { count, recordDecision } from "../util/effects.ts";
@@ -239,9 +244,10 @@
   routing: Routing,
   at: Moment,
 ): readonly RelayEffect[] {
+  const coldEffects = learnColdRates(state, routing, at);
   const currentVersion = state.routeTable?.routing.version ?? -1;
   if (routing.version <= currentVersion) {
-    return [];
+    return coldEffects;
   }
   state.routeTable = new RouteTable(routing);
   state.fleet.applyConfiguration(routing);
@@ -273,6 +279,7 @@
       headersMs: limits.headersMs,
       bodyBytes: limits.bodyBytes,
     },
+    ...coldEffects,
     ...effects,
     ...releaseBacklogs(state, at),
   ];
@@ -313,6 +320,8 @@
     [...listed, ...unlisted].map((upstream) => [upstream.id, upstream]),
   );
   state.upstreamsKnown = true;
+  // Before any is opened, as upstreams may have come back cold.
+  effects.push(...applyColdLimits(state, at));
   for (const upstream of listed) {
     if (previous.get(upstream.id)?.state !== upstream.state) {
       effects.push(recordUpstream(state, upstream, at));
@@ -415,6 +424,7 @@
   const vms = [...state.upstreams.values(), ...state.members];
   const { upstreamsVersion: version } = state;
   state.fleet.applyVmList(vms, at, { version });
+  divideColdLimits(state, at);
   return [...applyUpdates(state, at), ...sendDueExchanges(state, at)];
 }
 
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -49,6 +49,7 @@
     upstreams: () => state.upstreams.size,
     isolated_processes: () => state.reachability.isIsolated ? 1 : 0,
     limited_upstreams: () => state.requestLimits.count,
+    cold_upstreams: () => state.requestLimits.cold?.count ?? 0,
     leaving_upstreams_open: () => countLeavingOpen(state),
     store_era: () => state.storeEra ?? 0,
     store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
--- a/packages/relay/src/routing/routing.ts
+++ b/packages/relay/src/routing/routing.ts
@@ -52,6 +52,11 @@
   name: z.string(),
   /** Connection limit of one upstream, across all relay processes. */
   connections: z.int(),
+  /**
+   * Requests a second that one cold upstream handles; 0: no limit. Older builds
+   * do not state it.
+   */
+  coldRate: z.number().min(0).optional(),
   /** `null`: the service runs no models. */
   engines: enginesSchema.nullable(),
 });
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,5 @@
 import type { SocketAddress } from "@lavenderferry/fleet";
+import type { ColdTolerance } from "@lavenderferry/policy";
 
 /** Settings of one relay process. */
 export interface RelaySettings {
@@ -28,6 +29,11 @@
    * no more requests; `null`: evacuations are not followed.
    */
   readonly evacuationMs: number | null;
+  /**
+   * What cold upstreams bear beyond the rate that they handle; `null`: requests
+   * to them are not limited.
+   */
+  readonly coldTolerance: ColdTolerance | null;
   /** Bytes that all requests and answers in progress may hold in memory. */
   readonly heldBytes: number;
   /** Burst of retries per window, across all processes of the fleet. */
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -4,6 +4,7 @@
 import {
   AdaptiveDispatcher,
   Brittleness,
+  ColdLimits,
   EarlyLosses,
   Reachability,
   RequestLimits,
@@ -22,6 +23,8 @@
 import type { Routing, Service } from "./routing/routing.ts";
 import { routingSchema } from "./routing/routing.ts";
 import type { RelaySettings } from "./settings.ts";
+import type { ColdUpstreams } from "./upstreams/cold_upstreams.ts";
+import { createColdUpstreams } from "./upstreams/cold_upstreams.ts";
 
 /** Upstreams of one service, with the state that decides which get work. */
 export interface Pool {
@@ -129,6 +132,7 @@
   routingIsConfirmed: boolean;
   /** Limits that upstreams name on the requests from all processes. */
   readonly requestLimits: RequestLimits;
+  readonly cold: ColdUpstreams;
   /** Durations of complete answers, by the name of their route. */
   readonly answerTimes: Map<string, AnswerTimes>;
   /** Whether a timer is set that releases queued requests. */
@@ -221,7 +225,13 @@
     clockOffset: null,
     suspension: null,
     routingIsConfirmed: true,
-    requestLimits: new RequestLimits(settings.vm),
+    requestLimits: new RequestLimits(
+      settings.vm,
+      settings.coldTolerance === null
+        ? null
+        : new ColdLimits(settings.vm, settings.coldTolerance),
+    ),
+    cold: createColdUpstreams(),
     answerTimes: new Map(),
     isReleaseScheduled: false,
     copyRate: new CopyRate(),
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -16,6 +16,7 @@
       "ip": "10.1.0.19",
       "port": 8740,
     },
+    "coldTolerance": null,
     "dataCentre": "lodz-a",
     "evacuationMs": null,
     "freshnessMs": 5000,
@@ -96,6 +97,7 @@
   ],
   "services": Array [
     Object {
+      "coldRate": 0,
       "connections": 252,
       "engines": Object {
         "copies": true,
@@ -110,6 +112,7 @@
       "name": "huvo11a",
     },
     Object {
+      "coldRate": 0,
       "connections": 110,
       "engines": null,
       "name": "wuno96b",
@@ -132,6 +135,7 @@
 Object {
   "address": "10.128.0.9:8080",
   "checksFence": false,
+  "coldMs": 0,
   "dataCentre": "lodz-a",
   "id": "i-7f3a91c2",
   "instance": "i-7f3a91c2",
