--- a/packages/policy/src/transfer_target.ts
+++ b/packages/policy/src/transfer_target.ts
@@ -13,6 +13,8 @@
 /** What the choice of a target needs of the dispatcher. */
 interface TransferContext {
   readonly random: Random;
+  /** Whether the requests to an engine are limited as it is cold. */
+  readonly isCold: (engine: string) => boolean;
   /** Evaluates an engine, with or without the risk that its memory overflows. */
   readonly evaluate: (engine: Engine, acceptsRisk: boolean) => Candidate | null;
 }
@@ -28,15 +30,17 @@
     maxMemoryFraction = 1,
     maxCandidates,
   }: TransferOptions,
-  { random, evaluate }: TransferContext,
+  { random, isCold, evaluate }: TransferContext,
 ): string | null {
   const eligible = isReported
     ? engines.filter(({ view }) => view.hasRecentSample(at))
     : engines;
   const hasRoom = (candidate: Candidate | null) =>
     candidate !== null && candidate.memoryFraction <= maxMemoryFraction;
+  const warm = eligible.filter(({ id }) => !isCold(id));
+  const cold = eligible.filter(({ id }) => isCold(id));
   const listed = preferredEngines
-    .map((id) => eligible.find((engine) => engine.id === id))
+    .map((id) => warm.find((engine) => engine.id === id))
     .filter((engine) => engine !== undefined);
   // A generation that stays is lost, which is worse than a memory that overflows.
   for (const acceptsRisk of [false, true]) {
@@ -49,8 +53,8 @@
   }
   const nearby = preferredDataCentre === undefined
     ? []
-    : eligible.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
-  for (const group of [nearby, eligible]) {
+    : warm.filter(({ dataCentre }) => dataCentre === preferredDataCentre);
+  for (const group of [nearby, warm, cold]) {
     // The random order makes other processes choose other engines.
     const finalists = sampleEngines(group, random, maxCandidates)
       .map((engine) => evaluate(engine, false))
--- a/packages/relay/src/moves/copy_value_test.ts
+++ b/packages/relay/src/moves/copy_value_test.ts
@@ -109,13 +109,13 @@
       upstreamOf(id, { state: id === "e1" ? "leaving" : "live" })
     );
     const timers = only(relay.list(vms), "set_timer");
-    const due = timers.find(({ timer }) => timer.kind === "evacuate");
+    const due = timers.find(({ timer }) => timer.kind === "depart");
     t.equal((due?.at ?? 0) - relay.now, isComplete ? 300 : 0);
     // The engine does not keep the copy.
     const exchangeId = "x1";
     const attemptId = sent?.attemptId ?? "";
     const ids = { attemptId, exchangeId };
-    const timer = { kind: "evacuate", exchangeId } as const;
+    const timer = { kind: "depart", exchangeId } as const;
     relay.reduce({ kind: "timer_fired", timer }, isComplete ? 300 : 0);
     const runs = [
       { requestId: "r1", tokens: 3_036, events: 9 },
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -49,7 +49,7 @@
     relay.reduce({ ...received, attemptId, exchangeId, count: events });
   }
   relay.list([{ ...leaving, state: "leaving" }, ...targets]);
-  const timer = { kind: "evacuate", exchangeId } as const;
+  const timer = { kind: "depart", exchangeId } as const;
   relay.reduce({ kind: "timer_fired", timer });
   const own = { requestId: "r1", tokens: 3_200, events };
   const report = {
@@ -200,7 +200,7 @@
     outcome: { kind: "copied", handle: "h" },
   });
   t.match(only(moved, "send_request"), [{ target: { address: copy?.to } }]);
-  const timer = { kind: "evacuate", exchangeId: "x1" };
+  const timer = { kind: "depart", exchangeId: "x1" };
   t.match(only(moved, "set_timer"), [{ timer, at: relay.now }]);
   t.end();
 });
--- a/packages/relay/src/moves/departure_schedule.ts
+++ b/packages/relay/src/moves/departure_schedule.ts
@@ -110,7 +110,9 @@
  * shortest copy first saves the most generations. Those that may end before the
  * engine leaves come after those that are lost for certain.
  */
-export function scheduleDeparture(departure: Departure): DepartureSchedule {
+export function computeDepartureSchedule(
+  departure: Departure,
+): DepartureSchedule {
   const { runs, leavesMs } = departure;
   const mayEnd = runs.filter((run) => mayEndInTime(run, departure));
   const mustMove = runs.filter((run) => !mayEnd.includes(run));
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -4,6 +4,7 @@
 import {
   AdaptiveDispatcher,
   Brittleness,
+  ColdLimits,
   EarlyLosses,
   EngineReports,
   Reachability,
@@ -26,6 +27,8 @@
 import type { Routing, Service } from "./routing/routing.ts";
 import { routingSchema } from "./routing/routing.ts";
 import type { RelaySettings } from "./settings.ts";
+import type { ColdUpstreams } from "./upstreams/cold_upstreams.ts";
+import { createColdUpstreams } from "./upstreams/cold_upstreams.ts";
 
 /** Upstreams of one service, with the state that decides which get work. */
 export interface Pool {
@@ -103,6 +106,8 @@
   upstreamsKnown: boolean;
   /** Reasons why closed upstreams take no new work, by upstream id. */
   readonly closeReasons: Map<string, string>;
+  /** Data centres under evacuation, as they were last applied. */
+  evacuated: ReadonlySet<string>;
   /** Keys of rows that could not be parsed when they were last read. */
   readonly unreadable: {
     upstreams: readonly string[];
@@ -144,6 +149,7 @@
   routingIsConfirmed: boolean;
   /** Limits that upstreams name on the requests from all processes. */
   readonly requestLimits: RequestLimits;
+  readonly cold: ColdUpstreams;
   /** Durations of complete answers, by the name of their route. */
   readonly answerTimes: Map<string, AnswerTimes>;
   /** Whether a timer is set that releases queued requests. */
@@ -203,6 +209,7 @@
     eraStart: null,
     upstreamsKnown: false,
     closeReasons: new Map(),
+    evacuated: new Set(),
     unreadable: { upstreams: [], members: [] },
     members: [],
     membersKnown: false,
@@ -222,6 +229,7 @@
       meshSize,
       freshnessMs: settings.freshnessMs,
       readsDocuments: true,
+      followsEvacuations: settings.evacuationMs !== null,
       readConfiguration: (document) => {
         const parsed = routingSchema.safeParse(document);
         return parsed.success ? parsed.data : null;
@@ -240,7 +248,13 @@
     clockOffset: null,
     suspension: null,
     routingIsConfirmed: true,
-    requestLimits: new RequestLimits(settings.vm),
+    requestLimits: new RequestLimits(
+      settings.vm,
+      settings.coldTolerance === null
+        ? null
+        : new ColdLimits(settings.vm, settings.coldTolerance),
+    ),
+    cold: createColdUpstreams(),
     answerTimes: new Map(),
     isReleaseScheduled: false,
     copyRate: new CopyRate(),
