--- a/packages/entry/src/quarantine/quarantine_part_test.ts
+++ b/packages/entry/src/quarantine/quarantine_part_test.ts
@@ -134,6 +134,7 @@
         acknowledged: 0,
         upstreams: null,
         readsDocuments: false,
+        evacuations: null,
         full: false,
         configurationVersion: 0,
         storeEra: 0,
--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -7,9 +7,12 @@
 } from "@lavenderferry/protocol";
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
+import { applyMemberRecord } from "./apply_member_record.ts";
 import type { DutyHolder } from "./duty_directory.ts";
 import { DutyDirectory } from "./duty_directory.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
+import { Evacuations } from "./evacuations.ts";
+import type { EvacuationList } from "./evacuations.ts";
 import { Exchange } from "./exchange.ts";
 import { ConfigurationHistory } from "./configuration_history.ts";
 import type { ViewSource } from "./documents/document_exchange.ts";
@@ -29,7 +32,6 @@
 import { MarkRelay } from "./mark_relay.ts";
 import { markReasons, Marks } from "./marks.ts";
 import type { Member } from "./member.ts";
-import { applyMember, queueSenderRecord } from "./member_records.ts";
 import { Membership } from "./membership.ts";
 import type {
   FleetUpdates,
@@ -40,6 +42,7 @@
 import { createUpdates } from "./fleet_updates.ts";
 import { readConfiguration } from "./read_configuration.ts";
 import { PeerReview } from "./peer_review.ts";
+import { queueSenderRecord } from "./queue_sender_record.ts";
 import type { ReaderRank } from "./readers.ts";
 import { rankOf, rankReaders } from "./readers.ts";
 import type { SuspectRecord } from "./suspect_record.ts";
@@ -63,6 +66,8 @@
   readonly membership: Membership;
   readonly marks = new Marks();
   readonly duties = new DutyDirectory();
+  /** The data centres under evacuation, as read here or at a peer. */
+  readonly evacuations = new Evacuations();
   readonly #options: FleetNodeOptions<Document>;
   readonly #exchange: Exchange;
   readonly #configurations: ConfigurationHistory<Document>;
@@ -96,7 +101,10 @@
     this.#exchange = new Exchange(
       id,
       random,
-      (link, at) => this.#listRelay.newsFor(link, at),
+      (link, at) => ({
+        upstreams: this.#listRelay.newsFor(link, at),
+        evacuations: this.evacuations.newsAt(at),
+      }),
     );
     this.#markRelay = new MarkRelay(this.marks, this.#exchange);
     this.documents = options.readsDocuments === true
@@ -230,6 +238,7 @@
   addAge(milliseconds: number): void {
     this.#configurations.addAge(milliseconds);
     this.upstreams.addAge(milliseconds);
+    this.evacuations.addAge(milliseconds);
     for (const link of this.#exchange.links) {
       link.requestSentAt -= milliseconds;
     }
@@ -245,6 +254,18 @@
     }
   }
 
+  /**
+   * Applies the evacuations that the platform was asked for at `askedAt`, in
+   * monotonic milliseconds; returns whether the data centres have changed.
+   */
+  readEvacuations(list: EvacuationList, askedAt: number): boolean {
+    const isChanged = this.evacuations.read(list, askedAt);
+    if (isChanged) {
+      this.#exchange.announceEvacuations(this.evacuations.changedIn);
+    }
+    return isChanged;
+  }
+
   /** Sets the monotonic deadline until which unlisted upstreams are retained. */
   retainUnlisted(deadline: number): void {
     this.#listRelay.retainUnlisted(deadline);
@@ -437,14 +458,10 @@
       message.configurationVersion,
     );
     for (const record of message.members) {
-      applyMember(record, { membership: this.membership, link, at });
+      applyMemberRecord(this.membership, record, { at, link });
     }
     this.membership.recordAnswer(from, message.epoch);
-    queueSenderRecord(message.sender, {
-      membership: this.membership,
-      exchange: this.#exchange,
-      link,
-    });
+    queueSenderRecord(this.membership, this.#exchange, link);
     this.#publishMembers(at, from);
     for (const record of message.marks) {
       this.#applyPeerMark(record, { at, link });
@@ -465,6 +482,7 @@
     this.#applyConfigurations(message.configurations);
     this.#configurations.confirmBy(message, sentAt);
     this.#applyNews(message.upstreams, link, { at, sentAt });
+    this.#applyEvacuations(message.evacuations, link, sentAt);
     link.urgent ||= !this.#transfersTo(link) &&
       message.configurationVersion > this.#configurations.version;
   }
@@ -503,6 +521,21 @@
     }
   }
 
+  #applyEvacuations(
+    news: ExchangeMessage__Output["evacuations"],
+    link: Link,
+    sentAt: number,
+  ): void {
+    if (this.#options.followsEvacuations !== true || !news) {
+      return;
+    }
+    link.evacuationsVersion = news.version;
+    if (this.evacuations.merge(news, sentAt)) {
+      this.#updates.evacuationsChanged = true;
+      this.#exchange.announceEvacuations(this.evacuations.changedIn);
+    }
+  }
+
   get #readers(): readonly Member[] {
     this.#rankedReaders ??= rankReaders(this.membership.all());
     return this.#rankedReaders;
@@ -591,7 +624,7 @@
     this.#nextReviewAt = at.monotonic + peerReviewIntervalMs;
     this.#peerReview.review(this.#readers, at);
     const linked = new Set(this.#exchange.links.map(({ id }) => id));
-    for (const id of this.#peerWork.deleteUnlinked(linked)) {
+    for (const id of this.#peerWork.retain(linked)) {
       this.#updates.shares.set(id, []);
     }
   }
--- a/packages/fleet/src/fleet_node_test.ts
+++ b/packages/fleet/src/fleet_node_test.ts
@@ -165,6 +165,7 @@
     acknowledged: 0,
     upstreams: null,
     readsDocuments: false,
+    evacuations: null,
   };
   return structuredClone({ ...empty, ...message }) as ExchangeMessage__Output;
 }
--- a/packages/fleet/src/publish_records.ts
+++ b/packages/fleet/src/publish_records.ts
@@ -27,9 +27,9 @@
   record: SuspectRecord,
   at: Moment,
 ): void {
-  const { block, ends } = record;
+  const { block: key, ends } = record;
   const value: SuspectBlockRecord = { ...record, ends: [...ends] };
-  exchange.publish("suspects", { key: block, value }, { at, urgent: true });
+  exchange.publish("suspects", { key, value }, { at, urgent: true });
 }
 
 /** Publishes a changed record of a limit on requests. */
--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -253,17 +253,27 @@
     options: TransferOptions,
   ): string | null {
     const estimate = this.#estimator.estimate(demand);
-    return chooseTransferTarget(this.#eligibleEngines(demand), options, {
-      random: this.#random,
-      evaluate: (engine, acceptsRisk) =>
-        evaluateEngine(engine, demand, {
-          ...this.#evaluation({ estimate, at: options.at }),
-          mayWait: false,
-          ...acceptsRisk
-            ? { options: { ...this.#options, admission: false } }
-            : {},
-        }),
-    });
+    const target = chooseTransferTarget(
+      this.#eligibleEngines(demand),
+      options,
+      {
+        random: this.#random,
+        isCold: (id) => this.#limits.isCold(id),
+        evaluate: (engine, acceptsRisk) =>
+          evaluateEngine(engine, demand, {
+            ...this.#evaluation({ estimate, at: options.at }),
+            mayWait: false,
+            ...acceptsRisk
+              ? { options: { ...this.#options, admission: false } }
+              : {},
+          }),
+      },
+    );
+    if (target !== null) {
+      // A transfer leads to a request, and several are chosen at once.
+      this.#limits.cold?.recordStart(target, options.at);
+    }
+    return target;
   }
 
   sent(sent: SentGeneration, at: Moment): void {
--- a/packages/relay/src/fleet/exchange_part.ts
+++ b/packages/relay/src/fleet/exchange_part.ts
@@ -16,13 +16,14 @@
 import { computeRetryBurst } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { mergeLimits, removeExpiredLimits } from "../limits/limit_part.ts";
+import { applyEvacuations } from "./apply_evacuations.ts";
+import { reviewUpstream } from "./review_upstream.ts";
+import { applyRouting, applyUpstreams, retainUnlisted } from "./source_part.ts";
 import { recordDocuments } from "./document_decisions.ts";
 import {
-  applyRouting,
-  applyUpstreams,
-  retainUnlisted,
-  reviewUpstream,
-} from "./source_part.ts";
+  divideColdLimits,
+  removeExpiredCold,
+} from "../upstreams/cold_upstreams.ts";
 import { reviewReads } from "./store_reads.ts";
 
 /** Handles exchanges with peers and applies the updates they contain. */
@@ -46,6 +47,7 @@
   const expiryEffects = [
     ...removeExpiredSuspects(state, at),
     ...removeExpiredLimits(state, at),
+    ...removeExpiredCold(state, at),
   ];
   const pools = [...state.pools.values()];
   const shares = pools.flatMap(({ dispatcher }) =>
@@ -96,6 +98,7 @@
       members.filter((member) => member.state !== "gone").map(({ id }) => id),
       at,
     );
+    divideColdLimits(state, at);
     effects.push(...reviewReads(state, at));
   }
   for (const { dispatcher } of state.pools.values()) {
@@ -106,6 +109,9 @@
       dispatcher.learnLengths(peer, sketches);
     }
   }
+  if (updates.evacuationsChanged) {
+    effects.push(...applyEvacuations(state, at));
+  }
   for (const routing of updates.configurations) {
     effects.push(...applyRouting(state, routing, at));
   }
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -4,13 +4,11 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
-import { beginEvacuation } from "../moves/evacuation.ts";
-import { countCopy } from "../moves/rescue_counts.ts";
 import {
   mergeSuspects,
   recordEarlyEnd,
 } from "../quarantine/quarantine_part.ts";
-import { releaseBacklogs, releaseCopy } from "../requests/place_request.ts";
+import { releaseBacklogs } from "../requests/place_request.ts";
 import { receiveConfirmed } from "../requests/request_part.ts";
 import { refuseAllUnconfirmed } from "../requests/unconfirmed_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
@@ -21,21 +19,27 @@
   RelayState,
   UpstreamList,
 } from "../state.ts";
-import { closeUpstream, createPool } from "../state.ts";
+import { createPool } from "../state.ts";
+import {
+  applyColdLimits,
+  divideColdLimits,
+  learnColdRates,
+} from "../upstreams/cold_upstreams.ts";
 import { withSuspension } from "../process/suspension.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import type { EvacuationList } from "@lavenderferry/fleet";
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
+import { readEvacuations } from "./apply_evacuations.ts";
 import { applyUpdates } from "./exchange_part.ts";
+import { reviewUpstream } from "./review_upstream.ts";
 import {
   recordFailure,
-  recordState,
   recordStoreState,
   recordUnreadable,
   recordUpstream,
 } from "./source_decisions.ts";
 import { readAgain, readSoon, scheduleRead } from "./store_reads.ts";
-import { findCloseReason } from "./upstream_closure.ts";
 
 /** Milliseconds until a failed operation is retried. */
 const retryDelaysMs = {
@@ -84,26 +88,35 @@
   leaving_reported: (state, { upstream, at }) =>
     markDraining(state, upstream, at),
   store_era_learned: applyStoreEra,
-  routing_learned: (state, { routing, confirmedAt, at }) => {
+  routing_learned: (state, event) => {
+    const { routing, at } = event;
+    // A new service must not open upstreams that are evacuated.
+    const evacuationEffects = confirmRouting(state, event);
     const effects = applyRouting(state, routing, at);
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
     return [
+      ...evacuationEffects,
       ...effects,
       ...sendDueExchanges(state, at),
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
     ];
   },
-  routing_unchanged: (state, { confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
+  routing_unchanged: (state, event) => {
+    const { at } = event;
+    const effects = confirmRouting(state, event);
     return [
+      ...effects,
+      ...effects.length > 0 ? sendDueExchanges(state, at) : [],
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
     ];
   },
-  routing_unreadable: (state, { version, confirmedAt, at }) => {
-    state.fleet.confirmConfiguration(withSuspension(state, confirmedAt));
+  routing_unreadable: (state, event) => {
+    const { version, at } = event;
+    const effects = confirmRouting(state, event);
     return [
+      ...effects,
+      ...effects.length > 0 ? sendDueExchanges(state, at) : [],
       recordUnreadable(state, "routing", { version, at }),
       scheduleRead(state, "routing", at),
       ...receiveConfirmed(state, at),
@@ -179,6 +192,20 @@
   member_failed: (state, event) => retryOperation(state, "state_member", event),
 };
 
+/** Records when the routing was read, and applies the evacuations beside it. */
+function confirmRouting(
+  state: RelayState,
+  { confirmedAt, evacuations, at }: {
+    readonly confirmedAt: number;
+    readonly evacuations?: EvacuationList;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const askedAt = withSuspension(state, confirmedAt);
+  state.fleet.confirmConfiguration(askedAt);
+  return readEvacuations(state, evacuations, { askedAt, at });
+}
+
 /**
  * Tells peers the era of the store. After a restore, writes this process's own
  * rows again, since the store may have lost them.
@@ -217,9 +244,10 @@
   routing: Routing,
   at: Moment,
 ): readonly RelayEffect[] {
+  const coldEffects = learnColdRates(state, routing, at);
   const currentVersion = state.routeTable?.routing.version ?? -1;
   if (routing.version <= currentVersion) {
-    return [];
+    return coldEffects;
   }
   state.routeTable = new RouteTable(routing);
   state.fleet.applyConfiguration(routing);
@@ -251,6 +279,7 @@
       headersMs: limits.headersMs,
       bodyBytes: limits.bodyBytes,
     },
+    ...coldEffects,
     ...effects,
     ...releaseBacklogs(state, at),
   ];
@@ -298,6 +327,8 @@
     );
     leaveRate.observe(open.length, at.monotonic);
   }
+  // Before any is opened, as upstreams may have come back cold.
+  effects.push(...applyColdLimits(state, at));
   for (const upstream of listed) {
     if (previous.get(upstream.id)?.state !== upstream.state) {
       effects.push(recordUpstream(state, upstream, at));
@@ -334,31 +365,6 @@
   state.fleet.retainUnlisted(state.keepMissingUntil);
 }
 
-/**
- * Closes or opens an upstream as the store's list and the marks of peers say.
- * An upstream that is not listed here yet is reviewed when it is.
- */
-export function reviewUpstream(
-  state: RelayState,
-  id: string,
-  at: Moment,
-): readonly RelayEffect[] {
-  const upstream = state.upstreams.get(id);
-  if (upstream === undefined) {
-    return [];
-  }
-  const { closeReasons } = state;
-  const reason = findCloseReason(state, upstream, at);
-  const isClosed = closeReasons.has(id);
-  if (reason === null) {
-    closeReasons.delete(id);
-    openUpstream(state, upstream, at);
-    return isClosed ? [recordState(state, id, { reason: "opened", at })] : [];
-  }
-  closeReasons.set(id, reason);
-  return isClosed ? [] : drainUpstream(state, id, { cause: reason, at });
-}
-
 /** Closes an upstream that reports that it is leaving, here and at peers. */
 export function markDraining(
   state: RelayState,
@@ -418,36 +424,6 @@
   return [recordStoreState(state, { reason: "regained", figures, at })];
 }
 
-/**
- * Stops sending new requests to an upstream and begins to evacuate those that
- * it runs.
- */
-function drainUpstream(
-  state: RelayState,
-  id: string,
-  { cause, at }: { readonly cause: string; readonly at: Moment },
-): readonly RelayEffect[] {
-  for (const pool of state.pools.values()) {
-    closeUpstream(pool, id);
-  }
-  const service = state.upstreams.get(id)?.pool ?? "";
-  state.pools.get(service)?.leaveRate.recordLeave();
-  const effects: RelayEffect[] = [
-    recordState(state, id, { reason: "closed", cause, at }),
-  ];
-  for (const request of state.requests.values()) {
-    if (request.copyUpstream === id) {
-      releaseCopy(state, request, at);
-      effects.push(countCopy("engine_left"));
-    }
-    if (request.upstream === id && request.phase !== "waiting") {
-      const isScheduled = !state.fleet.exchangesWithAll;
-      effects.push(beginEvacuation(request, at, { isScheduled }));
-    }
-  }
-  return effects;
-}
-
 function updateMembership(
   state: RelayState,
   at: Moment,
@@ -455,11 +431,12 @@
   const vms = [...state.upstreams.values(), ...state.members];
   const { upstreamsVersion: version } = state;
   state.fleet.applyVmList(vms, at, { version });
+  divideColdLimits(state, at);
   return [...applyUpdates(state, at), ...sendDueExchanges(state, at)];
 }
 
 /** Adds an upstream to the dispatcher of its service. */
-function openUpstream(state: RelayState, vm: Vm, at: Moment): void {
+export function openUpstream(state: RelayState, vm: Vm, at: Moment): void {
   const { id, dataCentre, slots } = vm;
   const pool = state.pools.get(vm.pool ?? "");
   // Reporting its memory again would reset its circuit breaker.
--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -9,12 +9,12 @@
 import type { ScheduledMove } from "./departure_schedule.ts";
 import {
   beginsNow,
+  computeDepartureSchedule,
   eventPeriodMs,
   lastChanceMs,
   moveMsOf,
-  scheduleDeparture,
 } from "./departure_schedule.ts";
-import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
+import { hasCompleteCopy, scheduleDeparture } from "./departure.ts";
 import { FinalEvents } from "./final_events.ts";
 
 /**
@@ -79,7 +79,7 @@
   const { copyTokensPerMs } = pool.service.engines ?? {};
   const finalEvents = state.finalEvents.get(service);
   const { targets, leaving } = listSites(state, pool);
-  const schedule = scheduleDeparture({
+  const schedule = computeDepartureSchedule({
     source,
     runs,
     leavesMs,
@@ -100,7 +100,7 @@
       kind: "wait",
       effects: [
         record("move_not_needed", dueAt - now),
-        scheduleEvacuation(exchangeId, dueAt),
+        scheduleDeparture(exchangeId, dueAt),
       ],
     };
   }
@@ -110,7 +110,7 @@
       kind: "wait",
       effects: [
         record("move_reviewed", reviewMs),
-        scheduleEvacuation(exchangeId, now + reviewMs),
+        scheduleDeparture(exchangeId, now + reviewMs),
       ],
     };
   }
@@ -124,7 +124,7 @@
     effects: [
       record("move_scheduled", startMs),
       ...askTargets(state, pool, { move, at }),
-      scheduleEvacuation(exchangeId, now + startMs),
+      scheduleDeparture(exchangeId, now + startMs),
     ],
   };
 }
--- a/packages/relay/src/moves/departure_schedule_test.ts
+++ b/packages/relay/src/moves/departure_schedule_test.ts
@@ -4,8 +4,8 @@
 import type { EngineSite } from "./departure_schedule.ts";
 import {
   beginsNow,
+  computeDepartureSchedule,
   mustStopAtOnce,
-  scheduleDeparture,
 } from "./departure_schedule.ts";
 import { FinalEvents } from "./final_events.ts";
 import { moveDelayMs } from "./move_delay.ts";
@@ -145,7 +145,7 @@
       this.#schedule(startAt, () => this.#move(run, to));
       return;
     }
-    const schedule = scheduleDeparture({
+    const schedule = computeDepartureSchedule({
       source,
       runs,
       leavesMs: leavesMs + now - measuredAt,
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -12,20 +12,22 @@
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isDeparting, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
+import { hasCompleteCopy, scheduleDeparture } from "./departure.ts";
 import {
   decideDeparture,
   expectedMoveMs,
   listCopiedRequestIds,
 } from "./departure_plan.ts";
 import { mustStopAtOnce } from "./departure_schedule.ts";
-import { hasCompleteCopy, scheduleEvacuation } from "./evacuation.ts";
 import { copyAgain, requestCopy } from "./request_copy.ts";
 import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
 import { countBegun, countCopy, countIfLost } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
+import { awaitResumption } from "./stopped_generation.ts";
 
 type GenerationCopied = Extract<RequestEvent, { kind: "generation_copied" }>;
 type CopyChecked = Extract<RequestEvent, { kind: "copy_checked" }>;
@@ -73,19 +75,19 @@
 };
 
 /**
- * Evacuates a generation from an engine that is leaving: resumes it from its
- * copy, or moves it to another engine. Called by the `evacuate` timer.
+ * Takes a generation off an engine that is leaving: resumes it from its
+ * copy, or moves it to another engine. Called by the `depart` timer.
  */
-export function evacuate(
+export function depart(
   state: RelayState,
   exchangeId: string,
   at: Moment,
 ): readonly RelayEffect[] {
   const request = state.requests.get(exchangeId);
-  const isLeaving = !acceptsWork(state, request?.upstream ?? "");
+  const isLeaving = isDeparting(state, request?.upstream ?? "");
   if (
     request === undefined || request.phase === "waiting" || !isLeaving ||
-    request.move !== null
+    request.move !== null || request.isStopped
   ) {
     return [];
   }
@@ -158,14 +160,14 @@
     return [];
   }
   if (!isSilent(request, at)) {
-    return [scheduleEvacuation(exchangeId, at.monotonic)];
+    return [scheduleDeparture(exchangeId, at.monotonic)];
   }
   if (mayRunOn(request, report)) {
     return stopBeforeResumption(state, request, at);
   }
   const reason = "leaving";
   return resumeFromCopy(state, request, { reason, at }) ??
-    [retryEvacuation(request, at)];
+    [retryDeparture(request, at)];
 }
 
 /**
@@ -184,7 +186,7 @@
     return [{ kind: "list_runs", attemptId, exchangeId, address }];
   }
   if (moveAllowedAt !== null && moveAllowedAt > at.monotonic) {
-    return [scheduleEvacuation(exchangeId, moveAllowedAt)];
+    return [scheduleDeparture(exchangeId, moveAllowedAt)];
   }
   return startMoveOrRetry(state, request, at);
 }
@@ -238,15 +240,15 @@
     at,
   });
   // Nothing has been generated yet, or no engine has room. Either may change.
-  return move ?? [retryEvacuation(request, at)];
+  return move ?? [retryDeparture(request, at)];
 }
 
-function retryEvacuation(
+function retryDeparture(
   { exchangeId, departure }: RelayedRequest,
   at: Moment,
 ): RelayEffect {
   const delayMs = departure === null ? moveRetryMs : scheduledRetryMs;
-  return scheduleEvacuation(exchangeId, at.monotonic + delayMs);
+  return scheduleDeparture(exchangeId, at.monotonic + delayMs);
 }
 
 /**
@@ -348,6 +350,11 @@
       return effects;
     }
   }
+  if (outcome.kind === "copied" && isEvacuated(state, move.to)) {
+    const { handle } = outcome;
+    const detail = "evacuated";
+    return moveElsewhere(state, request, { move, handle, detail, at });
+  }
   switch (outcome.kind) {
     case "copied":
       if (move.copyCount === 1) {
@@ -366,7 +373,7 @@
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
       releaseMove(state, request, at);
-      return [retryEvacuation(request, at)];
+      return [retryDeparture(request, at)];
     case "not_running":
       return failMove(state, request, { move, reason: outcome.kind, at });
     case "unknown": {
@@ -379,7 +386,7 @@
 /**
  * Moves a generation to another engine after the first one had no room. If it
  * is already stopped and no other engine has room, it is resumed at the engine
- * where it ran, which still keeps its memory.
+ * where it ran, which still keeps its memory, unless that one is evacuated.
  */
 function moveElsewhere(
   state: RelayState,
@@ -398,7 +405,7 @@
   if (!stop) {
     releaseMove(state, request, at);
     return startMove(state, request, { excludedEngines, stop, at }) ??
-      [retryEvacuation(request, at)];
+      [retryDeparture(request, at)];
   }
   if (handle === null) {
     return failMove(state, request, { move, reason: "no_room", detail, at });
@@ -413,11 +420,14 @@
   if (restartEffects !== null) {
     return restartEffects;
   }
+  if (isEvacuated(state, request.upstream)) {
+    return awaitResumption(state, request, { handle, at });
+  }
   const to = request.upstream;
   return [
     ...resumeStopped(state, request, { to, handle, reason: "no_room", at }),
-    // Its engine is still leaving, so another evacuation is due.
-    retryEvacuation(request, at),
+    // Its engine is still leaving, so another departure is due.
+    retryDeparture(request, at),
   ];
 }
 
@@ -449,7 +459,7 @@
     return [
       recordDecision(state, { ...decision, kind: "retry", reason }, at),
       count("retries", reason),
-      retryEvacuation(request, at),
+      retryDeparture(request, at),
     ];
   }
   const effects = resumeFromCopy(state, request, { reason: "copy_failed", at });
@@ -467,9 +477,3 @@
     ...releaseBacklogs(state, at),
   ];
 }
-
-/** Whether an upstream is listed as live and has not been closed. */
-function acceptsWork(state: RelayState, id: string): boolean {
-  return state.upstreams.get(id)?.state === "live" &&
-    !state.closeReasons.has(id);
-}
--- a/packages/relay/src/moves/resume_generation.ts
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -5,7 +5,7 @@
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
 import { count, recordDecision } from "../util/effects.ts";
-import { beginEvacuation } from "./evacuation.ts";
+import { beginDeparture } from "./departure.ts";
 import { countCopy, countMove } from "./rescue_counts.ts";
 
 /**
@@ -111,7 +111,7 @@
     }),
     // It has got its notice during the move, when the generation was not there.
     ...to !== upstream && isScheduled && state.closeReasons.has(to)
-      ? [beginEvacuation(request, at)]
+      ? [beginDeparture(request, at)]
       : [],
   ];
 }
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CounterName } from "../relay_effect.ts";
 import type { RelayState } from "../state.ts";
+import { evacuatedReason } from "../upstreams/evacuations.ts";
 
 /** Prometheus metrics of one relay process. */
 export interface RelayMetrics {
@@ -37,6 +38,11 @@
   ).length;
 }
 
+/** Counts upstreams that are closed for a reason. */
+function countClosed({ closeReasons }: RelayState, reason: string): number {
+  return [...closeReasons.values()].filter((known) => known === reason).length;
+}
+
 /** Returns the age of a moment, in milliseconds; `NaN` if it never was. */
 function ageMsOf(moment: number): number {
   return moment === -Infinity ? Number.NaN : performance.now() - moment;
@@ -51,6 +57,7 @@
     upstreams: () => state.upstreams.size,
     isolated_processes: () => state.reachability.isIsolated ? 1 : 0,
     limited_upstreams: () => state.requestLimits.count,
+    cold_upstreams: () => state.requestLimits.cold?.count ?? 0,
     leaving_upstreams_open: () => countLeavingOpen(state),
     store_era: () => state.storeEra ?? 0,
     store_readers: () => state.fleet.readerRank === "reader" ? 1 : 0,
@@ -59,6 +66,9 @@
     routing_age_ms: () => ageMsOf(state.fleet.configurationConfirmedAt),
     document_bytes_received: () => state.fleet.documents?.bytes.received ?? 0,
     document_bytes_sent: () => state.fleet.documents?.bytes.sent ?? 0,
+    evacuated_data_centres: () => state.fleet.evacuations.dataCentres.size,
+    evacuated_upstreams: () => countClosed(state, evacuatedReason),
+    evacuations_age_ms: () => ageMsOf(state.fleet.evacuations.confirmedAt),
     resident_bytes: () => process.memoryUsage.rss(),
   };
   for (const [name, read] of Object.entries(gauges)) {
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,5 +1,6 @@
 import type { SocketAddress } from "@lavenderferry/fleet";
 import type { ConnectionLimits } from "@lavenderferry/runtime";
+import type { ColdTolerance } from "@lavenderferry/policy";
 
 /** Settings of one relay process. */
 export interface RelaySettings {
@@ -24,6 +25,16 @@
    * routing and of the upstreams.
    */
   readonly freshnessMs: number;
+  /**
+   * Milliseconds within which the upstreams of a data centre under evacuation get
+   * no more requests; `null`: evacuations are not followed.
+   */
+  readonly evacuationMs: number | null;
+  /**
+   * What cold upstreams bear beyond the rate that they handle; `null`: requests
+   * to them are not limited.
+   */
+  readonly coldTolerance: ColdTolerance | null;
   /** Bytes that all requests and answers in progress may hold in memory. */
   readonly heldBytes: number;
   /** Limits of callers' connections; those left out have their defaults. */
