--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -135,7 +135,7 @@
       const ids = { attemptId, exchangeId: "x1" } as const;
       const outcome = { kind: "busy" } as const;
       relay.reduce({ kind: "generation_copied", ...ids, outcome });
-      const timer = { kind: "evacuate", exchangeId: "x1" } as const;
+      const timer = { kind: "depart", exchangeId: "x1" } as const;
       const again = relay.reduce({ kind: "timer_fired", timer }, 50);
       t.equal(only(again, "copy_generation").length, 1);
       t.strictSame(countsOf(again), [], "a retry is no other move");
