--- a/packages/relay/src/http/side_server.ts
+++ b/packages/relay/src/http/side_server.ts
@@ -1,12 +1,13 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
-import { listEntries } from "@lavenderferry/fleet";
 import { announce } from "@lavenderferry/runtime";
 import polka from "polka";
 import type { Registry } from "prom-client";
 import type { AddressCodec } from "../ports.ts";
 import type { RelayState } from "../state.ts";
 import { isReady } from "../util/is_ready.ts";
+import { AddressChecks } from "./address_checks.ts";
+import { listAddresses } from "./list_addresses.ts";
 
 /** Milliseconds for which callers may use the addresses of an answer. */
 const addressLifetimeMs = 2_000;
@@ -14,12 +15,6 @@
 /** Base of request paths, which `URL` parses only with an origin. */
 const placeholderOrigin = "http://localhost";
 
-/**
- * Live members that a data centre must have for its callers to get only the
- * addresses of these members.
- */
-const minNearMembers = 2;
-
 /** Serves the readiness probe: 200 while the process is ready, else 503. */
 export function createReadinessServer(
   state: RelayState,
@@ -37,17 +32,24 @@
   codec: AddressCodec,
 ): Server {
   let rotation = 0;
+  const checks = new AddressChecks();
   const application = polka().get(codec.path, (request, response) => {
     const query = new URL(request.url ?? "/", placeholderOrigin).searchParams;
     const { dataCentre } = codec.readQuery(query);
-    const addresses = addressesFor(state, dataCentre, rotation++);
-    if (addresses.length === 0) {
-      response.writeHead(503).end();
-      return;
-    }
-    const document = codec.writeAnswer(addresses, addressLifetimeMs);
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify(document));
+    const now = performance.now();
+    const options = { dataCentre, rotation: rotation++, checks, now };
+    listAddresses(state, options).then((addresses) => {
+      if (addresses.length === 0) {
+        response.writeHead(503).end();
+        return;
+      }
+      const document = codec.writeAnswer(addresses, addressLifetimeMs);
+      response.writeHead(200, { "content-type": "application/json" });
+      response.end(JSON.stringify(document));
+    }).catch((error: unknown) => {
+      announce("addresses_failed", { error: String(error) });
+      response.destroy();
+    });
   });
   return serverOf(application);
 }
@@ -69,29 +71,6 @@
   return serverOf(application);
 }
 
-/**
- * Lists the addresses for a caller: those of its data centre while that has
- * enough live members, otherwise those of all data centres.
- */
-function addressesFor(
-  state: RelayState,
-  dataCentre: string,
-  rotation: number,
-): readonly string[] {
-  if (!state.membersKnown || state.routeTable === null) {
-    return [];
-  }
-  const members = state.fleet.membership.all();
-  const near = members.filter((member) =>
-    member.dataCentre === dataCentre && member.state === "live"
-  );
-  const entries = listEntries(near.length >= minNearMembers ? near : members, {
-    dataCentre,
-    rotation,
-  });
-  return entries.map(({ address }) => address);
-}
-
 function serverOf(application: ReturnType<typeof polka>): Server {
   return createServer((request, response) => {
     try {
