--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -74,6 +74,8 @@
   readonly limits: ConnectionLimits;
   /** Counts a connection that was closed or not accepted. */
   readonly onClosed?: (reason: CloseReason) => void;
+  /** Writes a log line; by default to standard output. */
+  readonly log?: typeof announce;
   /** Opens an account of what a connection holds; `end` closes it. */
   readonly openAccount?: (end: () => void) => HeldBytesAccount;
 }
@@ -142,8 +144,8 @@
     this.#logs.set(reason, log);
     log.unlogged += 1;
     if (now - log.at >= logPeriodMs) {
-      const { server } = this.#options;
-      announce("connection_closed", { server, reason, count: log.unlogged });
+      const { server, log: write = announce } = this.#options;
+      write("connection_closed", { server, reason, count: log.unlogged });
       log.at = now;
       log.unlogged = 0;
     }
--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -251,6 +251,33 @@
   });
 }
 
+// A line for each connection would let clients fill the log.
+t.test("closed connections are counted each and logged now and then", (t) => {
+  const counted: CloseReason[] = [];
+  const lines: unknown[] = [];
+  const guard = new ConnectionGuard({
+    server: "test",
+    limits: defaultConnectionLimits,
+    onClosed: (reason) => counted.push(reason),
+    log: (event, fields) => lines.push({ event, ...fields }),
+  });
+  for (let number = 0; number < 100; number++) {
+    guard.report("pipelined");
+  }
+  guard.report("memory");
+  t.equal(counted.length, 101);
+  t.strictSame(lines, [
+    {
+      event: "connection_closed",
+      server: "test",
+      reason: "pipelined",
+      count: 1,
+    },
+    { event: "connection_closed", server: "test", reason: "memory", count: 1 },
+  ]);
+  t.end();
+});
+
 // Clients that only open connections must not keep out those with requests.
 t.test("beyond the limit, a connection without a request gives way", async (t) => {
   const { open, reasons } = await startServer(t, ({ url }, response) => {
