--- a/packages/relay/src/moves/rescue_counts.ts
+++ b/packages/relay/src/moves/rescue_counts.ts
@@ -1,6 +1,7 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isDeparture } from "../upstreams/evacuations.ts";
 import { count } from "../util/effects.ts";
 
 /** Outcomes of moves, as labels of the counter `moves`. */
@@ -51,7 +52,7 @@
   { closeReasons }: RelayState,
   { upstream, phase, move }: RelayedRequest,
 ): readonly RelayEffect[] {
-  if (!closeReasons.has(upstream) || phase !== "streaming") {
+  if (!isDeparture(closeReasons.get(upstream)) || phase !== "streaming") {
     return [];
   }
   switch (move?.phase) {
--- a/packages/relay/src/moves/resume_generation.ts
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -4,9 +4,12 @@
 import { endAttempt, startAttempt } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
+import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
+import { isDeparture } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import { beginDeparture } from "./departure.ts";
 import { countCopy, countMove } from "./rescue_counts.ts";
+import { deferResumption } from "./stopped_generation.ts";
 
 /**
  * Resumes a generation at the engine that keeps a copy of its memory, or
@@ -61,6 +64,12 @@
   const { upstream: from, events, requestId, lastEventId } = request;
   const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
   const endEffects = endAttempt(state, request, { outcome, at });
+  if (isOverColdLimit(state, upstream, at)) {
+    return [
+      ...endEffects,
+      ...deferResumption(state, request, { upstream, resumption, at }),
+    ];
+  }
   const after = lastEventId ?? "";
   const figures = {
     from,
@@ -110,7 +119,7 @@
       at,
     }),
     // It has got its notice during the move, when the generation was not there.
-    ...to !== upstream && isScheduled && state.closeReasons.has(to)
+    ...to !== upstream && isScheduled && isDeparture(state.closeReasons.get(to))
       ? [beginDeparture(request, at)]
       : [],
   ];
--- a/packages/relay/src/moves/stopped_generation.ts
+++ b/packages/relay/src/moves/stopped_generation.ts
@@ -1,5 +1,5 @@
 import type { Moment } from "@lavenderferry/runtime";
-import type { RelayEffect } from "../relay_effect.ts";
+import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import {
   contextTokens,
   endAttempt,
@@ -11,8 +11,13 @@
 import { scheduleResumption } from "../requests/resumption_retry.ts";
 import type { RelayState } from "../state.ts";
 import { nextId } from "../state.ts";
-import { isEvacuated } from "../upstreams/evacuations.ts";
+import {
+  evacuatedReason,
+  isDeparting,
+  isEvacuated,
+} from "../upstreams/evacuations.ts";
 import { recordDecision } from "../util/effects.ts";
+import { countMove } from "./rescue_counts.ts";
 
 /** Engines compared when a stopped generation is resumed, as for a move. */
 const resumptionCandidates = 8;
@@ -37,9 +42,36 @@
   return [...effects, ...tryLater(state, request, at)];
 }
 
+/**
+ * Keeps a generation whose chosen engine is cold and may not be sent a request
+ * yet: it is resumed at another engine, or there when its turn comes. The current
+ * attempt has ended.
+ */
+export function deferResumption(
+  state: RelayState,
+  request: RelayedRequest,
+  { upstream, resumption, at }: {
+    readonly upstream: string;
+    readonly resumption: Resumption;
+    readonly at: Moment;
+  },
+): readonly RelayEffect[] {
+  const { demand, upstream: from } = request;
+  request.demand = {
+    ...demand,
+    excludedEngines: [...(demand.excludedEngines ?? []), from],
+  };
+  request.upstream = upstream;
+  request.resumption = resumption;
+  request.isStopped = true;
+  // What still arrives of the attempt that has ended is ignored.
+  request.attemptId = nextId(state);
+  return resumeElsewhere(state, request, at);
+}
+
 /**
  * Resumes a stopped generation at another engine, as the one that was chosen is
- * under evacuation.
+ * under evacuation, or is cold and bears no more requests now.
  */
 export function resumeElsewhere(
   state: RelayState,
@@ -51,7 +83,7 @@
   const target = pool?.dispatcher.chooseTransferTarget({
     ...demand,
     promptTokens: contextTokens(pool, request),
-    excludedEngines: [upstream],
+    excludedEngines: [...(demand.excludedEngines ?? []), upstream],
   }, { maxCandidates: resumptionCandidates, at }) ?? null;
   if (target === null || !state.upstreams.has(target)) {
     return tryLater(state, request, at);
@@ -61,9 +93,10 @@
     recordDecision(state, {
       kind: "resume",
       subject: request.requestId,
-      reason: "evacuated",
+      reason: reasonOf(state, upstream),
       figures,
     }, at),
+    ...isDeparting(state, upstream) ? [countMove("saved")] : [],
     ...startAttempt(state, request, { upstream: target, resumption, at }),
   ];
 }
@@ -89,10 +122,16 @@
     ];
   }
   state.requests.delete(request.exchangeId);
-  const reason = "evacuated";
+  const reason = reasonOf(state, upstream);
   return [
     recordDecision(state, { kind: "drop", subject, reason, figures }, at),
+    ...isDeparting(state, upstream) ? [countMove("lost_stopping")] : [],
     ...failRequest(request, { error: "generation_lost", notRun: false }),
     ...releaseBacklogs(state, at),
   ];
 }
+
+/** Returns why a generation does not go on at the engine that was chosen. */
+function reasonOf(state: RelayState, upstream: string): string {
+  return isEvacuated(state, upstream) ? evacuatedReason : "cold";
+}
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -21,7 +21,8 @@
 import { countIfLost, countMove } from "../moves/rescue_counts.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { resumeElsewhere } from "../moves/stopped_generation.ts";
-import { isEvacuated } from "../upstreams/evacuations.ts";
+import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
+import { isDeparture, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   copyReservationId,
@@ -237,7 +238,9 @@
         longestPauseMs: Math.round(request.longestPauseMs),
       },
     }, at),
-    ...state.closeReasons.has(upstream) ? [countMove("ended")] : [],
+    ...isDeparture(state.closeReasons.get(upstream))
+      ? [countMove("ended")]
+      : [],
     ...effects,
     { kind: "finish_events", exchangeId, head },
     ...provesComplete ? recordAnswered(state, suspectIdsOf(request), at) : [],
@@ -378,7 +381,7 @@
   if (refusedResumptions === 0 || !state.upstreams.has(upstream)) {
     return [];
   }
-  if (isEvacuated(state, upstream)) {
+  if (isEvacuated(state, upstream) || isOverColdLimit(state, upstream, at)) {
     return resumeElsewhere(state, request, at);
   }
   return startAttempt(state, request, { upstream, resumption, at });
--- a/packages/relay/src/upstreams/cold_upstreams.ts
+++ b/packages/relay/src/upstreams/cold_upstreams.ts
@@ -86,6 +86,15 @@
   return effects;
 }
 
+/** Whether an upstream is cold and may not be sent a request of this relay yet. */
+export function isOverColdLimit(
+  { requestLimits: { cold } }: Pick<RelayState, "requestLimits">,
+  id: string,
+  at: Moment,
+): boolean {
+  return cold !== null && cold.nextStartAt(id) > at.monotonic;
+}
+
 /** Ends the limits of upstreams whose time has passed. */
 export function removeExpiredCold(
   state: RelayState,
--- a/packages/relay/src/upstreams/cold_upstreams_test.ts
+++ b/packages/relay/src/upstreams/cold_upstreams_test.ts
@@ -202,6 +202,46 @@
   t.end();
 });
 
+// All generations of an ended engine went on at once at an engine that had become
+// cold after it had got their copies.
+t.test("resumptions from copies go to a cold engine as far as it bears them", (t) => {
+  const relay = startRelay();
+  const [e1, e2, e3] = engines;
+  relay.list([e1, e2].filter((vm) => vm !== undefined));
+  const head = { status: 200, headers: [] };
+  const attempts = Array.from({ length: 12 }, (_, index) => {
+    const exchangeId = `x${index}`;
+    const sent = only(relay.generate({ exchangeId }), "send_request")[0];
+    const attemptId = sent?.attemptId ?? "";
+    const stream = { bytes: Buffer.from("x"), lastEventId: "7", head };
+    const attempt = { exchangeId, attemptId };
+    relay.reduce({ kind: "events_received", ...attempt, ...stream, count: 7 });
+    return { ...attempt, upstream: sent?.target.id, copyTo: sent?.copyTo };
+  }).filter(({ upstream, copyTo }) => upstream === "e1" && copyTo !== null);
+  t.ok(attempts.length > 3, `${attempts.length} copies`);
+  relay.list([e1, e2, e3].filter((vm) => vm !== undefined));
+  rowVersion += 1;
+  const cold = { version: rowVersion, coldMs: 600_000 };
+  relay.list(engines.map((vm) => vm.id === "e2" ? { ...vm, ...cold } : vm));
+  relay.wait(2_000);
+  const reason = "connection_lost";
+  const resumed = attempts.flatMap(({ exchangeId, attemptId }) =>
+    only(
+      relay.reduce({
+        kind: "attempt_failed",
+        exchangeId,
+        attemptId,
+        reason,
+      }, 0),
+      "send_request",
+    )
+  );
+  t.ok(resumed.filter(({ target: { id } }) => id === "e2").length <= 1);
+  t.ok(resumed.some(({ target: { id } }) => id === "e3"), "others bear more");
+  t.ok(resumed.every(({ resumption }) => resumption?.address === e2?.address));
+  t.end();
+});
+
 // A process out of contact is taken for ended, but goes on sending.
 t.test("a relay that is out of contact keeps its share of a cold upstream", (t) => {
   const relay = startRelay();
