--- a/packages/protocol/src/exchange_stream_test.ts
+++ b/packages/protocol/src/exchange_stream_test.ts
@@ -10,6 +10,7 @@
   ExchangeMessage__Output,
 } from "./generated/lavenderferry/v1/ExchangeMessage.ts";
 import { PeerClient } from "./peer_client.ts";
+import { PeerClients } from "./peer_clients.ts";
 import type { PeerMethods } from "./peer_server.ts";
 import { PeerServer } from "./peer_server.ts";
 import { peerService } from "./peer_service.ts";
@@ -109,6 +110,17 @@
   t.ok(parts > 0);
 });
 
+// An exchange after the end opened a connection that kept the process running.
+t.test("no connection is opened once all are closed", async (t) => {
+  const { port } = await startPeer(t, echo);
+  const clients = new PeerClients();
+  const address = `${ip}:${port}`;
+  t.equal((await clients.at(address).exchange({ sequence: 1 })).sequence, 1);
+  clients.close();
+  await t.rejects(clients.at(address).exchange({ sequence: 2 }));
+  await t.rejects(clients.at(address).readDocument({}, performance.now()));
+});
+
 t.test("a connection that is silent from the start fails the request", async (t) => {
   const sockets = new Set<Socket>();
   const silent = createServer((socket) => sockets.add(socket));
--- a/packages/protocol/src/peer_clients.ts
+++ b/packages/protocol/src/peer_clients.ts
@@ -8,13 +8,22 @@
 export class PeerClients {
   readonly #clients = new Map<string, PeerClient>();
   readonly #credentials: PeerCredentials;
+  #isClosed = false;
 
   constructor(credentials: PeerCredentials = plainCredentials) {
     this.#credentials = credentials;
   }
 
-  /** Returns the client for an address, and creates it when there is none. */
+  /**
+   * Returns the client for an address, and creates it when there is none. After
+   * `close` its calls fail, as nothing would close a new connection.
+   */
   at(address: string): PeerClient {
+    if (this.#isClosed) {
+      const closed = this.#connect(address);
+      closed.close();
+      return closed;
+    }
     const client = this.#clients.get(address) ?? this.#connect(address);
     this.#clients.delete(address);
     this.#clients.set(address, client);
@@ -24,6 +33,7 @@
 
   /** Closes all connections. */
   close(): void {
+    this.#isClosed = true;
     for (const client of this.#clients.values()) {
       client.close();
     }
