--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -17,6 +17,12 @@
       "port": 8740,
     },
     "coldTolerance": null,
+    "connections": Object {
+      "connections": 1024,
+      "discardedBytes": 4194304,
+      "pipelinedBytes": 131072,
+      "stalledMs": 60000,
+    },
     "dataCentre": "lodz-a",
     "evacuationMs": null,
     "freshnessMs": 5000,
@@ -127,6 +133,7 @@
         "wsjnbanfqasnmgkcuyj8",
       ],
       "name": "huka270",
+      "priority": 1,
     },
   ],
 }
