--- a/packages/fleet/src/fleet_node.ts
+++ b/packages/fleet/src/fleet_node.ts
@@ -8,17 +8,19 @@
 import type { Moment } from "@lavenderferry/runtime";
 import { Random } from "@lavenderferry/runtime";
 import { applyMemberRecord } from "./apply_member_record.ts";
+import { collectPeerRecords } from "./collect_peer_records.ts";
 import type { DutyHolder } from "./duty_directory.ts";
 import { DutyDirectory } from "./duty_directory.ts";
+import { DutyRelay } from "./duty_relay.ts";
+import { EvacuationRelay } from "./evacuation_relay.ts";
 import type { MessageHeader, OutgoingMessage } from "./exchange.ts";
 import { Evacuations } from "./evacuations.ts";
 import type { EvacuationList } from "./evacuations.ts";
 import { Exchange } from "./exchange.ts";
-import { ConfigurationHistory } from "./configuration_history.ts";
-import type { ViewSource } from "./documents/document_exchange.ts";
-import { DocumentExchange } from "./documents/document_exchange.ts";
-import { findSources } from "./documents/find_sources.ts";
+import { ConfigurationRelay } from "./configuration_relay.ts";
+import type { DocumentExchange } from "./documents/document_exchange.ts";
 import type { FleetNodeOptions } from "./fleet_node_options.ts";
+import { publishMember } from "./publish_member.ts";
 import {
   publishLengths,
   publishLimit,
@@ -40,7 +42,6 @@
   Versioned,
 } from "./fleet_updates.ts";
 import { createUpdates } from "./fleet_updates.ts";
-import { readConfiguration } from "./read_configuration.ts";
 import { PeerReview } from "./peer_review.ts";
 import { queueSenderRecord } from "./queue_sender_record.ts";
 import type { ReaderRank } from "./readers.ts";
@@ -70,15 +71,15 @@
   readonly evacuations = new Evacuations();
   readonly #options: FleetNodeOptions<Document>;
   readonly #exchange: Exchange;
-  readonly #configurations: ConfigurationHistory<Document>;
+  readonly #configurations: ConfigurationRelay<Document>;
   readonly #peerWork = new PeerWorkTable();
   readonly #confirmedBy = new Set<string>();
   readonly #listRelay: ListRelay;
   readonly #markRelay: MarkRelay;
+  readonly #dutyRelay: DutyRelay;
+  readonly #evacuationRelay: EvacuationRelay;
   readonly #leaving = new LeavingUpstreams();
   readonly #peerReview: PeerReview;
-  /** The transfer of configurations; `null` if they are part of exchanges. */
-  readonly documents: DocumentExchange | null;
   #rankedReaders: readonly Member[] | null = null;
   #storeEra = 0;
   #replyCount = 0;
@@ -88,11 +89,6 @@
   constructor(options: FleetNodeOptions<Document>, startedAt: number) {
     const { id, epoch, role, dataCentre, region, seed } = options;
     this.#options = options;
-    this.#configurations = new ConfigurationHistory(
-      options.readConfiguration ??
-        ((document) => readConfiguration(document) as Document | null),
-      options.keptVersions,
-    );
     const random = new Random(seed ^ Number.parseInt(epoch.slice(0, 6), 16));
     this.#listRelay = new ListRelay(
       this.marks,
@@ -107,9 +103,12 @@
       }),
     );
     this.#markRelay = new MarkRelay(this.marks, this.#exchange);
-    this.documents = options.readsDocuments === true
-      ? new DocumentExchange(id, random, () => this.#viewDocuments())
-      : null;
+    this.#dutyRelay = new DutyRelay(this.duties, this.#exchange);
+    this.#evacuationRelay = new EvacuationRelay(
+      this.evacuations,
+      this.#exchange,
+      options.followsEvacuations === true,
+    );
     this.membership = new Membership({
       id,
       epoch,
@@ -121,10 +120,18 @@
       address: "",
       peers: "",
     });
+    const { membership } = this;
+    const exchange = this.#exchange;
+    this.#configurations = new ConfigurationRelay(options, {
+      membership,
+      exchange,
+      random,
+      readerRank: () => this.readerRank,
+    });
     this.#peerReview = new PeerReview(options, {
-      membership: this.membership,
+      membership,
       marks: this.marks,
-      exchange: this.#exchange,
+      exchange,
       random,
     });
   }
@@ -142,6 +149,11 @@
     return this.#peerReview.isMesh;
   }
 
+  /** The transfer of configurations; `null` if they are part of exchanges. */
+  get documents(): DocumentExchange | null {
+    return this.#configurations.documents;
+  }
+
   /** Number of links to peers. */
   get linkCount(): number {
     return this.#exchange.links.length;
@@ -152,7 +164,7 @@
    * platform's newest.
    */
   get configurationConfirmedAt(): number {
-    return this.#configurations.confirmedAt;
+    return this.#configurations.history.confirmedAt;
   }
 
   /** The platform's list of upstreams, as read here or at a peer. */
@@ -217,10 +229,7 @@
 
   /** Applies an accepted configuration and announces it to peers without it. */
   applyConfiguration(configuration: Document): void {
-    if (this.#configurations.add(configuration)) {
-      this.documents?.add(configuration);
-      this.#exchange.announceVersion(configuration.version);
-    }
+    this.#configurations.add(configuration);
   }
 
   /**
@@ -228,7 +237,7 @@
    * in monotonic milliseconds.
    */
   confirmConfiguration(confirmedAt: number): void {
-    this.#configurations.confirm(confirmedAt);
+    this.#configurations.history.confirm(confirmedAt);
   }
 
   /**
@@ -236,7 +245,7 @@
    * process knows, and of what it has asked its peers.
    */
   addAge(milliseconds: number): void {
-    this.#configurations.addAge(milliseconds);
+    this.#configurations.history.addAge(milliseconds);
     this.upstreams.addAge(milliseconds);
     this.evacuations.addAge(milliseconds);
     for (const link of this.#exchange.links) {
@@ -259,11 +268,7 @@
    * monotonic milliseconds; returns whether the data centres have changed.
    */
   readEvacuations(list: EvacuationList, askedAt: number): boolean {
-    const isChanged = this.evacuations.read(list, askedAt);
-    if (isChanged) {
-      this.#exchange.announceEvacuations(this.evacuations.changedIn);
-    }
-    return isChanged;
+    return this.#evacuationRelay.read(list, askedAt);
   }
 
   /** Sets the monotonic deadline until which unlisted upstreams are retained. */
@@ -308,7 +313,7 @@
 
   /** Publishes the holder of a duty. */
   setDuty(record: DutyHolder, at: Moment): void {
-    this.#applyDuty(record, { at });
+    this.#dutyRelay.publish(record, { at });
   }
 
   /** Returns the holder of a duty; `null` unless its member is live. */
@@ -367,9 +372,10 @@
     const { full, configurationVersion } = message;
     const header = this.#header(at);
     const reply = this.#exchange.buildReply(link, header, { full, at });
-    const configurations = this.#transfersTo(link)
-      ? []
-      : this.#configurations.after(configurationVersion);
+    const configurations = this.#configurations.recordsFor(
+      link,
+      configurationVersion,
+    );
     return { ...reply, configurations };
   }
 
@@ -388,7 +394,7 @@
     this.#replyCount += 1;
     const { requestSentAt: sentAt } = link;
     this.#applyMessage(reply, link, { at, stale, sentAt });
-    if (reply.configurationVersion <= this.#configurations.version) {
+    if (reply.configurationVersion <= this.#configurations.history.version) {
       this.#confirmedBy.add(peer);
     }
   }
@@ -396,7 +402,7 @@
   /** Puts a configuration in force that was read from a peer, if it is newer. */
   applyDocument(document: Versioned): void {
     const configuration = document as Document;
-    if (configuration.version > this.#configurations.version) {
+    if (configuration.version > this.#configurations.history.version) {
       this.applyConfiguration(configuration);
       this.#updates.configurations.push(configuration);
     }
@@ -426,7 +432,7 @@
 
   #header(at: Moment): MessageHeader {
     const { id, epoch } = this.#options;
-    const { confirmedAt, version } = this.#configurations;
+    const { confirmedAt, version } = this.#configurations.history;
     return {
       sender: id,
       epoch,
@@ -467,41 +473,20 @@
       this.#applyPeerMark(record, { at, link });
     }
     for (const record of message.duties) {
-      this.#applyDuty(record, { at, from });
+      this.#dutyRelay.publish(record, { at, from });
     }
-    this.#updates.suspects.push(...message.suspects);
-    this.#updates.limits.push(...message.limits);
-    if (!stale) {
-      this.#applyShares(from, message.shares);
-    }
-    if (message.lengths.length > 0) {
-      const known = this.#updates.lengths.get(from) ?? [];
-      this.#updates.lengths.set(from, [...known, ...message.lengths]);
-    }
-    this.#updates.storeEra = Math.max(this.#updates.storeEra, message.storeEra);
-    this.#applyConfigurations(message.configurations);
-    this.#configurations.confirmBy(message, sentAt);
+    collectPeerRecords(this.#updates, message, {
+      from,
+      stale,
+      peerWork: this.#peerWork,
+    });
+    this.#updates.configurations.push(
+      ...this.#configurations.apply(message, link, sentAt),
+    );
     this.#applyNews(message.upstreams, link, { at, sentAt });
-    this.#applyEvacuations(message.evacuations, link, sentAt);
-    link.urgent ||= !this.#transfersTo(link) &&
-      message.configurationVersion > this.#configurations.version;
-  }
-
-  /** Whether a peer and this process read configurations by calls of their own. */
-  #transfersTo(link: Link): boolean {
-    return this.documents !== null && link.readsDocuments;
-  }
-
-  #viewDocuments(): ReturnType<ViewSource> {
-    const { version: heldVersion } = this.#configurations;
-    const { membership, readerRank } = this;
-    const { links } = this.#exchange;
-    return {
-      heldVersion,
-      sources: findSources(links, { heldVersion, membership }),
-      readsStore: this.#options.freshnessMs !== undefined &&
-        readerRank === "reader",
-    };
+    this.#updates.evacuationsChanged =
+      this.#evacuationRelay.apply(message.evacuations, link, sentAt) ||
+      this.#updates.evacuationsChanged;
   }
 
   #applyNews(
@@ -521,21 +506,6 @@
     }
   }
 
-  #applyEvacuations(
-    news: ExchangeMessage__Output["evacuations"],
-    link: Link,
-    sentAt: number,
-  ): void {
-    if (this.#options.followsEvacuations !== true || !news) {
-      return;
-    }
-    link.evacuationsVersion = news.version;
-    if (this.evacuations.merge(news, sentAt)) {
-      this.#updates.evacuationsChanged = true;
-      this.#exchange.announceEvacuations(this.evacuations.changedIn);
-    }
-  }
-
   get #readers(): readonly Member[] {
     this.#rankedReaders ??= rankReaders(this.membership.all());
     return this.#rankedReaders;
@@ -551,44 +521,8 @@
     }
   }
 
-  #applyDuty(
-    record: DutyHolder,
-    { at, from }: { readonly at: Moment; readonly from?: string },
-  ): void {
-    if (!this.duties.merge(record, at)) {
-      return;
-    }
-    const { duty, holder, fence } = record;
-    const origin = from === undefined ? {} : { from };
-    this.#exchange.publish(
-      "duties",
-      { key: duty, value: { duty, holder, fence } },
-      { at, urgent: true, ...origin },
-    );
-  }
-
-  #applyShares(
-    from: string,
-    shares: ExchangeMessage__Output["shares"],
-  ): void {
-    if (shares.length > 0) {
-      this.#updates.shares.set(from, this.#peerWork.apply(from, shares));
-    }
-  }
-
-  #applyConfigurations(
-    records: ExchangeMessage__Output["configurations"],
-  ): void {
-    for (const record of records) {
-      const configuration = this.#configurations.readNewer(record);
-      if (configuration !== null) {
-        this.applyConfiguration(configuration);
-        this.#updates.configurations.push(configuration);
-      }
-    }
-  }
-
   #publishMembers(at: Moment, from: string | undefined): void {
+    const { id: self } = this.#options;
     for (const id of this.membership.takeChangedIds()) {
       const record = this.membership.get(id);
       this.#nextReviewAt = 0;
@@ -598,19 +532,7 @@
       }
       this.#updates.members.push(record);
       this.#dropPeerWork(record);
-      if (record.epoch !== "") {
-        const known = this.#exchange.store.get("members", id)?.value.state;
-        const urgent = record.state !== "live" ||
-          (known !== undefined && known !== "live");
-        // A peer that suspects this process is told otherwise itself.
-        const isSelf = id === this.#options.id;
-        const origin = from === undefined || isSelf ? {} : { from };
-        this.#exchange.publish("members", { key: id, value: { ...record } }, {
-          at,
-          urgent,
-          ...origin,
-        });
-      }
+      publishMember(this.#exchange, record, { self, from, at });
     }
   }
 
