--- a/packages/relay/src/fleet/review_upstream.ts
+++ b/packages/relay/src/fleet/review_upstream.ts
@@ -1,8 +1,8 @@
 import type { Moment } from "@lavenderferry/runtime";
 import { beginDeparture } from "../moves/departure.ts";
 import { countCopy } from "../moves/rescue_counts.ts";
+import { releaseCopy } from "../moves/reserve_memory.ts";
 import type { RelayEffect } from "../relay_effect.ts";
-import { releaseCopy } from "../requests/place_request.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { isDeparture } from "../upstreams/evacuations.ts";
--- a/packages/relay/src/moves/copy_offer.ts
+++ b/packages/relay/src/moves/copy_offer.ts
@@ -1,8 +1,8 @@
-import { contextTokens } from "../requests/place_request.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import type { Pool, RelayState } from "../state.ts";
 import type { CopyOffer } from "./copy_value.ts";
 import { eventPeriodMs } from "./departure_schedule.ts";
+import { contextTokens } from "./reserve_memory.ts";
 
 /** Generations with fewer events finish before a copy would be of use. */
 export const minEventsToCopy = 40;
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -2,13 +2,9 @@
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
 import {
-  contextTokens,
   endAttempt,
   failRequest,
-  moveReservationId,
   releaseBacklogs,
-  releaseMove,
-  reserveMemory,
 } from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
@@ -22,6 +18,12 @@
 } from "./departure_plan.ts";
 import { mustStopAtOnce } from "./departure_schedule.ts";
 import { copyAgain, requestCopy } from "./request_copy.ts";
+import {
+  contextTokens,
+  moveReservationId,
+  releaseMove,
+  reserveMemory,
+} from "./reserve_memory.ts";
 import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
 import { countBegun, countCopy, countIfLost } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
--- a/packages/relay/src/moves/stopped_generation.ts
+++ b/packages/relay/src/moves/stopped_generation.ts
@@ -1,7 +1,6 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect, Resumption } from "../relay_effect.ts";
 import {
-  contextTokens,
   endAttempt,
   failRequest,
   releaseBacklogs,
@@ -17,6 +16,7 @@
   isEvacuated,
 } from "../upstreams/evacuations.ts";
 import { recordDecision } from "../util/effects.ts";
+import { contextTokens } from "./reserve_memory.ts";
 import { countMove } from "./rescue_counts.ts";
 
 /** Engines compared when a stopped generation is resumed, as for a move. */
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -19,17 +19,16 @@
 import { recordFinalEvents } from "../moves/departure_plan.ts";
 import { movePart } from "../moves/move_part.ts";
 import { countIfLost, countMove } from "../moves/rescue_counts.ts";
+import { copyReservationId, generatedTokens } from "../moves/reserve_memory.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { resumeElsewhere } from "../moves/stopped_generation.ts";
 import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
 import { isDeparture, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
-  copyReservationId,
   endAttempt,
   endRequest,
   failRequest,
-  generatedTokens,
   maxSends,
   placeRequest,
   refuseRequest,
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -9,12 +9,13 @@
 import type { FailureAnswer } from "../util/effects.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import { forwardRequest } from "../forwarding/forward_request.ts";
-import {
-  copyMemoryLimit,
-  maxMemoryFractionWithCopy,
-} from "../moves/copy_value.ts";
-import { expectRemainder, minEventsToCopy } from "../moves/copy_offer.ts";
+import { chooseCopyUpstream } from "../moves/choose_copy_upstream.ts";
 import { countCopy } from "../moves/rescue_counts.ts";
+import {
+  generatedTokens,
+  releaseCopy,
+  releaseMove,
+} from "../moves/reserve_memory.ts";
 import { stopSilentGeneration } from "../moves/silence.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import {
@@ -210,31 +211,6 @@
     : [{ kind: "drop_attempt", attemptId }];
 }
 
-/** Releases the memory reserved for the copy of a generation. */
-export function releaseCopy(
-  state: RelayState,
-  request: RelayedRequest,
-  at: Moment,
-): void {
-  const dispatcher = state.pools.get(request.service)?.dispatcher;
-  dispatcher?.ended(copyReservationId(request.attemptId), "cancelled", at);
-  request.copyUpstream = null;
-}
-
-/**
- * Releases the memory reserved for the move of a generation. A copy that its
- * engine has already started is not cancelled.
- */
-export function releaseMove(
-  state: RelayState,
-  request: RelayedRequest,
-  at: Moment,
-): void {
-  const dispatcher = state.pools.get(request.service)?.dispatcher;
-  dispatcher?.ended(moveReservationId(request.attemptId), "cancelled", at);
-  request.move = null;
-}
-
 /** Answers with a failure, or closes an answer that has already begun. */
 export function failRequest(
   request: RelayedRequest,
@@ -368,102 +344,6 @@
   ];
 }
 
-/** Estimates the generated tokens from the events forwarded to the caller. */
-export function generatedTokens(
-  pool: Pool,
-  { events }: RelayedRequest,
-): number {
-  return events * (pool.service.engines?.tokensPerEvent ?? 1);
-}
-
-/** Estimates the tokens in key-value memory: the prompt and the answer. */
-export function contextTokens(pool: Pool, request: RelayedRequest): number {
-  return request.demand.promptTokens + generatedTokens(pool, request);
-}
-
-/** Reserves memory at an engine for a generation that runs elsewhere. */
-export function reserveMemory(
-  pool: Pool,
-  request: RelayedRequest,
-  { generationId, engine, at }: {
-    readonly generationId: string;
-    readonly engine: string;
-    readonly at: Moment;
-  },
-): void {
-  const { demand } = request;
-  pool.dispatcher.sent(
-    { generationId, engine, demand, holdsMemoryOnly: true },
-    at,
-  );
-  pool.dispatcher.progressed(generationId, generatedTokens(pool, request), at);
-}
-
-/** Id under which the dispatcher tracks the copy of an attempt's memory. */
-export function copyReservationId(attemptId: string): string {
-  return `copy/${attemptId}`;
-}
-
-/** Id under which the dispatcher tracks the target memory of a move. */
-export function moveReservationId(attemptId: string): string {
-  return `move/${attemptId}`;
-}
-
-/**
- * Number of engines compared when a copy is placed. A small number makes
- * processes spread their copies over different engines.
- */
-const copyCandidates = 2;
-
-/**
- * Chooses the engine that keeps a copy of a long generation's memory, reserves
- * the memory there and returns the engine's address.
- */
-function chooseCopyUpstream(
-  state: RelayState,
-  request: RelayedRequest,
-  { pool, at }: { readonly pool: Pool; readonly at: Moment },
-): string | null {
-  const { engines } = pool.service;
-  const { demand, upstream, attemptId } = request;
-  if (engines === null || !engines.copies) {
-    return null;
-  }
-  if (demand.maxTokens < minEventsToCopy * engines.tokensPerEvent) {
-    return null;
-  }
-  // Copies of processes that do not know each other's would fill all memory, so
-  // they need a recent report of the engine that keeps the copy.
-  const isReported = !state.fleet.exchangesWithAll;
-  const expected = isReported ? expectRemainder(state, request, pool) : null;
-  if (isReported && expected === null) {
-    return null;
-  }
-  const excludedEngines = [...(demand.excludedEngines ?? []), upstream];
-  const copyUpstream = pool.dispatcher.chooseTransferTarget({
-    ...demand,
-    promptTokens: expected?.copyTokens ?? demand.promptTokens,
-    excludedEngines,
-  }, {
-    at,
-    maxCandidates: copyCandidates,
-    maxMemoryFraction: expected === null
-      ? maxMemoryFractionWithCopy
-      : copyMemoryLimit(expected),
-    isReported,
-  });
-  const vm = copyUpstream === null
-    ? undefined
-    : state.upstreams.get(copyUpstream);
-  if (copyUpstream === null || vm === undefined) {
-    return null;
-  }
-  request.copyUpstream = copyUpstream;
-  const generationId = copyReservationId(attemptId);
-  reserveMemory(pool, request, { generationId, engine: copyUpstream, at });
-  return vm.address;
-}
-
 function applyPlacement(
   state: RelayState,
   request: RelayedRequest,
