--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -37,7 +37,8 @@
 import { RecentIds } from "./recent_ids.ts";
 import { RecentSamples } from "./recent_samples.ts";
 import type { Refusal } from "./refusal.ts";
-import { boundRetryAfterMs, minRetryAfterMs, refuse } from "./refusal.ts";
+import { minRetryAfterMs, refuse } from "./refusal.ts";
+import { refuseOverLimits } from "./refuse_over_limits.ts";
 import { RequestLimits } from "./request_limits.ts";
 import { Reservations } from "./reservations.ts";
 import { RiskBound } from "./risk_bound.ts";
@@ -208,7 +209,8 @@
       return dispatch;
     }
     const deadline = this.#startDeadlineOf(demand, estimate, at.monotonic);
-    return this.#refuseOverLimits(demand, deadline, at) ??
+    const eligible = this.#eligibleEngines(demand);
+    return refuseOverLimits(this.#limits, eligible, { deadline, at }) ??
       this.#queue.enqueue({ demand, deadline, cost }, at);
   }
 
@@ -367,27 +369,6 @@
     return this.#queue.refuseOverloaded(demand, "retry_budget", at);
   }
 
-  /**
-   * Refuses a demand if all engines limit requests and none of them takes one
-   * before the demand's latest start.
-   */
-  #refuseOverLimits(
-    demand: Demand,
-    deadline: number,
-    at: Moment,
-  ): Refusal | null {
-    const now = at.monotonic;
-    const engines = this.#eligibleEngines(demand).map(({ id }) => id);
-    const nextStartAt = this.#limits.earliestStartAt(engines);
-    if (nextStartAt <= Math.max(now, deadline)) {
-      return null;
-    }
-    // Other processes may hold the shares.
-    const waitMs = nextStartAt === Infinity ? 0 : nextStartAt - now;
-    const retryAfterMs = boundRetryAfterMs(waitMs);
-    return refuse("overloaded", "upstream_limit", { retryAfterMs });
-  }
-
   #startDeadlineOf(demand: Demand, estimate: Estimate, now: number): number {
     return estimateStartDeadline(
       demand,
