--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -286,7 +286,7 @@
     workspace,
     urgency: event.generation === null
       ? null
-      : state.routeTable?.urgencyOf(route, workspace) ?? null,
+      : chooseUrgency(state, route, workspace),
     fingerprint: fingerprintOf(
       event.contentDigest,
       workspace ?? event.key ?? "",
@@ -319,6 +319,21 @@
   };
 }
 
+/**
+ * Returns how urgent a generation is to its engine. Where all relays exchange with
+ * each other, none is stated: engines are fuller there than the relays know, and
+ * preempted generations for urgent ones.
+ */
+function chooseUrgency(
+  { fleet, routeTable }: RelayState,
+  route: Route,
+  workspace: string | null,
+): number | null {
+  return fleet.exchangesWithAll
+    ? null
+    : routeTable?.urgencyOf(route, workspace) ?? null;
+}
+
 function createDemand(
   { exchangeId, generation, arrivedAt }: RequestReceived,
   route: Route,
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -328,3 +328,34 @@
   t.equal(relay.state.requests.size, 0);
   t.end();
 });
+
+// Generations were preempted for short urgent ones in small fleets, whose engines
+// are fuller than the relays know.
+t.test("urgency is stated in large fleets only", (t) => {
+  const urgent = routeOf({
+    name: "tag",
+    prefix: "/tag/",
+    streaming: true,
+    priority: 0,
+    services: [{ service: "models", weight: 1 }],
+  });
+  const { routes } = routingOf();
+  const routing = routingOf({ version: 2, routes: [...routes, urgent] });
+  const small = new RelayFixture();
+  small.learn([upstreamOf("e1")], routing);
+  const [first] = only(small.generate({ path: "/tag/1" }), "send_request");
+  t.equal(first?.urgency, null);
+  const large = new RelayFixture();
+  large.learn([upstreamOf("e1")], routing);
+  large.joinLargeFleet();
+  const urgencies = ["/tag/1", "/write/1"].map((path, index) => {
+    const waiting = large.generate({ path, exchangeId: `x${index}` });
+    const [sent] = only(
+      [...waiting, ...large.expireReports(waiting)],
+      "send_request",
+    );
+    return sent?.urgency;
+  });
+  t.strictSame(urgencies, [1, 2]);
+  t.end();
+});
