--- a/packages/relay/src/fleet/review_upstream.ts
+++ b/packages/relay/src/fleet/review_upstream.ts
@@ -6,8 +6,8 @@
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { isDeparture } from "../upstreams/evacuations.ts";
+import { openUpstream } from "./open_upstream.ts";
 import { recordState } from "./source_decisions.ts";
-import { openUpstream } from "./source_part.ts";
 import { findCloseReason } from "./upstream_closure.ts";
 
 /**
--- a/packages/relay/src/fleet/source_part.ts
+++ b/packages/relay/src/fleet/source_part.ts
@@ -1,24 +1,16 @@
 import type { ErrorKind } from "@lavenderferry/errors";
-import type { StoreVersion, Vm } from "@lavenderferry/platform";
+import type { StoreVersion } from "@lavenderferry/platform";
 import { eraOf } from "@lavenderferry/platform";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { LeavingReported, SourceEvent } from "../relay_event.ts";
-import {
-  mergeSuspects,
-  recordEarlyEnd,
-} from "../quarantine/quarantine_part.ts";
+import { mergeSuspects } from "../quarantine/quarantine_part.ts";
 import { releaseBacklogs } from "../requests/place_request.ts";
 import { receiveConfirmed } from "../requests/request_part.ts";
 import { refuseAllUnconfirmed } from "../requests/unconfirmed_request.ts";
 import { RouteTable } from "../routing/route_table.ts";
 import type { Routing } from "../routing/routing.ts";
-import type {
-  KnownUpstream,
-  Pool,
-  RelayState,
-  UpstreamList,
-} from "../state.ts";
+import type { RelayState, UpstreamList } from "../state.ts";
 import { createPool } from "../state.ts";
 import {
   applyColdLimits,
@@ -32,6 +24,7 @@
 import { markReasons, sendDueExchanges } from "@lavenderferry/fleet";
 import { readEvacuations } from "./apply_evacuations.ts";
 import { applyUpdates } from "./exchange_part.ts";
+import { removeUpstream } from "./remove_upstream.ts";
 import { reviewUpstream } from "./review_upstream.ts";
 import {
   recordFailure,
@@ -381,32 +374,6 @@
   return [...applyUpdates(state, at), ...sendDueExchanges(state, at)];
 }
 
-/**
- * Forgets an upstream that is no longer listed, unless a request uses it.
- * Announces that to peers, which may retain it after an outage, unless one of
- * them has done so.
- */
-function removeUpstream(
-  state: RelayState,
-  upstream: KnownUpstream,
-  at: Moment,
-): readonly RelayEffect[] {
-  const { id, listedIn, isRemoved } = upstream;
-  const isAnnounced = (state.fleet.marks.get(id)?.version ?? 0) > listedIn;
-  if (!isRemoved && !isAnnounced) {
-    const { upstreamsVersion: version } = state;
-    state.fleet.mark(id, { reason: markReasons.gone, version, at });
-  }
-  const effects = recordEarlyEnd(state, id, at);
-  if (!isUsed(state, id)) {
-    state.upstreams = new Map(
-      [...state.upstreams].filter(([known]) => known !== id),
-    );
-    state.closeReasons.delete(id);
-  }
-  return effects;
-}
-
 /** Ends an outage of the store; a long one starts the retention. */
 function endOutage(state: RelayState, at: Moment): readonly RelayEffect[] {
   if (state.outageStartedAt === null) {
@@ -435,57 +402,6 @@
   return [...applyUpdates(state, at), ...sendDueExchanges(state, at)];
 }
 
-/** Adds an upstream to the dispatcher of its service. */
-export function openUpstream(state: RelayState, vm: Vm, at: Moment): void {
-  const { id, dataCentre, slots } = vm;
-  const pool = state.pools.get(vm.pool ?? "");
-  // Reporting its memory again would reset its circuit breaker.
-  if (pool === undefined || pool.openUpstreams.has(id)) {
-    return;
-  }
-  pool.openUpstreams.add(id);
-  pool.dispatcher.addEngine({
-    id,
-    dataCentre,
-    pool: pool.service.name,
-    ...(slots === undefined ? {} : { slots }),
-  }, at);
-  reportMemory(pool, id, at);
-}
-
-/**
- * Reports an engine's memory to the dispatcher. Its size is taken from the
- * routing; its load is zero, as the dispatcher tracks the requests itself.
- */
-function reportMemory(pool: Pool, id: string, at: Moment): void {
-  const { engines } = pool.service;
-  if (engines === null) {
-    return;
-  }
-  pool.dispatcher.loadReported(id, {
-    at: at.wall,
-    running: 0,
-    waiting: 0,
-    memoryTokens: engines.memoryTokens,
-    usedTokens: 0,
-    preemptions: 0,
-    finished: 0,
-    draining: false,
-    models: engines.models,
-  }, at);
-}
-
-function isUsed(state: RelayState, id: string): boolean {
-  for (
-    const { upstream, copyUpstream, move } of state.requests.values()
-  ) {
-    if (upstream === id || copyUpstream === id || move?.to === id) {
-      return true;
-    }
-  }
-  return false;
-}
-
 /** Lists the members, or only checks again whether that is due. */
 export function listMembersIfDue(
   state: RelayState,
