--- a/packages/policy/src/suspect_blocks.ts
+++ b/packages/policy/src/suspect_blocks.ts
@@ -1,40 +1,10 @@
 import type { Moment } from "@lavenderferry/runtime";
 import { hashText, Random } from "@lavenderferry/runtime";
+import { isRequestBlock } from "./request_block.ts";
+import type { BegunPrompt, Quarantine, SuspectBlock } from "./suspect_block.ts";
 
-/**
- * What processes know about a block of prompts under which engines ended. A
- * request as a whole counts as a block, so that one without a prompt has one.
- */
-export interface SuspectBlock {
-  /** Id of the block, or id of a request from `requestBlockOf()`. */
-  readonly block: string;
-  /** Number of times that complete answers have cleared the block. */
-  readonly clearances: number;
-  /**
-   * Attempts at prompts with the block that engines had just begun when they
-   * ended, as `engine/attempt` or, after a quarantine, as `engine/trial:attempt`,
-   * since the block was last cleared.
-   */
-  readonly ends: readonly string[];
-  /** Milliseconds since the Unix epoch of the last end or clearance. */
-  readonly changedAt: number;
-}
-
-/** A request that an engine had just begun to answer when it ended. */
-export interface BegunPrompt {
-  /** Id of the attempt; unique across processes. */
-  readonly attemptId: string;
-  /** Ids of the prompt's blocks and of the request as a whole. */
-  readonly blocks: readonly string[];
-}
-
-/** Blocks that together identify the prompts that end engines. */
-export interface Quarantine {
-  /** Prompts that contain all of these blocks are refused. */
-  readonly blocks: readonly string[];
-  /** Monotonic milliseconds until which the quarantine holds. */
-  readonly deadline: number;
-}
+export { isRequestBlock, requestBlockOf } from "./request_block.ts";
+export type { BegunPrompt, Quarantine, SuspectBlock } from "./suspect_block.ts";
 
 /** Engines that end before a block that was never answered is quarantined. */
 const minEngines = 3;
@@ -94,22 +64,6 @@
 /** Limits on the blocks and on the requests that are remembered as answered. */
 const maxAnswered = 8_192;
 
-/** Distinguishes ids of requests from those of blocks of prompts. */
-const requestPrefix = "request:";
-
-/**
- * Returns the id under which a request as a whole is suspected. `fingerprint` is
- * what equal requests of one caller share.
- */
-export function requestBlockOf(fingerprint: string): string {
-  return `${requestPrefix}${fingerprint}`;
-}
-
-/** Whether an id stands for a request as a whole. */
-export function isRequestBlock(block: string): boolean {
-  return block.startsWith(requestPrefix);
-}
-
 /**
  * Finds the blocks of prompts that end the engines which begin to answer them.
  * Each engine that ends is held against all blocks of the prompts that it had
