--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -2,6 +2,7 @@
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { CopyOutcome, RunningGeneration } from "../relay_event.ts";
+import { startAttempt } from "../requests/place_request.ts";
 
 const head = { status: 200, headers: [] };
 const others: readonly RunningGeneration[] = [
@@ -213,3 +214,61 @@
   t.match(only(moved, "set_timer"), [{ timer, at: relay.now }]);
   t.end();
 });
+
+// The departure that was due during the wait for a retry stopped a generation
+// that ran nowhere. Its engine did not know it, and its caller was cut although
+// the memory was kept, or got nothing more until its deadline.
+t.test("a resumption that waits for a retry takes part in no departure", (t) => {
+  const { relay, attemptId } = reportDeparture({ leavesMs: 400, runs: [] });
+  const exchangeId = "x1";
+  const outcome = { kind: "no_room", handle: "h", detail: "", events: 50 };
+  const refuse = () =>
+    relay.reduce({
+      kind: "generation_copied",
+      attemptId,
+      exchangeId,
+      outcome: outcome as CopyOutcome,
+    }, 300);
+  refuse();
+  const [resumed] = only(refuse(), "send_request");
+  t.match(resumed, { target: { id: "leaving" }, resumption: { handle: "h" } });
+  const refused = relay.reduce({
+    kind: "attempt_refused",
+    attemptId: resumed?.attemptId ?? "",
+    exchangeId,
+    reason: "not_executed",
+  }, 5);
+  const retry = { kind: "retry_resumption", exchangeId } as const;
+  t.match(only(refused, "set_timer"), [{ timer: retry }]);
+  const depart = { kind: "depart", exchangeId } as const;
+  const fire = (timer: typeof retry | typeof depart, afterMs: number) =>
+    relay.reduce({ kind: "timer_fired", timer }, afterMs);
+  t.strictSame(fire(depart, 45), []);
+  const retried = fire(retry, 55);
+  const [sent] = only(retried, "send_request");
+  t.match(sent, { target: { id: "leaving" }, resumption: { handle: "h" } });
+  t.match(only(retried, "set_timer"), [{ timer: depart, at: relay.now + 50 }]);
+  t.strictSame(fire(retry, 1), [], "it is started once");
+  t.equal(only(fire(depart, 49), "copy_generation").length, 1);
+  t.end();
+});
+
+// The move of the former attempt hid the loss of the next one's connection.
+t.test("a new attempt has no move of a former one", (t) => {
+  const { relay, attemptId } = reportDeparture({ leavesMs: 400, runs: [] });
+  const { state, now } = relay;
+  const request = state.requests.get("x1");
+  const pool = state.pools.get("models");
+  if (request === undefined || pool === undefined) {
+    throw new Error("The generation is not known");
+  }
+  const to = request.move?.to ?? "";
+  const ended = t.capture(pool.dispatcher, "ended", pool.dispatcher.ended);
+  const { upstream, resumption } = request;
+  const at = { monotonic: now, wall: now };
+  startAttempt(state, request, { upstream, resumption, at });
+  t.not(to, "");
+  t.equal(request.move, null);
+  t.match(ended(), [{ args: [`move/${attemptId}`, "cancelled"] }]);
+  t.end();
+});
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -243,7 +243,8 @@
   return move ?? [retryDeparture(request, at)];
 }
 
-function retryDeparture(
+/** Schedules another departure after one that was not possible. */
+export function retryDeparture(
   { exchangeId, departure }: RelayedRequest,
   at: Moment,
 ): RelayEffect {
--- a/packages/relay/src/moves/stopped_generation.ts
+++ b/packages/relay/src/moves/stopped_generation.ts
@@ -22,6 +22,16 @@
 /** Engines compared when a stopped generation is resumed, as for a move. */
 const resumptionCandidates = 8;
 
+/**
+ * Marks a request whose attempt has ended and whose resumption is tried later.
+ * No engine runs it, so that it takes no part in a departure until then.
+ */
+export function markStopped(state: RelayState, request: RelayedRequest): void {
+  request.isStopped = true;
+  // What still arrives of the attempt that has ended is ignored.
+  request.attemptId = nextId(state);
+}
+
 /**
  * Keeps a generation that was stopped for a move until an engine outside the
  * evacuation has room, as it may not go on where it ran. Its engine keeps the
@@ -36,9 +46,7 @@
   const address = state.upstreams.get(upstream)?.address ?? "";
   const effects = endAttempt(state, request, { outcome: "cancelled", at });
   request.resumption = { address, handle, lastEventId };
-  request.isStopped = true;
-  // What still arrives of the attempt that has ended is ignored.
-  request.attemptId = nextId(state);
+  markStopped(state, request);
   return [...effects, ...tryLater(state, request, at)];
 }
 
@@ -63,9 +71,7 @@
   };
   request.upstream = upstream;
   request.resumption = resumption;
-  request.isStopped = true;
-  // What still arrives of the attempt that has ended is ignored.
-  request.attemptId = nextId(state);
+  markStopped(state, request);
   return resumeElsewhere(state, request, at);
 }
 
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -17,12 +17,16 @@
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
 import { recordFinalEvents } from "../moves/departure_plan.ts";
-import { movePart } from "../moves/move_part.ts";
+import { movePart, retryDeparture } from "../moves/move_part.ts";
 import { countIfLost, countMove } from "../moves/rescue_counts.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
-import { resumeElsewhere } from "../moves/stopped_generation.ts";
+import { markStopped, resumeElsewhere } from "../moves/stopped_generation.ts";
 import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
-import { isDeparture, isEvacuated } from "../upstreams/evacuations.ts";
+import {
+  isDeparting,
+  isDeparture,
+  isEvacuated,
+} from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   copyReservationId,
@@ -289,6 +293,7 @@
     const notBefore = state.requestLimits.pauseEndsAt(upstream);
     const timer = scheduleResumption(request, { notBefore, at });
     if (timer !== null) {
+      markStopped(state, request);
       return [
         recordDecision(state, {
           kind: "retry",
@@ -377,14 +382,18 @@
   if (request === undefined || request.resumption === null) {
     return [];
   }
-  const { upstream, resumption, refusedResumptions } = request;
-  if (refusedResumptions === 0 || !state.upstreams.has(upstream)) {
+  const { upstream, resumption, isStopped } = request;
+  if (!isStopped || !state.upstreams.has(upstream)) {
     return [];
   }
   if (isEvacuated(state, upstream) || isOverColdLimit(state, upstream, at)) {
     return resumeElsewhere(state, request, at);
   }
-  return startAttempt(state, request, { upstream, resumption, at });
+  return [
+    ...startAttempt(state, request, { upstream, resumption, at }),
+    // A departure that was due while it waited has done nothing.
+    ...isDeparting(state, upstream) ? [retryDeparture(request, at)] : [],
+  ];
 }
 
 function handleFailedAttempt(
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -322,6 +322,10 @@
   if (vm === undefined || pool === undefined) {
     throw new TypeError(`The upstream "${upstream}" is not known`);
   }
+  if (request.move !== null) {
+    // It belongs to the former attempt, and outcomes of that are ignored.
+    releaseMove(state, request, at);
+  }
   const attemptId = nextId(state);
   request.attemptId = attemptId;
   request.upstream = upstream;
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -115,7 +115,7 @@
   resumption: Resumption | null;
   /** Refusals of the current resumption in a row. */
   refusedResumptions: number;
-  /** Whether no engine runs it until one outside an evacuation has room. */
+  /** Whether no engine runs it until its resumption is tried again. */
   isStopped: boolean;
   /** Monotonic milliseconds of the current attempt's first event. */
   firstEventAt: number | null;
