--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -190,7 +190,10 @@
   };
 }
 
-/** Whether the limit of a generation's tokens ends it before a time. */
+/**
+ * Whether the limit of a generation's tokens ends it before a time to come. One
+ * that has reached the limit and goes on is not ended by it.
+ */
 function endsInTime(
   pool: Pool,
   request: RelayedRequest,
@@ -202,6 +205,9 @@
   }
   const tokensPerEvent = pool.service.engines?.tokensPerEvent ?? 1;
   const moreEvents = demand.maxTokens / tokensPerEvent - events;
+  if (moreEvents <= 0 || endsBy <= at.monotonic) {
+    return false;
+  }
   // After a resumption, only a part of the events came since the first one.
   const periodMs = Math.max(
     eventPeriodMs,
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -112,6 +112,29 @@
   t.end();
 });
 
+// A limit of 0, or below what the engine has produced, left a negative number of
+// events: the generation was never moved, and its engine was asked for reports
+// without a pause, by timers in the past.
+t.test("a generation that exceeds its token limit is moved", (t) => {
+  for (const maxTokens of [0, 120, 200]) {
+    const { copy } = reportDeparture({ leavesMs: 1_500, maxTokens, runs: [] });
+    t.match(copy, { to: "10.0.0.1:8" }, `limit of ${maxTokens} tokens`);
+  }
+  for (const leavesMs of [0, 499, 500]) {
+    for (const maxTokens of [0, 200, 204, 1_000]) {
+      const { relay, effects } = reportDeparture({
+        leavesMs,
+        maxTokens,
+        runs: [],
+      });
+      const early = only(effects, "set_timer")
+        .filter(({ at }) => at <= relay.now);
+      t.strictSame(early, [], `${leavesMs} ms, ${maxTokens} tokens`);
+    }
+  }
+  t.end();
+});
+
 // What has just begun may end by itself, but must not be forgotten if it does not.
 t.test("a new generation is looked at again", (t) => {
   const { copy, delayMs } = reportDeparture({ leavesMs: 2_000, events: 1 });
