--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -40,8 +40,7 @@
 /**
  * Decides by the report of a leaving engine when one of its generations is
  * moved. Returns `null` if its list cannot be used or its relays derive their
- * turns from sizes alone: those of a fleet in which all exchange with each other,
- * unless the engine reports when it leaves.
+ * turns from sizes alone: those of a fleet in which all exchange with each other.
  */
 export function decideDeparture(
   state: RelayState,
@@ -57,10 +56,9 @@
   const pool = state.pools.get(service);
   const source = state.upstreams.get(upstream);
   const { leavesMs: reportedMs = null } = report;
-  const usesSchedule = reportedMs !== null || !state.fleet.exchangesWithAll;
   if (
-    pool === undefined || source === undefined || !usesSchedule ||
-    runs.length === 0
+    pool === undefined || source === undefined ||
+    state.fleet.exchangesWithAll || runs.length === 0
   ) {
     return null;
   }
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -11,14 +11,18 @@
   { requestId: "long-1", tokens: 3_100, events: 30 },
 ];
 
-/** Lets the engine of a long generation leave, and reports what it runs. */
+/**
+ * Lets the engine of a long generation leave, and reports what it runs, in a
+ * fleet that is too large for all relays to exchange with each other unless told
+ * otherwise.
+ */
 function reportDeparture(
   {
     leavesMs,
     events = 50,
     runs = others,
     maxTokens = 1_000,
-    isLargeFleet = false,
+    isLargeFleet = true,
   }: {
     readonly leavesMs?: number;
     readonly events?: number;
@@ -79,11 +83,28 @@
   const afterOneMs = 3_100 / 9 + 40;
   const { delayMs } = reportDeparture({ leavesMs: 1_500 });
   t.ok(Math.abs(delayMs - afterOneMs) < 1, "the engine says when it leaves");
-  const sparse = reportDeparture({ isLargeFleet: true });
-  t.ok(Math.abs(sparse.delayMs - afterOneMs) < 1, "in a sparse fleet");
-  const afterThreeMs = afterOneMs + 2 * (2_550 / 9 + 40);
-  const mesh = reportDeparture({});
-  t.ok(Math.abs(mesh.delayMs - afterThreeMs) < 1, "not in a full mesh");
+  const sparse = reportDeparture({});
+  t.ok(Math.abs(sparse.delayMs - afterOneMs) < 1, "it does not");
+  t.end();
+});
+
+// A full mesh was moved by the schedule, which is for larger fleets, as soon as
+// its engines stated when they leave.
+t.test("a full mesh keeps the delays by size, whatever engines state", (t) => {
+  const isLargeFleet = false;
+  const afterThreeMs = 3_100 / 9 + 40 + 2 * (2_550 / 9 + 40);
+  for (const change of [{}, { leavesMs: 1_500 }, { leavesMs: 400 }]) {
+    const { relay, delayMs } = reportDeparture({ ...change, isLargeFleet });
+    t.ok(Math.abs(delayMs - afterThreeMs) < 1, JSON.stringify(change));
+    t.equal(relay.state.requests.get("x1")?.departure, null);
+  }
+  const alone = { isLargeFleet, runs: [] };
+  for (
+    const change of [{ leavesMs: 2_000, maxTokens: 240 }, { leavesMs: 400 }]
+  ) {
+    const { copy } = reportDeparture({ ...change, ...alone });
+    t.match(copy, { stop: false }, JSON.stringify(change));
+  }
   t.end();
 });
 
