--- a/packages/relay/src/moves/departure_plan.ts
+++ b/packages/relay/src/moves/departure_plan.ts
@@ -40,8 +40,7 @@
 /**
  * Decides by the report of a leaving engine when one of its generations is
  * moved. Returns `null` if its list cannot be used or its relays derive their
- * turns from sizes alone: those of a fleet in which all exchange with each other,
- * unless the engine reports when it leaves.
+ * turns from sizes alone: those of a fleet in which all exchange with each other.
  */
 export function decideDeparture(
   state: RelayState,
@@ -57,10 +56,9 @@
   const pool = state.pools.get(service);
   const source = state.upstreams.get(upstream);
   const { leavesMs: reportedMs = null } = report;
-  const usesSchedule = reportedMs !== null || !state.fleet.exchangesWithAll;
   if (
-    pool === undefined || source === undefined || !usesSchedule ||
-    runs.length === 0
+    pool === undefined || source === undefined ||
+    state.fleet.exchangesWithAll || runs.length === 0
   ) {
     return null;
   }
@@ -190,7 +188,10 @@
   };
 }
 
-/** Whether the limit of a generation's tokens ends it before a time. */
+/**
+ * Whether the limit of a generation's tokens ends it before a time to come. One
+ * that has reached the limit and goes on is not ended by it.
+ */
 function endsInTime(
   pool: Pool,
   request: RelayedRequest,
@@ -202,6 +203,9 @@
   }
   const tokensPerEvent = pool.service.engines?.tokensPerEvent ?? 1;
   const moreEvents = demand.maxTokens / tokensPerEvent - events;
+  if (moreEvents <= 0 || endsBy <= at.monotonic) {
+    return false;
+  }
   // After a resumption, only a part of the events came since the first one.
   const periodMs = Math.max(
     eventPeriodMs,
--- a/packages/relay/src/moves/departure_plan_test.ts
+++ b/packages/relay/src/moves/departure_plan_test.ts
@@ -2,6 +2,7 @@
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { CopyOutcome, RunningGeneration } from "../relay_event.ts";
+import { startAttempt } from "../requests/place_request.ts";
 
 const head = { status: 200, headers: [] };
 const others: readonly RunningGeneration[] = [
@@ -10,14 +11,18 @@
   { requestId: "long-1", tokens: 3_100, events: 30 },
 ];
 
-/** Lets the engine of a long generation leave, and reports what it runs. */
+/**
+ * Lets the engine of a long generation leave, and reports what it runs, in a
+ * fleet that is too large for all relays to exchange with each other unless told
+ * otherwise.
+ */
 function reportDeparture(
   {
     leavesMs,
     events = 50,
     runs = others,
     maxTokens = 1_000,
-    isLargeFleet = false,
+    isLargeFleet = true,
   }: {
     readonly leavesMs?: number;
     readonly events?: number;
@@ -78,11 +83,28 @@
   const afterOneMs = 3_100 / 9 + 40;
   const { delayMs } = reportDeparture({ leavesMs: 1_500 });
   t.ok(Math.abs(delayMs - afterOneMs) < 1, "the engine says when it leaves");
-  const sparse = reportDeparture({ isLargeFleet: true });
-  t.ok(Math.abs(sparse.delayMs - afterOneMs) < 1, "in a sparse fleet");
-  const afterThreeMs = afterOneMs + 2 * (2_550 / 9 + 40);
-  const mesh = reportDeparture({});
-  t.ok(Math.abs(mesh.delayMs - afterThreeMs) < 1, "not in a full mesh");
+  const sparse = reportDeparture({});
+  t.ok(Math.abs(sparse.delayMs - afterOneMs) < 1, "it does not");
+  t.end();
+});
+
+// A full mesh was moved by the schedule, which is for larger fleets, as soon as
+// its engines stated when they leave.
+t.test("a full mesh keeps the delays by size, whatever engines state", (t) => {
+  const isLargeFleet = false;
+  const afterThreeMs = 3_100 / 9 + 40 + 2 * (2_550 / 9 + 40);
+  for (const change of [{}, { leavesMs: 1_500 }, { leavesMs: 400 }]) {
+    const { relay, delayMs } = reportDeparture({ ...change, isLargeFleet });
+    t.ok(Math.abs(delayMs - afterThreeMs) < 1, JSON.stringify(change));
+    t.equal(relay.state.requests.get("x1")?.departure, null);
+  }
+  const alone = { isLargeFleet, runs: [] };
+  for (
+    const change of [{ leavesMs: 2_000, maxTokens: 240 }, { leavesMs: 400 }]
+  ) {
+    const { copy } = reportDeparture({ ...change, ...alone });
+    t.match(copy, { stop: false }, JSON.stringify(change));
+  }
   t.end();
 });
 
@@ -111,6 +133,29 @@
   t.end();
 });
 
+// A limit of 0, or below what the engine has produced, left a negative number of
+// events: the generation was never moved, and its engine was asked for reports
+// without a pause, by timers in the past.
+t.test("a generation that exceeds its token limit is moved", (t) => {
+  for (const maxTokens of [0, 120, 200]) {
+    const { copy } = reportDeparture({ leavesMs: 1_500, maxTokens, runs: [] });
+    t.match(copy, { to: "10.0.0.1:8" }, `limit of ${maxTokens} tokens`);
+  }
+  for (const leavesMs of [0, 499, 500]) {
+    for (const maxTokens of [0, 200, 204, 1_000]) {
+      const { relay, effects } = reportDeparture({
+        leavesMs,
+        maxTokens,
+        runs: [],
+      });
+      const early = only(effects, "set_timer")
+        .filter(({ at }) => at <= relay.now);
+      t.strictSame(early, [], `${leavesMs} ms, ${maxTokens} tokens`);
+    }
+  }
+  t.end();
+});
+
 // What has just begun may end by itself, but must not be forgotten if it does not.
 t.test("a new generation is looked at again", (t) => {
   const { copy, delayMs } = reportDeparture({ leavesMs: 2_000, events: 1 });
@@ -213,3 +258,61 @@
   t.match(only(moved, "set_timer"), [{ timer, at: relay.now }]);
   t.end();
 });
+
+// The departure that was due during the wait for a retry stopped a generation
+// that ran nowhere. Its engine did not know it, and its caller was cut although
+// the memory was kept, or got nothing more until its deadline.
+t.test("a resumption that waits for a retry takes part in no departure", (t) => {
+  const { relay, attemptId } = reportDeparture({ leavesMs: 400, runs: [] });
+  const exchangeId = "x1";
+  const outcome = { kind: "no_room", handle: "h", detail: "", events: 50 };
+  const refuse = () =>
+    relay.reduce({
+      kind: "generation_copied",
+      attemptId,
+      exchangeId,
+      outcome: outcome as CopyOutcome,
+    }, 300);
+  refuse();
+  const [resumed] = only(refuse(), "send_request");
+  t.match(resumed, { target: { id: "leaving" }, resumption: { handle: "h" } });
+  const refused = relay.reduce({
+    kind: "attempt_refused",
+    attemptId: resumed?.attemptId ?? "",
+    exchangeId,
+    reason: "not_executed",
+  }, 5);
+  const retry = { kind: "retry_resumption", exchangeId } as const;
+  t.match(only(refused, "set_timer"), [{ timer: retry }]);
+  const depart = { kind: "depart", exchangeId } as const;
+  const fire = (timer: typeof retry | typeof depart, afterMs: number) =>
+    relay.reduce({ kind: "timer_fired", timer }, afterMs);
+  t.strictSame(fire(depart, 45), []);
+  const retried = fire(retry, 55);
+  const [sent] = only(retried, "send_request");
+  t.match(sent, { target: { id: "leaving" }, resumption: { handle: "h" } });
+  t.match(only(retried, "set_timer"), [{ timer: depart, at: relay.now + 50 }]);
+  t.strictSame(fire(retry, 1), [], "it is started once");
+  t.equal(only(fire(depart, 49), "copy_generation").length, 1);
+  t.end();
+});
+
+// The move of the former attempt hid the loss of the next one's connection.
+t.test("a new attempt has no move of a former one", (t) => {
+  const { relay, attemptId } = reportDeparture({ leavesMs: 400, runs: [] });
+  const { state, now } = relay;
+  const request = state.requests.get("x1");
+  const pool = state.pools.get("models");
+  if (request === undefined || pool === undefined) {
+    throw new Error("The generation is not known");
+  }
+  const to = request.move?.to ?? "";
+  const ended = t.capture(pool.dispatcher, "ended", pool.dispatcher.ended);
+  const { upstream, resumption } = request;
+  const at = { monotonic: now, wall: now };
+  startAttempt(state, request, { upstream, resumption, at });
+  t.not(to, "");
+  t.equal(request.move, null);
+  t.match(ended(), [{ args: [`move/${attemptId}`, "cancelled"] }]);
+  t.end();
+});
