--- a/packages/fleet/src/documents/document_archive.ts
+++ b/packages/fleet/src/documents/document_archive.ts
@@ -126,6 +126,31 @@
     return waiting.flatMap((item) => this.#answer(item, now));
   }
 
+  /**
+   * Refuses the requests that wait for a document that could not be encoded, and
+   * frees their places. The next request tries again.
+   */
+  notEncoded(
+    { version, baseVersion }: Extract<
+      DocumentEvent,
+      { kind: "document_not_encoded" }
+    >,
+  ): readonly DocumentEffect[] {
+    if (baseVersion === null) {
+      return [];
+    }
+    this.#entries.get(version)?.pending.delete(baseVersion);
+    const isRefused = (item: Waiting) =>
+      item.version === version && item.baseVersion === baseVersion;
+    const refused = this.#waiting.filter(isRefused);
+    this.#waiting = this.#waiting.filter((item) => !isRefused(item));
+    this.#evict();
+    return refused.map(({ replyId, request }) => {
+      this.#receivers.delete(request.sender);
+      return this.#refuse(replyId, maxRetryMs);
+    });
+  }
+
   /** Answers a request for a part, at once or when the document is compressed. */
   request(
     replyId: number,
--- a/packages/fleet/src/documents/document_event.ts
+++ b/packages/fleet/src/documents/document_event.ts
@@ -41,4 +41,11 @@
     /** Version of the base that was asked for; `null`: lines only. */
     readonly baseVersion: number | null;
     readonly content: DocumentContent | null;
+  }
+  | {
+    /** It could not be encoded, or not be compressed. */
+    readonly kind: "document_not_encoded";
+    readonly version: number;
+    /** Version of the base that was asked for; `null`: lines only. */
+    readonly baseVersion: number | null;
   };
--- a/packages/fleet/src/documents/document_exchange.ts
+++ b/packages/fleet/src/documents/document_exchange.ts
@@ -110,6 +110,11 @@
     this.#effects.push(...this.#archive.encoded(event, now));
   }
 
+  /** Refuses the requests that wait for a document that cannot be encoded. */
+  notEncoded(event: EventOf<"document_not_encoded">): void {
+    this.#effects.push(...this.#archive.notEncoded(event));
+  }
+
   /** Starts what is due and returns the effects to run. */
   takeEffects(now: number): readonly DocumentEffect[] {
     const started = this.#fetch.step(this.#view(now));
--- a/packages/fleet/src/documents/document_exchange_test.ts
+++ b/packages/fleet/src/documents/document_exchange_test.ts
@@ -282,3 +282,63 @@
   t.equal(ask("other", 300), 5);
   t.end();
 });
+
+// The entry stayed pending after a failure: the requests that waited for it, and
+// all later ones, were never answered, and each peer kept its place.
+t.test("requests for a document that cannot be encoded are refused", async (t) => {
+  const documents = new DocumentExchange("me", new Random(1), () => ({
+    heldVersion: 5,
+    sources: [],
+    readsStore: false,
+  }));
+  const runner = new DocumentRunner(new PeerClients(), {
+    ...format,
+    lists: [],
+  });
+  const cyclic: { version: number; self?: unknown } = { version: 5 };
+  cyclic.self = cyclic;
+  const handlers = createDocumentHandlers<
+    { fleet: Pick<Process, "documents" | "applyDocument" | "bytesReceived"> },
+    DocumentEffect
+  >({ proceed: () => documents.takeEffects(0) });
+  const fleet = {
+    documents,
+    applyDocument: () => {
+      t.fail("No document is received");
+    },
+    bytesReceived: () => undefined,
+  };
+  const reduce = (event: DocumentEvent) => {
+    const at = { monotonic: 0, wall: 0 };
+    const handler = handlers[event.kind] as (
+      state: { fleet: typeof fleet },
+      event: unknown,
+    ) => readonly DocumentEffect[];
+    return handler({ fleet }, Object.assign({ ...event }, { at }));
+  };
+  const ask = (replyId: number, sender: string) => {
+    const request = { version: 5, offset: 0, baseVersion: 0, baseDigest: "" };
+    const kind = "document_requested";
+    return reduce({ kind, replyId, request: { sender, ...request } });
+  };
+  const encode = (effects: readonly DocumentEffect[]) =>
+    new Promise<DocumentEvent>((resolve) => {
+      const effect = effects.find(({ kind }) => kind === "encode_document");
+      if (effect?.kind !== "encode_document") {
+        throw new Error("Nothing is encoded");
+      }
+      runner.handlers.encode_document(effect, resolve);
+    });
+  documents.add(cyclic);
+  t.strictSame(reduce(await encode(documents.takeEffects(0))), []);
+  for (const first of [1, 3]) {
+    const asked = ask(first, "p1");
+    t.strictSame(ask(first + 1, "p2"), [], "it waits for the same content");
+    const refused = reduce(await encode(asked));
+    t.match(refused, [
+      { replyId: first, part: { version: 0, retryAfterMs: 250 } },
+      { replyId: first + 1, part: { version: 0, retryAfterMs: 250 } },
+    ]);
+    t.equal(refused.length, 2);
+  }
+});
--- a/packages/fleet/src/documents/document_handlers.ts
+++ b/packages/fleet/src/documents/document_handlers.ts
@@ -61,5 +61,9 @@
       state.fleet.documents?.encoded(event, event.at.monotonic);
       return proceed(state, event.at);
     },
+    document_not_encoded: (state, event) => {
+      state.fleet.documents?.notEncoded(event);
+      return proceed(state, event.at);
+    },
   };
 }
--- a/packages/fleet/src/documents/document_runner.ts
+++ b/packages/fleet/src/documents/document_runner.ts
@@ -56,8 +56,11 @@
       this.#pendingReplies.delete(replyId);
     },
     encode_document: (effect, dispatch) => {
+      const { document, baseVersion } = effect;
       this.#encode(effect).then(dispatch, (error: unknown) => {
         log("A document could not be encoded", { error: String(error) });
+        const { version } = document;
+        dispatch({ kind: "document_not_encoded", version, baseVersion });
       });
     },
     decode_document: (effect, dispatch) => {
