--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -153,17 +153,22 @@
 
   /**
    * Closes the connection that has been without a request for longest; one that
-   * never had a request goes first. Otherwise clients that only open connections
-   * would keep out all others.
+   * never had a request goes first. If all have one, a connection whose request
+   * is incomplete, and thus not dispatched, is closed: one that is answered
+   * already, or else the slowest. Otherwise clients that only open connections or
+   * send bodies slowly would keep out all others.
    */
   #makeRoom(): void {
-    const [first, ...others] = [...this.#connections]
-      .filter(({ isIdle }) => isIdle);
-    if (first !== undefined) {
-      const last = others.reduce(
-        (last, other) => last.yieldsBefore(other) ? last : other,
-        first,
-      );
+    const now = performance.now();
+    const all = [...this.#connections];
+    const last = findFirst(
+      all.filter(({ isIdle }) => isIdle),
+      (one, other) => one.yieldsBefore(other),
+    ) ?? findFirst(
+      all.filter(({ isReceiving }) => isReceiving),
+      (one, other) => one.progressesLess(other, now),
+    );
+    if (last !== undefined) {
       this.#connections.delete(last);
       last.close(closeReasons.tooManyConnections);
     }
@@ -184,3 +189,15 @@
     }
   }
 }
+
+/** Returns the item that precedes all others. */
+function findFirst<T>(
+  items: readonly T[],
+  precedes: (one: T, other: T) => boolean,
+): T | undefined {
+  const [first, ...others] = items;
+  return first === undefined ? undefined : others.reduce(
+    (first, other) => precedes(first, other) ? first : other,
+    first,
+  );
+}
--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -305,3 +305,44 @@
   await closeOf(open().resume());
   t.notOk(first.closed || third.closed, "requests in progress go on");
 });
+
+// A body sent a byte now and then kept its connection from being idle or stalled,
+// so that a client with all connections kept out everybody else.
+t.test("beyond the limit, a request whose body is slowest gives way", async (t) => {
+  const { open, reasons } = await startServer(t, (request, response) => {
+    if (request.url === "/early") {
+      response.end();
+    } else {
+      void text(request).then((body) => response.end(body), () => undefined);
+    }
+  }, { connections: 3 });
+  const head = (path: string) =>
+    `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n` +
+    "expect: 100-continue\r\n\r\n";
+  const begin = async (path: string) => {
+    const socket = open();
+    socket.write(head(path));
+    await once(socket, "data");
+    return socket.resume();
+  };
+  const slow = await begin("/slow");
+  const fast = await begin("/fast");
+  const early = await begin("/early");
+  slow.write("x");
+  fast.write("x".repeat(99_999));
+  for (const [last, count] of [[early, 1], [slow, 2]] as const) {
+    const closed = closeOf(last);
+    const next = open();
+    next.write(get("/next"));
+    await Promise.race([once(next, "data"), closeOf(next)]);
+    t.notOk(next.closed, "a new connection is served");
+    await closed;
+    t.strictSame(reasons, Array(count).fill("too_many_connections"));
+    next.write(head("/fast"));
+    await once(next, "data");
+    next.write("x".repeat(50_000));
+  }
+  fast.write("x");
+  await once(fast, "data");
+  t.notOk(fast.closed, "the fast body is received and answered");
+});
--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -21,6 +21,13 @@
 /** Empty lines that may precede a request. */
 const maxEmptyLines = 64;
 
+/**
+ * Bytes and milliseconds that the mean rate of a body includes from its start,
+ * so that a body that has just begun is not taken for a slow one.
+ */
+const initialBodyBytes = 16_384;
+const initialBodyMs = 1_000;
+
 /** Handles the bytes that a socket has received. */
 type DataListener = (chunk: Buffer) => void;
 
@@ -47,6 +54,8 @@
   #response: ServerResponse | null = null;
   /** Bytes that the body still has; `null`: unknown. */
   #bodyLeft: number | null = null;
+  /** The time, and the bytes read, when the head was complete. */
+  #head = { bytesRead: 0, at: 0 };
   #discardedBytes = 0;
   #emptyLines = 0;
   #hasServed = false;
@@ -77,6 +86,23 @@
     return this.#request === null && !this.#hasBytes;
   }
 
+  /** Whether a body is incomplete, and no answer is being written. */
+  get isReceiving(): boolean {
+    return this.#request?.complete === false &&
+      this.#response?.headersSent !== true;
+  }
+
+  /** Whether this connection, which receives, is closed rather than another. */
+  progressesLess(
+    other: GuardedConnection,
+    now: number,
+  ): boolean {
+    const isAnswered = this.#response === null;
+    return isAnswered === (other.#response === null)
+      ? this.#bodyRate(now) <= other.#bodyRate(now)
+      : isAnswered;
+  }
+
   /** Whether this idle connection is closed rather than another one. */
   yieldsBefore(other: GuardedConnection): boolean {
     return this.#hasServed === other.#hasServed
@@ -101,6 +127,8 @@
     this.#discardedBytes = 0;
     const length = Number(request.headers["content-length"]);
     this.#bodyLeft = Number.isSafeInteger(length) ? length : null;
+    const { bytesRead } = this.#socket;
+    this.#head = { bytesRead, at: performance.now() };
     response.once("finish", () => {
       if (!request.complete) {
         // Otherwise Node drops the rest of the body without counting chunks.
@@ -148,6 +176,13 @@
     return this.#offset < this.#bytes.length || this.#later.length > 0;
   }
 
+  /** Mean rate of the body since its head, in bytes per millisecond. */
+  #bodyRate(now: number): number {
+    const { bytesRead, at } = this.#head;
+    return (this.#socket.bytesRead - bytesRead + initialBodyBytes) /
+      (now - at + initialBodyMs);
+  }
+
   #receive(chunk: Buffer): void {
     if (this.#hasBytes) {
       this.#later.push(chunk);
