--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -185,9 +185,10 @@
   if (!isChunked) {
     return `${head}content-length: ${body.length}\r\n\r\n${body}`;
   }
-  const size = body.length.toString(16);
-  const chunk = body === "" ? "" : `${size}\r\n${body}\r\n`;
-  return `${head}transfer-encoding: chunked\r\n\r\n${chunk}0\r\nx: y\r\n\r\n`;
+  const parts = [body.slice(0, index), body.slice(index)];
+  const chunks = parts.filter((part) => part !== "")
+    .map((part) => `${part.length.toString(16)};a=1\r\n${part}\r\n`).join("");
+  return `${head}transfer-encoding: chunked\r\n\r\n${chunks}0\r\nx: y\r\n\r\n`;
 }
 
 // Small chunks take a thousand times the time and memory of their bytes.
@@ -209,6 +210,24 @@
   }
 });
 
+// Bodies were cut at lines of up to one byte, and each piece counted as a chunk.
+t.test("short lines in a large chunk are not small chunks", async (t) => {
+  for (const body of ["0\n".repeat(2_000), "\n".repeat(4_194_304)]) {
+    const { open, reasons } = await startServer(t, (request, response) => {
+      void text(request).then(
+        ({ length }) => response.end(`${length}`),
+        () => undefined,
+      );
+    });
+    const size = body.length.toString(16);
+    const socket = open();
+    const ended = Promise.race([once(socket, "data"), closeOf(socket)]);
+    socket.write(`${chunkedHead}${size}\r\n${body}\r\n0\r\n\r\n`);
+    t.match(String(await ended), new RegExp(`\\b${body.length}\\b`, "u"));
+    t.strictSame(reasons, []);
+  }
+});
+
 // The rest of a body is read after an early answer, so that the answer arrives.
 t.test("the rest of a body is discarded after an early answer, to a bound", async (t) => {
   const { open, reasons } = await startServer(t, (_, response) => {
--- a/packages/runtime/src/empty_line_finder.ts
+++ b/packages/runtime/src/empty_line_finder.ts
@@ -1,9 +1,12 @@
 const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
 
 /** Finds empty lines in text that arrives in pieces. */
 export class EmptyLineFinder {
   /** Bytes of the line that the text has ended in so far. */
   #lineLength = 0;
+  /** The last byte of the piece before. */
+  #lastByte = 0;
 
   /**
    * Returns the index after the first empty line that ends at or after `from`,
@@ -15,13 +18,14 @@
       const end = bytes.indexOf(lineFeed, start);
       if (end < 0) {
         this.#lineLength += bytes.length - start;
+        this.#lastByte = bytes.at(-1) ?? this.#lastByte;
         return -1;
       }
       const length = this.#lineLength + end - start;
+      const last = end > start ? bytes[end - 1] : this.#lastByte;
       this.#lineLength = 0;
       start = end + 1;
-      // One byte is the carriage return before the line feed.
-      if (length <= 1) {
+      if (length === 0 || (length === 1 && last === carriageReturn)) {
         return start;
       }
     }
--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { ChunkBuffer } from "./chunk_buffer.ts";
+import { ChunkedBodyEnd } from "./chunked_body_end.ts";
 import type {
   CloseReason,
   ConnectionGuard,
@@ -42,6 +43,7 @@
   /** Node's own listeners, which parse. */
   readonly #parsers: readonly DataListener[];
   readonly #lines = new EmptyLineFinder();
+  readonly #bodyEnd = new ChunkedBodyEnd();
   /** Bytes to parse next, and the index of the first of them. */
   #bytes = emptyBytes;
   #offset = 0;
@@ -127,6 +129,7 @@
     this.#discardedBytes = 0;
     const length = Number(request.headers["content-length"]);
     this.#bodyLeft = Number.isSafeInteger(length) ? length : null;
+    this.#bodyEnd.reset();
     const { bytesRead } = this.#socket;
     this.#head = { bytesRead, at: performance.now() };
     response.once("finish", () => {
@@ -254,7 +257,8 @@
     if (this.#request !== null && this.#bodyLeft !== null) {
       this.#offset = Math.min(this.#bytes.length, start + this.#bodyLeft);
     } else {
-      const end = this.#lines.find(this.#bytes, start);
+      const finder = this.#request === null ? this.#lines : this.#bodyEnd;
+      const end = finder.find(this.#bytes, start);
       this.#offset = end < 0 ? this.#bytes.length : end;
       this.#emptyLines += end < 0 ? 0 : 1;
     }
