--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -156,7 +156,8 @@
 
   /** Closes the connection if its request or answer has not progressed. */
   closeIfStalled(now: number): void {
-    const { bytesRead, writableLength: unwritten } = this.#socket;
+    const { bytesRead } = this.#socket;
+    const unwritten = countUnwritten(this.#socket);
     const isWaiting = this.#request?.complete === false ||
       (this.#response?.writableEnded === true && unwritten > 0);
     const { at, ...last } = this.#progress;
@@ -352,3 +353,15 @@
     this.#account = null;
   }
 }
+
+/**
+ * Returns a number of bytes that falls whenever the system accepts some of what is
+ * written. The length that the stream counts falls only at the end of a whole
+ * write; Node's own time-outs of sockets read the queue of the handle as well.
+ */
+function countUnwritten(socket: Socket): number {
+  const { _handle: handle } = socket as Socket & {
+    readonly _handle?: { readonly writeQueueSize?: number } | null;
+  };
+  return socket.writableLength + (handle?.writeQueueSize ?? 0);
+}
