--- a/packages/relay/src/http/address_checks.ts
+++ b/packages/relay/src/http/address_checks.ts
@@ -8,6 +8,8 @@
 interface Check {
   /** Monotonic milliseconds. */
   readonly startedAt: number;
+  /** Time for which the outcome is used. */
+  readonly lifetimeMs: number;
   readonly isReachable: Promise<boolean>;
 }
 
@@ -17,6 +19,12 @@
  */
 const checkLifetimeMs = 5_000;
 
+/**
+ * Time for which a failure is used. A connection whose first packet is lost fails
+ * too, as systems repeat the packet after about a second.
+ */
+const failureLifetimeMs = 1_000;
+
 /** Time for a connection; those over narrow links take some 100 ms under load. */
 const connectTimeoutMs = 500;
 
@@ -38,8 +46,8 @@
     members: readonly Member[],
     now: number,
   ): Promise<readonly Member[]> {
-    for (const [address, { startedAt }] of this.#checks) {
-      if (now - startedAt >= checkLifetimeMs) {
+    for (const [address, { startedAt, lifetimeMs }] of this.#checks) {
+      if (now - startedAt >= lifetimeMs) {
         this.#checks.delete(address);
       }
     }
@@ -55,8 +63,14 @@
       return known.isReachable;
     }
     const isReachable = this.#probe(address).catch(() => false);
-    this.#checks.set(address, { startedAt: now, isReachable });
-    return isReachable;
+    const check = { startedAt: now, lifetimeMs: checkLifetimeMs, isReachable };
+    this.#checks.set(address, check);
+    return isReachable.then((isReachable) => {
+      if (!isReachable && this.#checks.get(address) === check) {
+        this.#checks.set(address, { ...check, lifetimeMs: failureLifetimeMs });
+      }
+      return isReachable;
+    });
   }
 }
 
--- a/packages/relay/src/http/list_addresses_test.ts
+++ b/packages/relay/src/http/list_addresses_test.ts
@@ -116,3 +116,17 @@
   t.equal((await checks.filterReachable([member], 5_000)).length, 0);
   t.end();
 });
+
+// One lost packet hid a relay that runs for as long as a success is used.
+t.test("a failed check is repeated after a second", async (t) => {
+  const member = { address: "127.0.0.1:1" } as never;
+  let checks = 0;
+  const addressChecks = new AddressChecks(() => Promise.resolve(++checks > 1));
+  const count = async (now: number) =>
+    (await addressChecks.filterReachable([member], now)).length;
+  t.equal(await count(0), 0);
+  t.equal(await count(999), 0);
+  t.equal(await count(1_000), 1);
+  t.equal(await count(5_999), 1);
+  t.equal(checks, 2);
+});
