--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -185,9 +185,10 @@
   if (!isChunked) {
     return `${head}content-length: ${body.length}\r\n\r\n${body}`;
   }
-  const size = body.length.toString(16);
-  const chunk = body === "" ? "" : `${size}\r\n${body}\r\n`;
-  return `${head}transfer-encoding: chunked\r\n\r\n${chunk}0\r\nx: y\r\n\r\n`;
+  const parts = [body.slice(0, index), body.slice(index)];
+  const chunks = parts.filter((part) => part !== "")
+    .map((part) => `${part.length.toString(16)};a=1\r\n${part}\r\n`).join("");
+  return `${head}transfer-encoding: chunked\r\n\r\n${chunks}0\r\nx: y\r\n\r\n`;
 }
 
 // Small chunks take a thousand times the time and memory of their bytes.
@@ -209,6 +210,24 @@
   }
 });
 
+// Bodies were cut at lines of up to one byte, and each piece counted as a chunk.
+t.test("short lines in a large chunk are not small chunks", async (t) => {
+  for (const body of ["0\n".repeat(2_000), "\n".repeat(4_194_304)]) {
+    const { open, reasons } = await startServer(t, (request, response) => {
+      void text(request).then(
+        ({ length }) => response.end(`${length}`),
+        () => undefined,
+      );
+    });
+    const size = body.length.toString(16);
+    const socket = open();
+    const ended = Promise.race([once(socket, "data"), closeOf(socket)]);
+    socket.write(`${chunkedHead}${size}\r\n${body}\r\n0\r\n\r\n`);
+    t.match(String(await ended), new RegExp(`\\b${body.length}\\b`, "u"));
+    t.strictSame(reasons, []);
+  }
+});
+
 // The rest of a body is read after an early answer, so that the answer arrives.
 t.test("the rest of a body is discarded after an early answer, to a bound", async (t) => {
   const { open, reasons } = await startServer(t, (_, response) => {
@@ -305,3 +324,44 @@
   await closeOf(open().resume());
   t.notOk(first.closed || third.closed, "requests in progress go on");
 });
+
+// A body sent a byte now and then kept its connection from being idle or stalled,
+// so that a client with all connections kept out everybody else.
+t.test("beyond the limit, a request whose body is slowest gives way", async (t) => {
+  const { open, reasons } = await startServer(t, (request, response) => {
+    if (request.url === "/early") {
+      response.end();
+    } else {
+      void text(request).then((body) => response.end(body), () => undefined);
+    }
+  }, { connections: 3 });
+  const head = (path: string) =>
+    `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n` +
+    "expect: 100-continue\r\n\r\n";
+  const begin = async (path: string) => {
+    const socket = open();
+    socket.write(head(path));
+    await once(socket, "data");
+    return socket.resume();
+  };
+  const slow = await begin("/slow");
+  const fast = await begin("/fast");
+  const early = await begin("/early");
+  slow.write("x");
+  fast.write("x".repeat(99_999));
+  for (const [last, count] of [[early, 1], [slow, 2]] as const) {
+    const closed = closeOf(last);
+    const next = open();
+    next.write(get("/next"));
+    await Promise.race([once(next, "data"), closeOf(next)]);
+    t.notOk(next.closed, "a new connection is served");
+    await closed;
+    t.strictSame(reasons, Array(count).fill("too_many_connections"));
+    next.write(head("/fast"));
+    await once(next, "data");
+    next.write("x".repeat(50_000));
+  }
+  fast.write("x");
+  await once(fast, "data");
+  t.notOk(fast.closed, "the fast body is received and answered");
+});
--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { ChunkBuffer } from "./chunk_buffer.ts";
+import { ChunkedBodyEnd } from "./chunked_body_end.ts";
 import type {
   CloseReason,
   ConnectionGuard,
@@ -21,6 +22,13 @@
 /** Empty lines that may precede a request. */
 const maxEmptyLines = 64;
 
+/**
+ * Bytes and milliseconds that the mean rate of a body includes from its start,
+ * so that a body that has just begun is not taken for a slow one.
+ */
+const initialBodyBytes = 16_384;
+const initialBodyMs = 1_000;
+
 /** Handles the bytes that a socket has received. */
 type DataListener = (chunk: Buffer) => void;
 
@@ -35,6 +43,7 @@
   /** Node's own listeners, which parse. */
   readonly #parsers: readonly DataListener[];
   readonly #lines = new EmptyLineFinder();
+  readonly #bodyEnd = new ChunkedBodyEnd();
   /** Bytes to parse next, and the index of the first of them. */
   #bytes = emptyBytes;
   #offset = 0;
@@ -47,6 +56,8 @@
   #response: ServerResponse | null = null;
   /** Bytes that the body still has; `null`: unknown. */
   #bodyLeft: number | null = null;
+  /** The time, and the bytes read, when the head was complete. */
+  #head = { bytesRead: 0, at: 0 };
   #discardedBytes = 0;
   #emptyLines = 0;
   #hasServed = false;
@@ -77,6 +88,23 @@
     return this.#request === null && !this.#hasBytes;
   }
 
+  /** Whether a body is incomplete, and no answer is being written. */
+  get isReceiving(): boolean {
+    return this.#request?.complete === false &&
+      this.#response?.headersSent !== true;
+  }
+
+  /** Whether this connection, which receives, is closed rather than another. */
+  progressesLess(
+    other: GuardedConnection,
+    now: number,
+  ): boolean {
+    const isAnswered = this.#response === null;
+    return isAnswered === (other.#response === null)
+      ? this.#bodyRate(now) <= other.#bodyRate(now)
+      : isAnswered;
+  }
+
   /** Whether this idle connection is closed rather than another one. */
   yieldsBefore(other: GuardedConnection): boolean {
     return this.#hasServed === other.#hasServed
@@ -101,6 +129,9 @@
     this.#discardedBytes = 0;
     const length = Number(request.headers["content-length"]);
     this.#bodyLeft = Number.isSafeInteger(length) ? length : null;
+    this.#bodyEnd.reset();
+    const { bytesRead } = this.#socket;
+    this.#head = { bytesRead, at: performance.now() };
     response.once("finish", () => {
       if (!request.complete) {
         // Otherwise Node drops the rest of the body without counting chunks.
@@ -125,7 +156,8 @@
 
   /** Closes the connection if its request or answer has not progressed. */
   closeIfStalled(now: number): void {
-    const { bytesRead, writableLength: unwritten } = this.#socket;
+    const { bytesRead } = this.#socket;
+    const unwritten = countUnwritten(this.#socket);
     const isWaiting = this.#request?.complete === false ||
       (this.#response?.writableEnded === true && unwritten > 0);
     const { at, ...last } = this.#progress;
@@ -148,6 +180,13 @@
     return this.#offset < this.#bytes.length || this.#later.length > 0;
   }
 
+  /** Mean rate of the body since its head, in bytes per millisecond. */
+  #bodyRate(now: number): number {
+    const { bytesRead, at } = this.#head;
+    return (this.#socket.bytesRead - bytesRead + initialBodyBytes) /
+      (now - at + initialBodyMs);
+  }
+
   #receive(chunk: Buffer): void {
     if (this.#hasBytes) {
       this.#later.push(chunk);
@@ -219,7 +258,8 @@
     if (this.#request !== null && this.#bodyLeft !== null) {
       this.#offset = Math.min(this.#bytes.length, start + this.#bodyLeft);
     } else {
-      const end = this.#lines.find(this.#bytes, start);
+      const finder = this.#request === null ? this.#lines : this.#bodyEnd;
+      const end = finder.find(this.#bytes, start);
       this.#offset = end < 0 ? this.#bytes.length : end;
       this.#emptyLines += end < 0 ? 0 : 1;
     }
@@ -313,3 +353,15 @@
     this.#account = null;
   }
 }
+
+/**
+ * Returns a number of bytes that falls whenever the system accepts some of what is
+ * written. The length that the stream counts falls only at the end of a whole
+ * write; Node's own time-outs of sockets read the queue of the handle as well.
+ */
+function countUnwritten(socket: Socket): number {
+  const { _handle: handle } = socket as Socket & {
+    readonly _handle?: { readonly writeQueueSize?: number } | null;
+  };
+  return socket.writableLength + (handle?.writeQueueSize ?? 0);
+}
