--- a/packages/fleet/src/list_relay.ts
+++ b/packages/fleet/src/list_relay.ts
@@ -26,6 +26,12 @@
 /** Milliseconds between two reports of a list that has not changed. */
 const confirmationIntervalMs = 1_000;
 
+/**
+ * Time by which a renewed row may state more of a cold time than remains of it,
+ * from the delays of two reads of the store.
+ */
+const renewalToleranceMs = 2_000;
+
 /** What peers' news of the list of upstreams led to. */
 export interface NewsEffect {
   /** The list, if it has changed or was confirmed. */
@@ -51,7 +57,9 @@
   constructor(marks: Marks, freshnessMs: number) {
     this.#marks = marks;
     this.#freshnessMs = freshnessMs;
-    this.list = new UpstreamList((known, later) => this.#isNews(known, later));
+    this.list = new UpstreamList((known, later, { elapsedMs }) =>
+      this.#isNews(known, later, elapsedMs)
+    );
   }
 
   /**
@@ -96,7 +104,9 @@
     link.listVersion = news.version;
     link.wantsUpstreams = news.wanted;
     const askedAt = news.ageMs >= 0 ? sentAt - news.ageMs : -Infinity;
-    const outcome = this.list.merge(news, askedAt);
+    const outcome = this.list.merge(news, askedAt, {
+      now: at.monotonic,
+    });
     const isIncomplete = outcome === "incomplete";
     const isChanged = outcome === "changed";
     if (isIncomplete) {
@@ -121,10 +131,10 @@
    * not, shows that the row was written since the store was restored, or tells
    * that an upstream has become cold or warm.
    */
-  #isNews(knownVm: Vm, laterVm: Vm): boolean {
+  #isNews(knownVm: Vm, laterVm: Vm, elapsedMs: number): boolean {
     const { id, version: known = 0 } = knownVm;
     const { version: later = 0 } = laterVm;
-    if (later > known && hasChangedWarmth(knownVm, laterVm)) {
+    if (later > known && hasChangedWarmth(knownVm, laterVm, elapsedMs)) {
       return true;
     }
     const markVersion = this.#marks.get(id)?.version ?? -1;
@@ -134,10 +144,16 @@
   }
 }
 
-/** Whether an upstream became cold, was started anew while cold, or is warm. */
+/**
+ * Whether an upstream became cold, became cold again, or is warm. What remains of
+ * a cold time is less than the known row says, but renewed rows are read with
+ * delays that differ.
+ */
 function hasChangedWarmth(
   { coldMs: known = 0 }: Vm,
   { coldMs: later = known }: Vm,
+  elapsedMs: number,
 ): boolean {
-  return later > known || (later === 0 && known > 0);
+  const remaining = Math.max(0, known - elapsedMs) + renewalToleranceMs;
+  return later > Math.min(known, remaining) || (later === 0 && known > 0);
 }
--- a/packages/fleet/src/list_relay_test.ts
+++ b/packages/fleet/src/list_relay_test.ts
@@ -40,3 +40,31 @@
   t.equal(changesAfterRead(7, { coldMs: 0 }), 1, "it is warm");
   t.end();
 });
+
+// Rows do not count down, so that an upstream that became cold again looked like
+// one whose row was renewed.
+t.test("peers learn that an upstream is cold again before it is warm", (t) => {
+  const relays = [0, 1, 2].map(() => new ListRelay(new Marks(), 2_600));
+  const [reader, middle] = relays as [ListRelay, ListRelay];
+  for (const relay of relays) {
+    relay.read({ vms: [engineOf(1, { coldMs: 20_000 })], version: 1 }, 0);
+  }
+  const toMiddle = new Link("middle", "");
+  const toLast = new Link("last", "");
+  const fromReader = new Link("reader", "");
+  [toMiddle, toLast].forEach((link) => link.listVersion = 1);
+  const pass = (version: number, coldMs: number, monotonic: number) => {
+    const now = { monotonic, wall: monotonic };
+    reader.read({ vms: [engineOf(version, { coldMs })], version }, monotonic);
+    const news = reader.newsFor(toMiddle, now);
+    middle.apply(news as never, fromReader, { at: now, sentAt: -Infinity });
+    toMiddle.listVersion = version;
+    const passed = middle.newsFor(toLast, now)?.changes?.length ?? 0;
+    toLast.listVersion = version;
+    return passed;
+  };
+  t.equal(pass(2, 15_500, 5_000), 0, "a renewed row, read with some delay");
+  t.equal(pass(3, 15_000, 10_000), 1, "it is cold again");
+  t.equal(pass(4, 9_900, 15_000), 0, "a renewed row");
+  t.end();
+});
--- a/packages/fleet/src/upstream_list.ts
+++ b/packages/fleet/src/upstream_list.ts
@@ -29,10 +29,19 @@
  * Tells of two rows of an upstream that differ in their versions only whether
  * peers must learn the later version.
  */
-export type RowComparison = (known: Vm, later: Vm) => boolean;
+export type RowComparison = (
+  known: Vm,
+  later: Vm,
+  options: {
+    /** Milliseconds since the known version of the row was learned. */
+    readonly elapsedMs: number;
+  },
+) => boolean;
 
 interface Entry {
   readonly vm: Vm;
+  /** Monotonic milliseconds at which this version of the row was learned. */
+  readonly learnedAt: number;
   /** Version of the list in which the latest change was noticed. */
   readonly changedIn: StoreVersion;
   /** Hash of what processes act on, without the version of the row. */
@@ -112,7 +121,12 @@
       this.#knownSince = version;
     }
     const changes = vms.map((vm) => ({ id: vm.id, vm }));
-    this.#commit(this.#revise(changes, { version, isComplete: true }), version);
+    const revision = this.#revise(changes, {
+      version,
+      isComplete: true,
+      now: askedAt,
+    });
+    this.#commit(revision, version);
     this.#changedIn = isFirst ? version : this.#changedIn;
     this.#askedAt = Math.max(this.#askedAt, askedAt);
     return true;
@@ -156,9 +170,14 @@
 
   /**
    * Applies a peer's news. `askedAt` is when the peer asked the store for them
-   * at the latest; `-Infinity` if that is not known.
+   * at the latest; `-Infinity` if that is not known. `now` is in monotonic
+   * milliseconds.
    */
-  merge(news: UpstreamNews__Output, askedAt: number): NewsOutcome {
+  merge(
+    news: UpstreamNews__Output,
+    askedAt: number,
+    { now = askedAt }: { readonly now?: number } = {},
+  ): NewsOutcome {
     const { version, digest, hasChanges, since } = news;
     const numbers = [version, digest, since];
     if (
@@ -174,7 +193,7 @@
     if (changes === null) {
       return "incomplete";
     }
-    const revision = this.#revise(changes, { version, isComplete });
+    const revision = this.#revise(changes, { version, isComplete, now });
     if (digest !== digestOf(revision.entries.values())) {
       return version === this.#version ? "known" : "incomplete";
     }
@@ -190,10 +209,11 @@
   /** Returns the list with changes applied, which stays as it is. */
   #revise(
     changes: readonly ReadChange[],
-    { version, isComplete }: {
+    { version, isComplete, now }: {
       readonly version: StoreVersion;
       /** Whether upstreams that are not among the changes are not listed. */
       readonly isComplete: boolean;
+      readonly now: number;
     },
   ): Revision {
     const entries = new Map(this.#entries);
@@ -205,12 +225,13 @@
         removed.add(id);
       } else if (
         known === undefined || !isSame(known.vm, vm) ||
-        this.#isNews(known.vm, vm)
+        this.#isNews(known.vm, vm, { elapsedMs: now - known.learnedAt })
       ) {
-        entries.set(id, { vm, changedIn: version, hash: hashOf(vm) });
+        const hash = hashOf(vm);
+        entries.set(id, { vm, learnedAt: now, changedIn: version, hash });
         isChanged = true;
       } else if ((vm.version ?? 0) > (known.vm.version ?? 0)) {
-        entries.set(id, { ...known, vm });
+        entries.set(id, { ...known, vm, learnedAt: now });
       }
     }
     const listed = new Set(changes.map(({ id }) => id));
