--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -51,7 +51,7 @@
  * Share of an engine's memory up to which a request there may be urgent. Beyond it,
  * the engine would preempt generations and process their prompts again.
  */
-const maxUrgentFraction = 0.8;
+const maxUrgentFraction = 0.5;
 
 type Dispatch = Extract<Placement, { kind: "dispatch" }>;
 
--- a/packages/policy/src/candidate.ts
+++ b/packages/policy/src/candidate.ts
@@ -3,7 +3,6 @@
 import type { Demand, Figures } from "./dispatcher.ts";
 import type { Engine } from "./engine.ts";
 import type { EngineView } from "./engine_view.ts";
-import { maxAdmittedFraction } from "./engine_view.ts";
 import type { Estimate } from "./estimator.ts";
 import { prefillMsPerToken } from "./estimator.ts";
 import { tokensPerBlock } from "./prefix_digests.ts";
@@ -73,8 +72,10 @@
   const stepTime = isSampled ? view.pool.stepTime : view.stepTime;
   const stepMs = stepTime.expectedMs(view.running + 1);
   if (options.admission && view.running > 0) {
+    // By the risk of overflow, which takes old samples for uncertain, engines ran out
+    // of prompts in bursts.
     const overflows = isSampled && mayWait
-      ? memoryFraction > maxAdmittedFraction
+      ? memoryFraction > 1
       : risk > riskBound.boundFor(demand.targets);
     if (overflows || exceedsStepTime(view, demand)) {
       return null;
--- a/packages/policy/src/engine_view.ts
+++ b/packages/policy/src/engine_view.ts
@@ -29,13 +29,6 @@
 /** Age at which a sample is discarded, as most generations have ended. */
 const maxSampleAgeMs = 10_000;
 
-/**
- * Share of an engine's memory, with all that waits there, up to which it is sent
- * requests where its load is known from samples. Samples are too old to tell what
- * becomes free; with a share of 1, engines ran out of prompts in bursts.
- */
-export const maxAdmittedFraction = 1.25;
-
 /** A generation that this process dispatched and that has not ended. */
 export interface Flight {
   readonly demand: Demand;
@@ -314,8 +307,7 @@
   estimateRoomMs(promptTokens: number, at: Moment): number {
     const { mean } = this.forecast(at);
     const usedTokens = mean[0] ?? 0;
-    const missingTokens = usedTokens + promptTokens -
-      maxAdmittedFraction * this.memoryTokens;
+    const missingTokens = usedTokens + promptTokens - this.memoryTokens;
     return missingTokens <= 0
       ? 0
       : this.pool.holdMs * Math.min(1, missingTokens / usedTokens);
