--- a/packages/relay/src/reports/report_part_test.ts
+++ b/packages/relay/src/reports/report_part_test.ts
@@ -179,11 +179,7 @@
   const fill = (effects: readonly RelayEffect[]) =>
     only(effects, "report_engines").flatMap(({ engines, askedAt }) =>
       engines.flatMap(({ id }) =>
-        relay.reportEngine(id, {
-          askedAt,
-          usedTokens: 29_900,
-          running: 8,
-        })
+        relay.reportEngine(id, { askedAt, usedTokens: 29_900, running: 8 })
       )
     );
   const release = () =>
