--- a/packages/relay/src/fleet/apply_evacuations.ts
+++ b/packages/relay/src/fleet/apply_evacuations.ts
@@ -17,7 +17,7 @@
   { askedAt, at }: { readonly askedAt: number; readonly at: Moment },
 ): readonly RelayEffect[] {
   const { fleet, settings } = state;
-  if (settings.evacuationMs === null || list === undefined) {
+  if (settings.evacuationBoundMs === null || list === undefined) {
     return [];
   }
   return fleet.readEvacuations(list, askedAt)
--- a/packages/relay/src/fleet/evacuation_age_test.ts
+++ b/packages/relay/src/fleet/evacuation_age_test.ts
@@ -10,7 +10,7 @@
 /** Sizes of fleets: a process alone, a mesh, and one with few readers. */
 const sizes = [1, 8, 61];
 
-const evacuationMs = 5_000;
+const evacuationBoundMs = 5_000;
 const contactMs = 4_000;
 
 /** The bound that is set, so that two tries of a read end within `contactMs`. */
@@ -48,7 +48,7 @@
       seed,
       relayCount,
       freshnessMs,
-      evacuationMs,
+      evacuationBoundMs,
     });
     const ids = [...this.#fleet.relays.keys()];
     this.#older = new Set(
@@ -86,7 +86,7 @@
     for (const id of fleet.relays.keys()) {
       this.#end(id);
     }
-    fleet.run(evacuationMs);
+    fleet.run(evacuationBoundMs);
     this.#judge();
   }
 
@@ -131,7 +131,9 @@
       const isInContact = now > lastFaultAt + faultMs + contactMs;
       const known = this.#fleet.evacuatedAt(id);
       const isRight = JSON.stringify(known) === JSON.stringify(this.#ordered);
-      if (isInContact && now > this.#orderedAt + evacuationMs && !isRight) {
+      if (
+        isInContact && now > this.#orderedAt + evacuationBoundMs && !isRight
+      ) {
         this.late.add(`${id} at ${now}`);
       }
     }
@@ -161,7 +163,7 @@
   const orderedAt = fleet.now;
   const ids = [...fleet.relays.keys()].filter((id) => !exceptIds.includes(id));
   while (
-    fleet.now < orderedAt + 2 * evacuationMs &&
+    fleet.now < orderedAt + 2 * evacuationBoundMs &&
     ids.some((id) => fleet.evacuatedAt(id).length === 0)
   ) {
     fleet.run(stepMs);
@@ -174,7 +176,7 @@
     seed: 1,
     relayCount: 61,
     freshnessMs,
-    evacuationMs,
+    evacuationBoundMs,
   });
   fleet.run(settleMs);
   const elapsedMs = spreadMs(fleet, []);
@@ -187,7 +189,7 @@
     seed: 2,
     relayCount: 61,
     freshnessMs,
-    evacuationMs,
+    evacuationBoundMs,
   });
   fleet.run(settleMs);
   const others = [...fleet.relays.keys()]
@@ -196,7 +198,7 @@
     fleet.setFault(id, { isRefused: true });
   }
   const elapsedMs = spreadMs(fleet, []);
-  t.ok(elapsedMs <= evacuationMs, `${elapsedMs} ms of simulated time`);
+  t.ok(elapsedMs <= evacuationBoundMs, `${elapsedMs} ms of simulated time`);
   t.end();
 });
 
@@ -206,7 +208,7 @@
     seed: 3,
     relayCount: 61,
     freshnessMs,
-    evacuationMs,
+    evacuationBoundMs,
   });
   fleet.run(settleMs);
   const { readerIds } = fleet;
@@ -215,6 +217,6 @@
   }
   fleet.run(settleMs);
   const elapsedMs = spreadMs(fleet, readerIds);
-  t.ok(elapsedMs <= evacuationMs, `${elapsedMs} ms of simulated time`);
+  t.ok(elapsedMs <= evacuationBoundMs, `${elapsedMs} ms of simulated time`);
   t.end();
 });
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -29,7 +29,7 @@
    * Milliseconds within which the upstreams of a data centre under evacuation get
    * no more requests; `null`: evacuations are not followed.
    */
-  readonly evacuationMs: number | null;
+  readonly evacuationBoundMs: number | null;
   /**
    * What cold upstreams bear beyond the rate that they handle; `null`: requests
    * to them are not limited.
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -229,7 +229,7 @@
       meshSize,
       freshnessMs: settings.freshnessMs,
       readsDocuments: true,
-      followsEvacuations: settings.evacuationMs !== null,
+      followsEvacuations: settings.evacuationBoundMs !== null,
       readConfiguration: (document) => {
         const parsed = routingSchema.safeParse(document);
         return parsed.success ? parsed.data : null;
--- a/packages/relay/src/upstreams/evacuations.ts
+++ b/packages/relay/src/upstreams/evacuations.ts
@@ -11,7 +11,7 @@
 export function mayPlaceRequests(
   { fleet, reads, settings }: Pick<RelayState, "fleet" | "reads" | "settings">,
 ): boolean {
-  return settings.evacuationMs === null || fleet.evacuations.isKnown ||
+  return settings.evacuationBoundMs === null || fleet.evacuations.isKnown ||
     reads.routing.failures > 0;
 }
 
@@ -23,7 +23,7 @@
   { fleet, settings }: Pick<RelayState, "fleet" | "settings">,
 ): number {
   const { configurationConfirmedAt, evacuations } = fleet;
-  return settings.evacuationMs === null
+  return settings.evacuationBoundMs === null
     ? configurationConfirmedAt
     : Math.min(configurationConfirmedAt, evacuations.confirmedAt);
 }
--- a/packages/relay/src/upstreams/evacuations_test.ts
+++ b/packages/relay/src/upstreams/evacuations_test.ts
@@ -39,7 +39,7 @@
   listed = vms,
   change: { readonly dataCentre?: string } = {},
 ): RelayFixture {
-  const relay = new RelayFixture({ evacuationMs: 5_000, ...change });
+  const relay = new RelayFixture({ evacuationBoundMs: 5_000, ...change });
   order(relay, dataCentres);
   relay.learn(listed);
   return relay;
@@ -324,7 +324,7 @@
 
 // Peers of older builds tell of the routing and the upstreams, not of evacuations.
 t.test("a relay that starts during an evacuation waits until it knows of it", (t) => {
-  const relay = new RelayFixture({ evacuationMs: 5_000 });
+  const relay = new RelayFixture({ evacuationBoundMs: 5_000 });
   relay.receiveExchange({
     configurations: [{ version: 1, document: JSON.stringify(routingOf()) }],
     configurationVersion: 1,
@@ -340,7 +340,7 @@
 });
 
 t.test("a relay that the store refuses serves by what its peers know", (t) => {
-  const relay = new RelayFixture({ evacuationMs: 5_000 });
+  const relay = new RelayFixture({ evacuationBoundMs: 5_000 });
   relay.learn(vms);
   const error = "store_unavailable";
   relay.reduce({ kind: "routing_failed", error, detail: "" });
--- a/packages/relay/src/upstreams/large_fleet_evacuation_test.ts
+++ b/packages/relay/src/upstreams/large_fleet_evacuation_test.ts
@@ -22,7 +22,7 @@
 
 /** Starts a relay of a fleet in which loads are known by reports only. */
 function startRelay(listed = engines): RelayFixture {
-  const relay = new RelayFixture({ evacuationMs: 5_000 });
+  const relay = new RelayFixture({ evacuationBoundMs: 5_000 });
   order(relay, []);
   relay.learn(listed);
   relay.joinLargeFleet();
--- a/tap-snapshots/platform/build/rows_test.js.test.cjs
+++ b/tap-snapshots/platform/build/rows_test.js.test.cjs
@@ -24,7 +24,7 @@
       "stalledMs": 60000,
     },
     "dataCentre": "lodz-a",
-    "evacuationMs": null,
+    "evacuationBoundMs": null,
     "freshnessMs": 5000,
     "heldBytes": 12500000,
     "metrics": Object {
