Show that crashes behind unframed streams stay unnoticed

Looked for ends of engines that the quarantine does not hear of, as the end of an unframed stream looks like the end of an engine. Engines that end after the first event on a part of a prompt were played as processes, behind two relays.

--- a/review/standins-2/system.js
+++ b/review/standins-2/system.js
@@ -51,7 +51,8 @@
   }
 }
 
-async function readText(request) {
+/** Returns the body of a request. */
+export async function readText(request) {
   const chunks = [];
   for await (const chunk of request) {
     chunks.push(chunk);
@@ -330,10 +331,12 @@
     this.#root = root;
   }
 
-  /** Writes the settings file of a relay and returns the relay. */
-  async create({ name, store, zone = "a", tables = "", memoryMb = 200 }) {
-    const [front, ready, directory] = await findFreePorts(3);
-    const base = await findFreeRange();
+  /**
+   * Writes the settings file of a relay and returns the relay. `ports` are those
+   * of all machines, if these have addresses of their own.
+   */
+  async create({ name, store, zone = "a", address = ip, ports }) {
+    const { front, ready, directory, base } = ports ?? await findPorts();
     const path = join(this.#folder, `${name}.toml`);
     writeFileSync(
       path,
@@ -341,7 +344,7 @@
 role = "relay"
 machineClass = "front"
 serves = ["front","directory"]
-ip = "${ip}"
+ip = "${address}"
 zone = "${zone}"
 region = "r"
 internalPorts = [${base},${base + 15}]
@@ -354,13 +357,13 @@
 a = "r"
 b = "r"
 [listen]
-front = "${ip}:${front}"
-ready = "${ip}:${ready}"
-directory = "${ip}:${directory}"
+front = "${address}:${front}"
+ready = "${address}:${ready}"
+directory = "${address}:${directory}"
 [limits]
 cpuShare = 0.675
 cores = 1
-memoryMb = ${memoryMb}
+memoryMb = 200
 fileDescriptors = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -395,9 +398,17 @@
 rowBytes = 65536
 across = false
 historyS = 20
-${tables}`,
+`,
     );
-    return new Relay(this, { name, path, front, ready, directory, base });
+    return new Relay(this, {
+      name,
+      path,
+      address,
+      front,
+      ready,
+      directory,
+      base,
+    });
   }
 
   /** Starts the process of a relay. */
@@ -421,6 +432,23 @@
     return child;
   }
 
+  /** Starts a stand-in as a process, and calls back for each of its lines. */
+  startStandIn(file, options, onLine) {
+    const path = join(this.#root, "review/standins-2", file);
+    const child = spawn(process.execPath, [path, ...options], {
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    this.#children.add(child);
+    child.on("exit", () => this.#children.delete(child));
+    let rest = "";
+    child.stdout.on("data", (chunk) => {
+      const lines = (rest + chunk).split("\n");
+      rest = lines.pop();
+      lines.forEach(onLine);
+    });
+    return child;
+  }
+
   /** Ends all processes and removes the settings. */
   async close() {
     const ends = [...this.#children].map((child) =>
@@ -434,6 +462,12 @@
   }
 }
 
+/** Returns free ports for a relay. */
+export async function findPorts() {
+  const [front, ready, directory] = await findFreePorts(3);
+  return { front, ready, directory, base: await findFreeRange() };
+}
+
 /** Returns a port after which 15 more are free. */
 async function findFreeRange() {
   for (;;) {
@@ -493,10 +527,17 @@
   }
 
   async isReady() {
-    const answer = await get(this.ready, "/ready");
+    const answer = await get(this.ready, "/ready", { address: this.address });
     return answer?.status === 200;
   }
 
+  /** Ends the process at once. */
+  async kill() {
+    const ended = new Promise((resolve) => this.child.once("exit", resolve));
+    this.child.kill("SIGKILL");
+    await ended;
+  }
+
   /** Returns a figure of the process's memory in megabytes. */
   memoryMb(figure = "VmHWM") {
     try {
@@ -510,10 +551,11 @@
 }
 
 /** Sends a GET request; returns `null` if there is no answer. */
-export async function get(port, path) {
+export async function get(port, path, { address, timeoutMs = 2_000 } = {}) {
   const answer = await send(port, {
     text: `GET ${path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n`,
-    timeoutMs: 2_000,
+    timeoutMs,
+    address,
   });
   return answer.status === null ? null : answer;
 }
@@ -539,10 +581,9 @@
  * Sends a text over a new connection and reads the answer, which ends with its
  * length, its last chunk or the connection.
  */
-export function send(port, { text, timeoutMs = 10_000, onSocket }) {
+export function send(port, { text, timeoutMs = 10_000, address = ip }) {
   return new Promise((resolve) => {
-    const socket = connect(port, ip);
-    onSocket?.(socket);
+    const socket = connect(port, address);
     let bytes = Buffer.alloc(0);
     const sentAt = performance.now();
     const end = (ended) => {
@@ -740,6 +781,8 @@
   events = 100;
   /** Starts of runs: id, where it goes on from, event it begins after. */
   starts = [];
+  /** Whether streams come without chunks and end with their channel. */
+  unframed = false;
   /** Runs in progress by request id. */
   active = new Map();
 
@@ -752,7 +795,7 @@
     return { ...super.row(state), slots: 24, stage: "both", models };
   }
 
-  #json(response, status, body) {
+  json(response, status, body) {
     const text = JSON.stringify(body);
     response.writeHead(status, { "content-length": text.length });
     response.end(text);
@@ -768,7 +811,7 @@
         events,
         1,
       ]);
-      return this.#json(response, 200, {
+      return this.json(response, 200, {
         stage: "both",
         models: [{ name: "m", version: 1, adapters: [] }],
         busy: false,
@@ -784,7 +827,7 @@
       });
     }
     if (url === "/kv-move" || url.startsWith("/kv-handle/")) {
-      return this.#json(response, 404, {});
+      return this.json(response, 404, {});
     }
     if (headers["lavenderferry-expect-instance"] !== this.instance) {
       response.writeHead(421, { "lavenderferry-instance-id": this.instance });
@@ -797,8 +840,11 @@
     }
     const id = headers["lavenderferry-request-id"];
     this.starts.push({ id, url, body, headers, at: performance.now() });
-    const run = { events: 0 };
+    const crashes = this.began({ id, headers });
+    const run = { events: 0, crashes };
     this.active.set(id, run);
+    response.shouldKeepAlive &&= !this.unframed;
+    response.useChunkedEncodingByDefault = !this.unframed;
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "lavenderferry-request-id": id,
@@ -807,7 +853,8 @@
     });
     const timer = setInterval(() => {
       run.events += 1;
-      response.write(`id: ${run.events}\ndata: ${id} ${run.events}\n\n`);
+      const text = `id: ${run.events}\ndata: ${id} ${run.events}\n\n`;
+      response.write(text, () => this.wrote(run));
       if (run.events === this.events) {
         end();
         response.end();
@@ -819,4 +866,12 @@
     };
     response.on("close", end);
   }
+
+  /** Called as a run begins; returns whether the engine is to end by it. */
+  began() {
+    return false;
+  }
+
+  /** Called when the system has taken an event of a run. */
+  wrote() {}
 }
