--- a/review/standins-2/crash_engine.js
+++ b/review/standins-2/crash_engine.js
@@ -8,6 +8,9 @@
 const events = 40;
 const intervalMs = 25;
 
+/** Milliseconds that a prompt of 600 tokens takes, at 14 tokens in a ms. */
+const prefillMs = 43;
+
 function print(...values) {
   process.stdout.write(`${JSON.stringify(values)}\n`);
 }
@@ -40,5 +43,6 @@
 const engine = new CrashEngine({ instance });
 engine.events = events;
 engine.intervalMs = intervalMs;
+engine.prefillMs = prefillMs;
 await engine.start();
 print("listening", engine.row());
--- a/review/standins-2/system.js
+++ b/review/standins-2/system.js
@@ -783,6 +783,8 @@
   starts = [];
   /** Whether streams come without chunks and end with their channel. */
   unframed = false;
+  /** Milliseconds that the prompt takes before the first event. */
+  prefillMs = 0;
   /** Runs in progress by request id. */
   active = new Map();
 
@@ -851,6 +853,7 @@
       "lavenderferry-response-seal": `seal-${this.instance}`,
       "lavenderferry-weight-versions": "1",
     });
+    await wait(this.prefillMs);
     const timer = setInterval(() => {
       run.events += 1;
       const text = `id: ${run.events}\ndata: ${id} ${run.events}\n\n`;
