--- a/review/standins-2/system.js
+++ b/review/standins-2/system.js
@@ -854,6 +854,10 @@
       "lavenderferry-weight-versions": "1",
     });
     await wait(this.prefillMs);
+    if (response.destroyed) {
+      this.active.delete(id);
+      return;
+    }
     const timer = setInterval(() => {
       run.events += 1;
       const text = `id: ${run.events}\ndata: ${id} ${run.events}\n\n`;
