Parse paths in the store's stand-in against a loopback address

Looked for addresses in the cases that are not loopback addresses. Seen: one, a name against which the store's stand-in parses paths; nothing was ever connected to it.

--- a/review/standins-2/system.js
+++ b/review/standins-2/system.js
@@ -135,7 +135,7 @@
   async #handle(request, response) {
     const body = await readText(request);
     await wait(this.delayOf(request));
-    const url = new URL(request.url, "http://store");
+    const url = new URL(request.url, `http://${ip}`);
     const query = url.searchParams;
     switch (`${request.method} ${url.pathname}`) {
       case "POST /rows-tx":
