fix(relay): a prompt's parts are named by digests of fixed length

Cause: the codec named each part by the text of all parts up to it, and the digest of the request joined these texts. Both grow with the square of the number of parts: a prefix of 15,600 characters became 30 MB, twice, before the key was looked up. The names outlived the request in what is known of engines.

Why this works: a part is named by 16 characters, a digest of it and of the digest before it, made in one pass without a seed, so that equal beginnings are equal in all processes. The digest of a request covers the last one. What is known of the engines of a pool is bounded together, and a prompt of many parts keeps its leading ones.

Plain requests keep the digest of earlier builds; that of generations differs from theirs.

--- a/packages/policy/src/adaptive_dispatcher.ts
+++ b/packages/policy/src/adaptive_dispatcher.ts
@@ -33,6 +33,7 @@
 import { selectCandidates, selectToAsk } from "./engine_choice.ts";
 import type { Estimate } from "./estimator.ts";
 import { estimateStartDeadline, Estimator } from "./estimator.ts";
+import { prefixCapacity } from "./known_prefixes.ts";
 import { OutputLengths } from "./output_lengths.ts";
 import { RecentIds } from "./recent_ids.ts";
 import { RecentSamples } from "./recent_samples.ts";
@@ -299,7 +300,8 @@
       tokensAhead,
     };
     engine.view.addFlight(generationId, flight, at);
-    engine.prefixes.addExpected(demand.prefix);
+    const capacity = prefixCapacity(this.#engines.size);
+    engine.prefixes.addExpected(demand.prefix, capacity);
     this.#engineByGeneration.set(generationId, engine);
     this.#recentRequests.add(demand.requestId);
   }
--- a/packages/policy/src/engine_pool.ts
+++ b/packages/policy/src/engine_pool.ts
@@ -31,6 +31,11 @@
     return [...this.#engines.values()].some((engine) => engine.acceptsWork);
   }
 
+  /** Number of engines, also of those that accept no new work. */
+  get size(): number {
+    return this.#engines.size;
+  }
+
   /** Iterates over all engines, also those that accept no new work. */
   values(): Iterable<Engine> {
     return this.#engines.values();
--- a/packages/policy/src/known_prefixes_test.ts
+++ b/packages/policy/src/known_prefixes_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { KnownPrefixes } from "./known_prefixes.ts";
+import { KnownPrefixes, prefixCapacity } from "./known_prefixes.ts";
 
 t.test("counts the leading blocks that are held", (t) => {
   const prefixes = new KnownPrefixes();
@@ -19,3 +19,23 @@
   t.equal(prefixes.countHeldBlocks(["b"]), 1);
   t.end();
 });
+
+// One prompt of many blocks took the place of the prefixes of all others.
+t.test("keeps the leading digests of prompts that exceed the capacity", (t) => {
+  const prefixes = new KnownPrefixes();
+  const digests = Array.from({ length: 9 }, (_, index) => `d${index}`);
+  prefixes.addExpected(["old"], 4);
+  prefixes.addExpected(digests, 4);
+  t.equal(prefixes.size, 4);
+  t.equal(prefixes.countHeldBlocks(digests), 4);
+  t.end();
+});
+
+t.test("all engines of a pool share a bound", (t) => {
+  const kept = (engines: number) => engines * prefixCapacity(engines);
+  t.ok([1, 8, 60, 570, 5_700].every((engines) => kept(engines) <= 131_072));
+  t.equal(prefixCapacity(8), 4_096);
+  t.ok(prefixCapacity(5_700) >= 16);
+  t.equal(prefixCapacity(0), 4_096);
+  t.end();
+});
--- a/packages/policy/src/prefix_digests.ts
+++ b/packages/policy/src/prefix_digests.ts
@@ -10,18 +10,24 @@
  * Engines publish the digests that their prefix cache stores and drops.
  */
 export function prefixDigests(prompt: string): readonly string[] {
-  const digests: string[] = [];
-  let previous = "";
+  const blocks: string[] = [];
   for (
     let end = blockCharacters;
-    end <= prompt.length && digests.length < maxBlocks;
+    end <= prompt.length && blocks.length < maxBlocks;
     end += blockCharacters
   ) {
-    const block = prompt.slice(end - blockCharacters, end);
-    previous = h64ToString(previous + block);
-    digests.push(previous);
+    blocks.push(prompt.slice(end - blockCharacters, end));
   }
-  return digests;
+  return chainDigests(blocks);
+}
+
+/**
+ * Returns a digest per block, covering all blocks up to it. All processes return
+ * the same digests, each of the same length whatever the blocks.
+ */
+export function chainDigests(blocks: readonly string[]): readonly string[] {
+  let previous = "";
+  return blocks.map((block) => previous = h64ToString(previous + block));
 }
 
 /** Estimated tokens per digested block. */
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -6,6 +6,7 @@
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
+import { readGeneration } from "../requests/read_generation.ts";
 import { digestContent } from "../requests/request_fingerprint.ts";
 import { listen } from "../util/listen.ts";
 import { areWritableHeaders } from "./are_writable_headers.ts";
@@ -108,6 +109,7 @@
     const id = `${this.#idPrefix}-${this.#nextId++}`;
     const { codec, exchanges, dispatch } = this.#options;
     const metadata = codec.readRequest(request.headers);
+    const generation = readGeneration(codec, request.headers);
     const { requestId } = metadata;
     const { host } = request.headers;
     if (
@@ -132,14 +134,14 @@
         path: pathOf(request.url ?? "/"),
         key: metadata.key,
         budgetMs: metadata.budgetMs,
-        generation: metadata.generation,
+        generation,
         isForwarded: request.headers[forwardedHeader] !== undefined,
         contentDigest: digestContent({
           method: request.method ?? "GET",
           host: hostNameOf(host),
           url: request.url ?? "/",
           body,
-          prefix: metadata.generation?.prefix ?? [],
+          prefix: generation?.prefix ?? [],
         }),
         arrivedAt,
       });
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -14,8 +14,12 @@
   readonly key: string | null;
   /** Milliseconds that the caller waits for the answer. */
   readonly budgetMs: number | null;
-  /** `null`: the request asks for no generation. */
-  readonly generation: GenerationDemand | null;
+}
+
+/** Fields that are read from the headers of a request for a generation. */
+export interface PromptMetadata extends Omit<GenerationDemand, "prefix"> {
+  /** Entries of all blocks of the prompt, in order. */
+  readonly blocks: readonly string[];
 }
 
 /** Fields that are written to the headers of a request to an upstream. */
@@ -63,6 +67,8 @@
 /** Converts between HTTP headers and the fields that the relay uses. */
 export interface HeaderCodec {
   readRequest(headers: IncomingHttpHeaders): RequestMetadata;
+  /** Returns `null` if the request asks for no generation. */
+  readPrompt(headers: IncomingHttpHeaders): PromptMetadata | null;
   /**
    * Returns the raw headers of an attempt, names and values alternating; `raw`
    * are those of the caller's request.
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -9,7 +9,7 @@
   readonly promptTokens: number;
   /** Limit on the tokens of the answer. */
   readonly maxTokens: number;
-  /** Names of the blocks of the prompt, in order, to find cached prefixes. */
+  /** Digests of the prompt's blocks, each of all blocks up to it. */
   readonly prefix: readonly string[];
   /**
    * Ids of the blocks of the prompt that other requests may share, in order.
--- a/packages/relay/src/requests/request_fingerprint.ts
+++ b/packages/relay/src/requests/request_fingerprint.ts
@@ -7,7 +7,10 @@
   /** Path with its query. */
   readonly url: string;
   readonly body: Buffer;
-  /** Names of the blocks of the prompt, in order; empty without a prompt. */
+  /**
+   * Digests of the prompt's blocks, each of all blocks up to it; empty without a
+   * prompt.
+   */
   readonly prefix: readonly string[];
 }
 
@@ -18,7 +21,7 @@
 export function digestContent(
   { method, host, url, body, prefix }: RequestContent,
 ): string {
-  const head = JSON.stringify([method, host, url, prefix]);
+  const head = JSON.stringify([method, host, url, prefix.slice(-1)]);
   return createHash("sha256").update(head).update(body).digest("base64url")
     .slice(0, digestLength);
 }
--- a/packages/relay/src/requests/request_fingerprint_test.ts
+++ b/packages/relay/src/requests/request_fingerprint_test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { chainDigests } from "@lavenderferry/policy";
 import type { RequestContent } from "./request_fingerprint.ts";
 import { digestContent, fingerprintOf } from "./request_fingerprint.ts";
 
@@ -28,7 +29,9 @@
     { url: "/look/2?day=2" },
     { body: Buffer.from("slot 4") },
     { body: Buffer.alloc(0) },
-    { prefix: ["/p1:20"] },
+    { prefix: chainDigests(["p1:20"]) },
+    { prefix: chainDigests(["p1:20", "p2:20"]) },
+    { prefix: chainDigests(["p2:20"]) },
   ];
   const fingerprints = changes.map((change) => fingerprint(change));
   const others = [fingerprint({}), fingerprint({}, "another caller")];
