fix(relay): heads, trailers and parts of prompts are held to account

Cause: the budget of a process counted bodies and answers alone. A parsed head takes about eight times its bytes if its fields are small, for as long as its request is incomplete or runs, and heads and trailers that do not end are kept as they arrive.

Why this works: a request is held to account from its head to the end of its answer and of its body; heads and trailers that have not ended are held by their connection. Above the limit the largest of the requests that were not sent anywhere ends first, if these hold more than the others together, with a true refusal; a waiting request is refused as not run in place of a 502. Others end as before.

--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -29,6 +29,9 @@
  */
 const writeCostBytes = 512;
 
+/** Header by which the connection is closed after an answer. */
+const closeHeader = ["connection", "close"] as const;
+
 /** What is buffered for a caller that reads slowly. */
 interface Buffered {
   /** Writes since the buffer was last empty. */
@@ -39,6 +42,8 @@
 /** Holds the open requests of callers and writes their answers. */
 export class CallerExchanges {
   readonly #exchanges = new Map<string, CallerExchange>();
+  /** Ids of open exchanges whose request was sent to an upstream. */
+  readonly #sentIds = new Set<string>();
   readonly #codec: HeaderCodec;
   readonly #budget: ByteBudget;
   readonly #buffered = new Map<ServerResponse, Buffered>();
@@ -63,9 +68,20 @@
 
   /** Removes an exchange; returns whether it was open. */
   remove(id: string): boolean {
+    this.#sentIds.delete(id);
     return this.#exchanges.delete(id);
   }
 
+  /** Notes that the request of an open exchange is sent to an upstream. */
+  markSent(id: string): void {
+    this.#sentIds.add(id);
+  }
+
+  /** Whether the request of an open exchange was sent to an upstream. */
+  wasSent(id: string): boolean {
+    return this.#sentIds.has(id);
+  }
+
   /**
    * Ends an exchange on which an effect threw an exception. The request may have
    * run, so its caller gets a failure that promises nothing; an answer that has
@@ -80,7 +96,7 @@
     dispatch: Dispatch<RelayEvent>,
   ): void => {
     const exchange = this.#exchanges.get(exchangeId);
-    this.#exchanges.delete(exchangeId);
+    this.remove(exchangeId);
     if (exchange?.response.headersSent === false) {
       const { response, requestId } = exchange;
       const failure = { error: "upstream_invalid", notRun: "unknown" } as const;
@@ -119,7 +135,7 @@
       this.#accountBuffered(response, wasEmpty);
       if (response.writableLength > maxBufferedBytes) {
         response.destroy();
-        this.#exchanges.delete(exchangeId);
+        this.remove(exchangeId);
         dispatch({ kind: "caller_disconnected", exchangeId });
       }
     },
@@ -138,12 +154,12 @@
       if (exchange !== undefined) {
         const { response, requestId } = exchange;
         this.sendFailure(response, { error, notRun, retryAfterMs, requestId });
-        this.#exchanges.delete(exchangeId);
+        this.remove(exchangeId);
       }
     },
     abort_answer: ({ exchangeId }) => {
       const response = this.#exchanges.get(exchangeId)?.response;
-      this.#exchanges.delete(exchangeId);
+      this.remove(exchangeId);
       response?.destroy();
     },
   }, this.failExchange);
@@ -154,6 +170,8 @@
     readonly notRun: NotRun;
     readonly retryAfterMs?: number | null;
     readonly requestId?: string | undefined;
+    /** Whether the connection is closed after the answer. */
+    readonly closes?: boolean;
   }): void {
     const { error, notRun, retryAfterMs = null, requestId } = failure;
     const { status, title } = errorKinds[error];
@@ -171,6 +189,7 @@
       "content-length",
       String(body.length),
       ...this.#codec.writeFailure(retryAfterMs),
+      ...failure.closes === true && !this.closing ? closeHeader : [],
     ]);
     this.#endResponse(response, body);
   }
@@ -191,7 +210,7 @@
   /** Ends the answer of an exchange, which is then over. */
   #end(exchangeId: string, response: ServerResponse, body?: Buffer): void {
     this.#endResponse(response, body);
-    this.#exchanges.delete(exchangeId);
+    this.remove(exchangeId);
   }
 
   #endResponse(response: ServerResponse, body?: Buffer): void {
@@ -232,7 +251,7 @@
     status: number,
     headers: readonly string[],
   ): void {
-    const connectionHeader = this.closing ? ["connection", "close"] : [];
+    const connectionHeader = this.closing ? closeHeader : [];
     response.writeHead(status, [...headers, ...connectionHeader]);
   }
 }
--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -1,17 +1,22 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { randomBytes } from "node:crypto";
 import type { ConnectionGuard, Dispatch } from "@lavenderferry/runtime";
-import { announce, ChunkBuffer } from "@lavenderferry/runtime";
-import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
+import { announce } from "@lavenderferry/runtime";
+import type { ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
-import { readGeneration } from "../requests/read_generation.ts";
+import { prefixBytesOf, readGeneration } from "../requests/read_generation.ts";
 import { digestContent } from "../requests/request_fingerprint.ts";
 import { listen } from "../util/listen.ts";
 import { areWritableHeaders } from "./are_writable_headers.ts";
 import type { CallerExchange, CallerExchanges } from "./caller_exchanges.ts";
 import { forwardedHeader } from "./forwarded_header.ts";
+import type { HeldPhase } from "./held_request.ts";
+import { HeldRequest } from "./held_request.ts";
+
+/** A caller's request and the response to it. */
+type Messages = Pick<CallerExchange, "request" | "response">;
 
 /** Dependencies of the callers' server. */
 export interface FrontServerOptions {
@@ -109,9 +114,9 @@
     const id = `${this.#idPrefix}-${this.#nextId++}`;
     const { codec, exchanges, dispatch } = this.#options;
     const metadata = codec.readRequest(request.headers);
-    const generation = readGeneration(codec, request.headers);
     const { requestId } = metadata;
     const { host } = request.headers;
+    const held = this.#hold(id, { request, response });
     if (
       requestId === null || host === undefined || !isSendable(request)
     ) {
@@ -119,7 +124,9 @@
       exchanges.sendFailure(response, { error: "bad_request", notRun: true });
       return;
     }
-    this.#readBody(id, { request, response }, (body) => {
+    this.#readBody(held, { request, response }, (body) => {
+      const generation = readGeneration(codec, request.headers);
+      held.addBytes(prefixBytesOf(generation));
       exchanges.add(id, { request, response, requestId, body });
       response.on("close", () => {
         if (exchanges.remove(id)) {
@@ -149,75 +156,62 @@
   }
 
   /**
-   * Reads a body; an incomplete one is dropped with its connection. Its bytes
-   * are held to account until the answer has ended. If the process holds too
-   * much, the request is refused, or fails if it was dispatched. What follows
-   * after a refusal is discarded as far as the guard allows.
+   * Accounts for a request until it is complete and its answer has ended. If the
+   * process holds too much, a request that has not run is refused.
    */
+  #hold(id: string, { request, response }: Messages): HeldRequest {
+    const { budget, dispatch, exchanges } = this.#options;
+    const end: Readonly<Record<HeldPhase, () => void>> = {
+      receiving: () => {
+        // What its caller still sends would be read for nothing.
+        const failure = { error: "overloaded", notRun: true } as const;
+        exchanges.sendFailure(response, {
+          ...failure,
+          retryAfterMs: memoryRetryMs,
+          closes: true,
+        });
+      },
+      dispatched: () => dispatch({ kind: "memory_exceeded", exchangeId: id }),
+      // The answer has left the connection, which the response no longer has.
+      answered: () => request.destroy(),
+    };
+    return new HeldRequest({
+      request,
+      response,
+      budget,
+      hasStarted: () => exchanges.wasSent(id),
+      end: (phase) => end[phase](),
+    });
+  }
+
+  /** Reads a body; an incomplete one is dropped with its connection. */
   #readBody(
-    id: string,
-    { request, response }: Pick<CallerExchange, "request" | "response">,
+    held: HeldRequest,
+    { request, response }: Messages,
     onBody: (body: Buffer) => void,
   ): void {
-    const { budget, exchanges } = this.#options;
-    const body = new ChunkBuffer();
     const maxBytes = this.#maxBodyBytes;
-    let account: ByteAccount | null = null;
     let length = 0;
-    let isRead = false;
-    let isRefused = false;
-    const openAccount = () => {
-      const opened = budget.open(() => {
-        isRefused = !isRead;
-        body.clear();
-        this.#failHeld(id, response, isRead);
-      });
-      response.once("close", opened.close);
-      return opened;
-    };
     request.on("data", (chunk: Buffer) => {
       length += chunk.length;
-      if (isRefused) {
+      if (held.phase !== "receiving") {
         return;
       }
       if (length <= maxBytes) {
-        body.push(chunk);
-        account ??= openAccount();
-        account.set(body.capacity);
+        held.push(chunk);
         return;
       }
-      isRefused = true;
-      body.clear();
-      account?.set(0);
       const error = "body_too_large";
-      exchanges.sendFailure(response, { error, notRun: true });
+      this.#options.exchanges.sendFailure(response, { error, notRun: true });
     });
     request.on("end", () => {
-      isRead = true;
-      if (!isRefused) {
-        onBody(body.take());
+      if (held.phase === "receiving") {
+        onBody(held.take());
       }
     });
     // The caller aborted an incomplete request; nothing was relayed.
     request.on("error", () => response.destroy());
   }
-
-  /** Ends the request that holds most once the process holds too much. */
-  #failHeld(
-    id: string,
-    response: ServerResponse,
-    wasDispatched: boolean,
-  ): void {
-    const { dispatch, exchanges } = this.#options;
-    if (wasDispatched) {
-      const effect = { kind: "hold_request", exchangeId: id };
-      exchanges.failExchange(effect, new Error("Memory limit"), dispatch);
-    } else {
-      const failure = { error: "overloaded", notRun: true } as const;
-      const retryAfterMs = memoryRetryMs;
-      exchanges.sendFailure(response, { ...failure, retryAfterMs });
-    }
-  }
 }
 
 /** Characters that Node refuses to send in a path. */
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -160,6 +160,7 @@
       dispatch({ kind, attemptId, exchangeId, reason, detail });
       return;
     }
+    this.#exchanges.markSent(exchangeId);
     const attempt: Attempt = { request, dropped: false };
     this.#attempts.set(attemptId, attempt);
     new AnswerReader({
--- a/packages/relay/src/memory/byte_budget.ts
+++ b/packages/relay/src/memory/byte_budget.ts
@@ -9,18 +9,29 @@
 /** Something to do after what is being done. */
 type Task = () => void;
 
+/** An open account, and how its exchange is ended. */
+interface Entry {
+  bytes: number;
+  readonly end: Task;
+  readonly hasStarted: () => boolean;
+}
+
+/** The accounts of exchanges that have, or have not, started to run. */
+interface Group {
+  bytes: number;
+  largest: readonly [ByteAccount, Entry] | null;
+}
+
 /**
  * Bounds the bytes that all exchanges of a process hold together. Once they
- * exceed the limit, the exchange that holds most of them is ended, so that the
- * others go on.
+ * exceed the limit, exchanges that hold most of them are ended, so that the
+ * others go on. Those that have not started to run give way first, if they hold
+ * more than the others together: they lose nothing but time.
  */
 export class ByteBudget {
   readonly #limitBytes: number;
   readonly #defer: (task: Task) => void;
-  readonly #accounts = new Map<ByteAccount, {
-    bytes: number;
-    readonly end: Task;
-  }>();
+  readonly #accounts = new Map<ByteAccount, Entry>();
   #heldBytes = 0;
 
   /** `defer` runs a task after what is being done. */
@@ -38,11 +49,12 @@
   }
 
   /**
-   * Opens an account. If its exchange holds most when the limit is exceeded, the
-   * account is closed and `end` is called, not while another exchange is read.
+   * Opens an account. If its exchange is to be ended when the limit is exceeded,
+   * the account is closed and `end` is called, not while another exchange is
+   * read.
    */
-  open(end: Task): ByteAccount {
-    const entry = { bytes: 0, end };
+  open(end: Task, hasStarted: () => boolean = () => true): ByteAccount {
+    const entry = { bytes: 0, end, hasStarted };
     const account: ByteAccount = {
       set: (bytes) => {
         if (this.#accounts.has(account)) {
@@ -63,16 +75,28 @@
 
   #enforce(): void {
     while (this.#heldBytes > this.#limitBytes) {
-      const [first, ...others] = this.#accounts;
-      if (first === undefined) {
+      const { started, waiting } = this.#groups();
+      const { largest } = waiting.bytes > started.bytes ? waiting : started;
+      if (largest === null) {
         return;
       }
-      const [account, { end }] = others.reduce(
-        (largest, other) => other[1].bytes > largest[1].bytes ? other : largest,
-        first,
-      );
+      const [account, { end }] = largest;
       account.close();
       this.#defer(end);
     }
   }
+
+  #groups(): { readonly started: Group; readonly waiting: Group } {
+    const started: Group = { bytes: 0, largest: null };
+    const waiting: Group = { bytes: 0, largest: null };
+    for (const item of this.#accounts) {
+      const [, { bytes, hasStarted }] = item;
+      const group = hasStarted() ? started : waiting;
+      group.bytes += bytes;
+      if (group.largest === null || bytes > group.largest[1].bytes) {
+        group.largest = item;
+      }
+    }
+    return { started, waiting };
+  }
 }
--- a/packages/relay/src/memory/byte_budget_test.ts
+++ b/packages/relay/src/memory/byte_budget_test.ts
@@ -25,6 +25,35 @@
   t.end();
 });
 
+// A crowd of requests without bodies ended the answers of others, which held more
+// than any one of the crowd.
+t.test("requests that have not started give way if they hold more", (t) => {
+  const budget = new ByteBudget(100, runAtOnce);
+  const ended: string[] = [];
+  const running = budget.open(() => ended.push("running"));
+  running.set(40);
+  for (const name of ["first", "second", "third", "fourth"]) {
+    budget.open(() => ended.push(name), () => false).set(20);
+  }
+  t.strictSame(ended, ["first"]);
+  t.equal(budget.heldBytes, 100);
+  running.set(70);
+  t.strictSame(ended, ["first", "running"]);
+  t.equal(budget.heldBytes, 60);
+  t.end();
+});
+
+t.test("a request that starts is no longer among those that give way", (t) => {
+  const budget = new ByteBudget(100, runAtOnce);
+  const ended: string[] = [];
+  let hasStarted = false;
+  budget.open(() => ended.push("sent"), () => hasStarted).set(60);
+  hasStarted = true;
+  budget.open(() => ended.push("waiting"), () => false).set(50);
+  t.strictSame(ended, ["sent"], "the others do not hold more");
+  t.end();
+});
+
 t.test("the limit holds, whatever the exchanges do", (t) => {
   const steps = fc.array(fc.record({
     index: fc.nat({ max: 7 }),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -108,7 +108,8 @@
       server,
       limits,
       onClosed: (reason) => metrics.connectionsClosed.inc({ reason }),
-      openAccount: (end) => budget.open(end),
+      openAccount: (end, hasStarted) => budget.open(end, hasStarted),
+      handlerAccounts: server === "callers",
     });
   const frontServer: FrontServer = new FrontServer({
     codec: ports.headers,
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -63,6 +63,12 @@
   readonly arrivedAt: number;
 }
 
+/** The process holds too much for a request whose caller waits for the answer. */
+export interface MemoryExceeded {
+  readonly kind: "memory_exceeded";
+  readonly exchangeId: string;
+}
+
 /** Result of copying a generation's memory to another engine. */
 export type CopyOutcome =
   /** The handle identifies the memory at the engine of the generation. */
@@ -184,6 +190,7 @@
 export type RequestEvent =
   | RequestReceived
   | RelayingFailed
+  | MemoryExceeded
   | { readonly kind: "caller_disconnected"; readonly exchangeId: string }
   | {
     readonly kind: "attempt_refused";
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -66,7 +66,8 @@
       readonly kind:
         | "request_received"
         | "caller_disconnected"
-        | "relaying_failed";
+        | "relaying_failed"
+        | "memory_exceeded";
     }
   >,
   RelayEffect
--- a/packages/relay/src/requests/read_generation.ts
+++ b/packages/relay/src/requests/read_generation.ts
@@ -15,3 +15,11 @@
   const { blocks, ...demand } = prompt;
   return { ...demand, prefix: chainDigests(blocks) };
 }
+
+/** Bytes that the digest of one block takes in a list. */
+const digestBytes = 40;
+
+/** Returns the bytes that the digests of a prompt's blocks take. */
+export function prefixBytesOf(generation: GenerationDemand | null): number {
+  return digestBytes * (generation?.prefix.length ?? 0);
+}
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -39,6 +39,9 @@
  */
 const drainingRetryMs = 50;
 
+/** Retry delay for callers whose request does not fit into memory. */
+const memoryRetryMs = 500;
+
 /** Milliseconds before the stop deadline at which final answers are sent. */
 export const finalAnswerMs = 200;
 
@@ -86,6 +89,8 @@
       ];
     },
     relaying_failed: endFailedExchange,
+    memory_exceeded: (state, { exchangeId, at }) =>
+      dropLargeRequest(state, exchangeId, at),
   };
 
 /** Ends a request whose exchange with the caller is already closed. */
@@ -116,6 +121,41 @@
   ];
 }
 
+/** Ends a request for which the process holds too much. */
+function dropLargeRequest(
+  state: RelayState,
+  exchangeId: string,
+  at: Moment,
+): readonly RelayEffect[] {
+  const reason = "memory_limit";
+  const request = state.requests.get(exchangeId);
+  const unconfirmed = state.unconfirmedRequests.get(exchangeId);
+  if (request !== undefined) {
+    const effects = dropRequest(state, request, {
+      reason,
+      errorIfNotRun: "overloaded",
+      errorIfUnknown: "upstream_invalid",
+      outcome: "failed",
+      retryAfterMs: state.random.jitter(memoryRetryMs, retryJitterShare),
+      at,
+    });
+    return [...effects, ...releaseBacklogs(state, at)];
+  }
+  if (unconfirmed === undefined) {
+    return [];
+  }
+  state.unconfirmedRequests.delete(exchangeId);
+  const subject = unconfirmed.event.requestId;
+  return [
+    recordDecision(state, { kind: "refuse", subject, reason, figures: {} }, at),
+    ...sendFailure(exchangeId, {
+      error: "overloaded",
+      notRun: true,
+      retryAfterMs: state.random.jitter(memoryRetryMs, retryJitterShare),
+    }),
+  ];
+}
+
 /** Fails a request that has reached its deadline. */
 export function expireRequest(
   state: RelayState,
--- a/packages/relay/src/requests/request_part_test.ts
+++ b/packages/relay/src/requests/request_part_test.ts
@@ -359,3 +359,35 @@
   t.strictSame(urgencies, [1, 2]);
   t.end();
 });
+
+// Such a request was answered 502 even if it had not run, and its upstream went on.
+t.test("a request that holds too much memory is refused if it has not run", (t) => {
+  const relay = createStartedRelay();
+  relay.request({ exchangeId: "sent" });
+  const sent = relay.reduce({ kind: "memory_exceeded", exchangeId: "sent" });
+  t.match(only(sent, "send_failure"), [{
+    error: "upstream_invalid",
+    notRun: "unknown",
+  }]);
+  t.equal(only(sent, "drop_attempt").length, 1);
+  for (let index = 0; index < 100; index++) {
+    relay.request({ exchangeId: `x${index}`, requestId: `r${index}` });
+  }
+  const waiting = [...relay.state.requests.values()]
+    .find(({ phase }) => phase === "waiting");
+  t.ok(waiting, "one waits for its turn");
+  const { exchangeId = "" } = waiting ?? {};
+  const refused = relay.reduce({ kind: "memory_exceeded", exchangeId });
+  t.match(only(refused, "send_failure"), [{
+    exchangeId,
+    error: "overloaded",
+    notRun: true,
+    retryAfterMs: Number,
+  }]);
+  t.strictSame(
+    relay.reduce({ kind: "memory_exceeded", exchangeId }),
+    [],
+    "an ended request is left alone",
+  );
+  t.end();
+});
--- a/packages/runtime/src/chunked_body_end.ts
+++ b/packages/runtime/src/chunked_body_end.ts
@@ -13,12 +13,23 @@
 export class ChunkedBodyEnd {
   readonly #lines = new EmptyLineFinder();
   #isInTrailers = false;
+  #trailerLength = 0;
   /** Bytes of the current chunk that follow its first line. */
   #left = 0;
   /** Length in the current chunk's first line, as far as it was read. */
   #size = 0;
   #isSizeRead = false;
 
+  /** Bytes of the trailers that have arrived. */
+  get trailerLength(): number {
+    return this.#trailerLength;
+  }
+
+  /** Complete lines of the trailers that have arrived. */
+  get trailerLines(): number {
+    return this.#lines.lines;
+  }
+
   /** Returns the index after the body, or -1 if it does not end here. */
   find(bytes: Uint8Array, from: number): number {
     let index = from;
@@ -32,13 +43,19 @@
         index += 1;
       }
     }
-    return this.#isInTrailers ? this.#lines.find(bytes, index) : -1;
+    if (!this.#isInTrailers) {
+      return -1;
+    }
+    const end = this.#lines.find(bytes, index);
+    this.#trailerLength += (end < 0 ? bytes.length : end) - index;
+    return end;
   }
 
   /** Continues as at the start of a body. */
   reset(): void {
     this.#lines.reset();
     this.#isInTrailers = false;
+    this.#trailerLength = 0;
     this.#left = 0;
     this.#startFirstLine();
   }
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -76,8 +76,16 @@
   readonly onClosed?: (reason: CloseReason) => void;
   /** Writes a log line; by default to standard output. */
   readonly log?: typeof announce;
-  /** Opens an account of what a connection holds; `end` closes it. */
-  readonly openAccount?: (end: () => void) => HeldBytesAccount;
+  /**
+   * Opens an account of what a connection holds; `end` closes it. `hasStarted`
+   * tells whether a request is in progress on it.
+   */
+  readonly openAccount?: (
+    end: () => void,
+    hasStarted: () => boolean,
+  ) => HeldBytesAccount;
+  /** Whether the handler of requests accounts for them; by default it does not. */
+  readonly handlerAccounts?: boolean;
 }
 
 /** Least milliseconds between two log lines with the same reason. */
@@ -94,6 +102,7 @@
 export class ConnectionGuard {
   readonly limits: ConnectionLimits;
   readonly openAccount: ConnectionGuardOptions["openAccount"];
+  readonly handlerAccounts: boolean;
   readonly #options: ConnectionGuardOptions;
   readonly #connections = new Set<GuardedConnection>();
   readonly #logs = new Map<CloseReason, { at: number; unlogged: number }>();
@@ -103,6 +112,7 @@
     this.#options = options;
     this.limits = options.limits;
     this.openAccount = options.openAccount;
+    this.handlerAccounts = options.handlerAccounts ?? false;
   }
 
   /** Creates a server whose connections are guarded. */
--- a/packages/runtime/src/connection_guard_test.ts
+++ b/packages/runtime/src/connection_guard_test.ts
@@ -122,6 +122,30 @@
   t.strictSame(reasons, []);
 });
 
+// Node keeps the fields of a head and of trailers as they arrive, and nothing
+// counted them until the request was complete.
+t.test("heads and trailers that do not end are held to account", async (t) => {
+  const { open, heldBytes } = await startServer(t, (request, response) => {
+    request.resume();
+    request.on("end", () => response.end());
+  });
+  const fields = "x: y\r\n".repeat(1_000);
+  const head = open().resume();
+  head.write(`GET / HTTP/1.1\r\nhost: a\r\n${fields}`);
+  await waitUntil(() => heldBytes() > 72_000);
+  head.write("\r\n");
+  await waitUntil(() => heldBytes() === 0);
+  head.destroy();
+  const trailers = open().resume();
+  trailers.write(
+    "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n" +
+      `1\r\nx\r\n0\r\n${fields}`,
+  );
+  await waitUntil(() => heldBytes() > 72_000);
+  trailers.write("\r\n");
+  await waitUntil(() => heldBytes() === 0);
+});
+
 // Reading went on while requests awaited their turn, faster than they had it.
 t.test("what waits on a connection is bounded", async (t) => {
   const { open, heldBytes } = await startServer(t, (_, response) => {
--- a/packages/runtime/src/empty_line_finder.ts
+++ b/packages/runtime/src/empty_line_finder.ts
@@ -7,6 +7,12 @@
   #lineLength = 0;
   /** The last byte of the piece before. */
   #lastByte = 0;
+  #lines = 0;
+
+  /** Complete lines since the last call of `reset`. */
+  get lines(): number {
+    return this.#lines;
+  }
 
   /**
    * Returns the index after the first empty line that ends at or after `from`,
@@ -21,6 +27,7 @@
         this.#lastByte = bytes.at(-1) ?? this.#lastByte;
         return -1;
       }
+      this.#lines += 1;
       const length = this.#lineLength + end - start;
       const last = end > start ? bytes[end - 1] : this.#lastByte;
       this.#lineLength = 0;
@@ -34,5 +41,6 @@
   /** Continues as at the start of a line. */
   reset(): void {
     this.#lineLength = 0;
+    this.#lines = 0;
   }
 }
--- a/packages/runtime/src/guarded_connection.ts
+++ b/packages/runtime/src/guarded_connection.ts
@@ -8,6 +8,7 @@
   HeldBytesAccount,
 } from "./connection_guard.ts";
 import { EmptyLineFinder } from "./empty_line_finder.ts";
+import { estimateHeadBytes, headBytesOf } from "./head_bytes.ts";
 import { registerConnection } from "./guarded_messages.ts";
 
 const emptyBytes: Buffer = Buffer.alloc(0);
@@ -60,6 +61,8 @@
   #head = { bytesRead: 0, at: 0 };
   #discardedBytes = 0;
   #emptyLines = 0;
+  /** Bytes of the next request's head that have been parsed. */
+  #headLength = 0;
   #hasServed = false;
   #idleSince = performance.now();
   #isPaused = false;
@@ -142,6 +145,7 @@
     response.once("close", () => {
       this.#response = null;
       this.#endIfComplete();
+      this.#boundHeld();
     });
   }
 
@@ -268,7 +272,9 @@
 
   #parse(piece: Buffer): void {
     const request = this.#request;
-    if (request !== null && this.#bodyLeft !== null) {
+    if (request === null) {
+      this.#headLength += piece.length;
+    } else if (this.#bodyLeft !== null) {
       this.#bodyLeft = this.#bodyLeft - piece.length || null;
     }
     if (request !== null && this.#response === null) {
@@ -291,6 +297,7 @@
   #endIfComplete(): void {
     if (this.#response === null && this.#request?.complete === true) {
       this.#request = null;
+      this.#headLength = 0;
       this.#hasServed = true;
       this.#idleSince = performance.now();
       this.#lines.reset();
@@ -333,18 +340,33 @@
     if (this.#socket.destroyed) {
       return;
     }
-    const held = this.#hasBytes ? this.#bytes.length + this.#later.capacity : 0;
-    if (this.#isAnswering && held > this.#guard.limits.pipelinedBytes) {
+    const unparsed = this.#hasBytes
+      ? this.#bytes.length + this.#later.capacity
+      : 0;
+    if (this.#isAnswering && unparsed > this.#guard.limits.pipelinedBytes) {
       this.close("pipelined");
       return;
     }
+    const held = unparsed + this.#headBytes;
     if (held > 0) {
-      const { openAccount } = this.#guard;
-      this.#account ??= openAccount?.(() => this.close("memory")) ?? null;
+      this.#account ??= this.#guard.openAccount?.(
+        () => this.close("memory"),
+        () => this.#request?.complete === true,
+      ) ?? null;
     }
     this.#account?.set(held);
   }
 
+  /** Bytes that the head and the trailers take for which no handler accounts. */
+  get #headBytes(): number {
+    if (this.#request === null) {
+      return estimateHeadBytes(this.#headLength, this.#lines.lines);
+    }
+    const { trailerLength, trailerLines } = this.#bodyEnd;
+    return estimateHeadBytes(trailerLength, trailerLines) +
+      (this.#guard.handlerAccounts ? 0 : headBytesOf(this.#request));
+  }
+
   #clear(): void {
     this.#bytes = emptyBytes;
     this.#offset = 0;
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./decisions.ts";
 export * from "./end_process.ts";
 export * from "./hash_text.ts";
+export * from "./head_bytes.ts";
 export * from "./logger.ts";
 export * from "./loop.ts";
 export * from "./process.ts";
