fix(relay): requests that are refused in any case are not looked into

Cause: the callers' server read the generation and digested the request before it dispatched it, and only the reducer looks up route and key.

Why this works: the server asks the state first (`refusesAtOnce`, the same functions that the reducer decides by) and dispatches the bare head if the refusal is certain. The reducer never starts a request without its content: it is refused as not ready if the routing has changed in between. Requests that wait for the routing to be confirmed are read as before.

--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -4,8 +4,9 @@
 import { announce } from "@lavenderferry/runtime";
 import type { ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
-import type { RelayEvent } from "../relay_event.ts";
+import type { RelayEvent, RequestReceived } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
+import type { RequestHead } from "../requests/refuses_at_once.ts";
 import { prefixBytesOf, readGeneration } from "../requests/read_generation.ts";
 import { digestContent } from "../requests/request_fingerprint.ts";
 import { listen } from "../util/listen.ts";
@@ -24,6 +25,8 @@
   readonly exchanges: CallerExchanges;
   /** Bounds what all requests hold. */
   readonly budget: ByteBudget;
+  /** Whether a request is refused whatever else it holds. */
+  readonly refuses: (head: RequestHead) => boolean;
   /** Bounds what clients send. */
   readonly guard: ConnectionGuard;
   readonly dispatch: Dispatch<RelayEvent>;
@@ -124,9 +127,17 @@
       exchanges.sendFailure(response, { error: "bad_request", notRun: true });
       return;
     }
+    const head = {
+      host: hostNameOf(host),
+      path: pathOf(request.url ?? "/"),
+      key: metadata.key,
+    };
     this.#readBody(held, { request, response }, (body) => {
-      const generation = readGeneration(codec, request.headers);
-      held.addBytes(prefixBytesOf(generation));
+      // What is refused in any case must not cost more than its transfer.
+      const content = this.#options.refuses(head)
+        ? { generation: null, contentDigest: null }
+        : this.#readContent(request, body);
+      held.addBytes(prefixBytesOf(content.generation));
       exchanges.add(id, { request, response, requestId, body });
       response.on("close", () => {
         if (exchanges.remove(id)) {
@@ -137,24 +148,32 @@
         kind: "request_received",
         exchangeId: id,
         requestId,
-        host: hostNameOf(host),
-        path: pathOf(request.url ?? "/"),
-        key: metadata.key,
+        ...head,
         budgetMs: metadata.budgetMs,
-        generation,
+        ...content,
         isForwarded: request.headers[forwardedHeader] !== undefined,
-        contentDigest: digestContent({
-          method: request.method ?? "GET",
-          host: hostNameOf(host),
-          url: request.url ?? "/",
-          body,
-          prefix: generation?.prefix ?? [],
-        }),
         arrivedAt,
       });
     });
   }
 
+  /** Reads the generation that a request asks for, and digests the request. */
+  #readContent(
+    request: IncomingMessage,
+    body: Buffer,
+  ): Pick<RequestReceived, "generation" | "contentDigest"> {
+    const { method = "GET", url = "/", headers } = request;
+    const generation = readGeneration(this.#options.codec, headers);
+    const contentDigest = digestContent({
+      method,
+      host: hostNameOf(headers.host ?? ""),
+      url,
+      body,
+      prefix: generation?.prefix ?? [],
+    });
+    return { generation, contentDigest };
+  }
+
   /**
    * Accounts for a request until it is complete and its answer has ended. If the
    * process holds too much, a request that has not run is refused.
--- a/packages/relay/src/http/pipelined_request_test.ts
+++ b/packages/relay/src/http/pipelined_request_test.ts
@@ -21,6 +21,7 @@
     codec,
     exchanges,
     budget: unlimitedBudget,
+    refuses: () => false,
     guard: new ConnectionGuard({
       server: "callers",
       limits: defaultConnectionLimits,
--- a/packages/relay/src/http/unsendable_request_test.ts
+++ b/packages/relay/src/http/unsendable_request_test.ts
@@ -29,6 +29,7 @@
       codec,
       exchanges: new CallerExchanges(codec, unlimitedBudget),
       budget: unlimitedBudget,
+      refuses: () => false,
       guard: new ConnectionGuard({
         server: "callers",
         limits: defaultConnectionLimits,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -33,6 +33,7 @@
 import { reduceRelay } from "./reduce.ts";
 import type { RelayEffect } from "./relay_effect.ts";
 import type { RelayEvent } from "./relay_event.ts";
+import { refusesAtOnce } from "./requests/refuses_at_once.ts";
 import { routingFormat } from "./routing/routing_format.ts";
 import type { RelaySettings } from "./settings.ts";
 import type { RelayState } from "./state.ts";
@@ -115,6 +116,7 @@
     codec: ports.headers,
     exchanges: callerExchanges,
     budget,
+    refuses: (head) => refusesAtOnce(state, head, systemClock.now()),
     guard: guardOf("callers", {
       ...defaultConnectionLimits,
       ...settings.connections,
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -57,8 +57,11 @@
   readonly generation: GenerationDemand | null;
   /** Whether a peer that reaches no upstream has forwarded it. */
   readonly isForwarded: boolean;
-  /** Digest of all that two equal requests of one caller share. */
-  readonly contentDigest: string;
+  /**
+   * Digest of all that two equal requests of one caller share; `null`: the
+   * request is refused whatever it holds, and was not looked into.
+   */
+  readonly contentDigest: string | null;
   /** Monotonic milliseconds at which the request began to arrive. */
   readonly arrivedAt: number;
 }
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -8,7 +8,6 @@
 } from "../relay_event.ts";
 import type { Route } from "../routing/routing.ts";
 import type { RelayState } from "../state.ts";
-import { mayPlaceRequests } from "../upstreams/evacuations.ts";
 import { count, recordDecision, sendFailure } from "../util/effects.ts";
 import {
   dropRequest,
@@ -18,6 +17,7 @@
 } from "./place_request.ts";
 import { findQuarantine } from "../quarantine/quarantine_part.ts";
 import { answerPart } from "./answer_part.ts";
+import { assignRequest, isReadyForRequests } from "./refuses_at_once.ts";
 import type { RelayedRequest } from "./relayed_request.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import {
@@ -190,40 +190,25 @@
   state: RelayState,
   event: Timed<RequestReceived>,
 ): readonly RelayEffect[] {
-  const { exchangeId, requestId, host, path, at } = event;
+  const { exchangeId, requestId, host, path, contentDigest, at } = event;
   state.lastRequestAt = at.monotonic;
-  const { routeTable } = state;
-  if (
-    routeTable === null || !state.upstreamsKnown || !mayPlaceRequests(state)
-  ) {
-    return [
-      recordDecision(state, {
-        kind: "refuse",
-        subject: requestId,
-        reason: "not_ready",
-        figures: { version: routeTable?.routing.version ?? 0 },
-      }, at),
-      ...sendFailure(exchangeId, {
-        error: "not_ready",
-        notRun: true,
-        retryAfterMs: state.random.jitter(notReadyRetryMs, retryJitterShare),
-      }),
-    ];
+  const version = state.routeTable?.routing.version ?? 0;
+  if (!isReadyForRequests(state)) {
+    return refuseNotReady(state, event);
   }
-  const { version } = routeTable.routing;
-  const route = routeTable.findRoute(host, path);
-  const workspace = routeTable.findWorkspace(event.key ?? "");
-  const unknownKey = routeTable.requiresKeys && workspace === undefined;
-  if (route === undefined || (unknownKey && !route.keyless)) {
-    const error = route === undefined ? "not_found" : "unauthenticated";
+  const assignment = assignRequest(state, event);
+  if ("error" in assignment) {
+    const { error } = assignment;
     const ageMs = routingAgeMs(state, at);
     const figures = { version, ageMs, host, path: path.slice(0, 64) };
     return refuseByRouting(state, event, { error, figures });
   }
-  const request = createRequest(state, event, {
-    route,
-    workspace: workspace ?? null,
-  });
+  if (contentDigest === null) {
+    // The routing has changed since the request was received.
+    return refuseNotReady(state, event);
+  }
+  const { route } = assignment;
+  const request = createRequest(state, event, { ...assignment, contentDigest });
   const quarantine = findQuarantine(state, request, at);
   if (quarantine !== undefined) {
     const retryAfterMs = quarantine.deadline - at.monotonic;
@@ -282,6 +267,26 @@
   ];
 }
 
+/** Refuses a request until routes and upstreams are known. */
+function refuseNotReady(
+  state: RelayState,
+  { exchangeId, requestId, at }: Timed<RequestReceived>,
+): readonly RelayEffect[] {
+  return [
+    recordDecision(state, {
+      kind: "refuse",
+      subject: requestId,
+      reason: "not_ready",
+      figures: { version: state.routeTable?.routing.version ?? 0 },
+    }, at),
+    ...sendFailure(exchangeId, {
+      error: "not_ready",
+      notRun: true,
+      retryAfterMs: state.random.jitter(notReadyRetryMs, retryJitterShare),
+    }),
+  ];
+}
+
 /**
  * Whether a request ends before a stopping process exits: at its own deadline
  * or, soon after the stop, because no recent answer of its route took as long as
@@ -311,9 +316,10 @@
 function createRequest(
   state: RelayState,
   event: RequestReceived,
-  { route, workspace }: {
+  { route, workspace, contentDigest }: {
     readonly route: Route;
     readonly workspace: string | null;
+    readonly contentDigest: string;
   },
 ): RelayedRequest {
   const { exchangeId, requestId, budgetMs, arrivedAt } = event;
@@ -327,10 +333,7 @@
     urgency: event.generation === null
       ? null
       : chooseUrgency(state, route, workspace),
-    fingerprint: fingerprintOf(
-      event.contentDigest,
-      workspace ?? event.key ?? "",
-    ),
+    fingerprint: fingerprintOf(contentDigest, workspace ?? event.key ?? ""),
     isForwarded: event.isForwarded,
     peers: [],
     sharedBlocks: event.generation?.sharedBlocks ?? [],
