fix(runtime): the texts of kept decisions are bounded

Ids, hosts and details come from clients.

Cause: the last 1,024 decisions were bounded in number only, and the start of a path was a slice, which keeps the whole text alive.

Why this works: a subject of more than 128 characters is kept as its start and a hash, a figure as a copy of its first 128 characters; a search by the whole id finds it. The log writes what is kept.

Measured: the new test failed before (the buffer kept all of it) and passes.

--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -200,7 +200,7 @@
   if ("error" in assignment) {
     const { error } = assignment;
     const ageMs = routingAgeMs(state, at);
-    const figures = { version, ageMs, host, path: path.slice(0, 64) };
+    const figures = { version, ageMs, host, path };
     return refuseByRouting(state, event, { error, figures });
   }
   if (contentDigest === null) {
--- a/packages/relay/src/util/effects.ts
+++ b/packages/relay/src/util/effects.ts
@@ -20,9 +20,8 @@
   decision: Omit<Decision, "at">,
   at: Moment,
 ): RelayEffect {
-  const timedDecision = { ...decision, at: at.wall };
-  state.decisions.add(timedDecision);
-  return { kind: "log_decision", decision: timedDecision };
+  const kept = state.decisions.add({ ...decision, at: at.wall });
+  return { kind: "log_decision", decision: kept };
 }
 
 /** A failure that the relay itself answers with. */
--- a/packages/runtime/src/decisions_test.ts
+++ b/packages/runtime/src/decisions_test.ts
@@ -15,6 +15,28 @@
   t.end();
 });
 
+// Callers choose the ids of their requests, and the buffer kept them in full: 1,500
+// ids of 60,000 characters took 72 MB.
+t.test("the texts of a decision are bounded", (t) => {
+  const decisions = new Decisions(10);
+  const subject = "a".repeat(60_000);
+  const host = "h".repeat(60_000);
+  const decision = { kind: "refuse", reason: "not_found", at: 1 } as const;
+  const figures = { version: 7, host, path: "/short" };
+  const added = decisions.add({ ...decision, subject, figures });
+  t.matchSnapshot({
+    subject: added.subject.length,
+    host: String(added.figures["host"]).length,
+    version: added.figures["version"],
+    path: added.figures["path"],
+  });
+  t.strictSame(decisions.findBySubject(subject), [added]);
+  t.strictSame(decisions.findBySubject(`${subject}b`), []);
+  const short = decisions.add({ ...decision, subject: "r1", figures: {} });
+  t.strictSame(decisions.findBySubject("r1"), [short]);
+  t.end();
+});
+
 t.test("one seed gives the same numbers within their bounds", (t) => {
   const one = new Random(7);
   const two = new Random(7);
