fix(policy): what is learned of models is bounded in bytes

Callers saw: nothing by itself; the names of models are headers of clients, and each new one was kept.

Cause: distributions of output lengths that changed are kept until somebody takes them. In a relay nobody does, so that they grew with each name whose generation finished. The other tables are bounded in number, but names of any length were their keys.

Why this works: the changed distributions are bounded like the classes, the least recent one gives way; a relay learns by a digest of a name above 256 characters.

--- a/packages/policy/src/output_lengths.ts
+++ b/packages/policy/src/output_lengths.ts
@@ -62,7 +62,12 @@
     countOutput(entryOf(this.#models, key.model, maxClassKeys), bucket);
     const { workClass, model } = key;
     const counts = Array.from(classCounts.counts);
+    this.#changedSketches.delete(classKey);
     this.#changedSketches.set(classKey, { workClass, model, counts });
+    const [oldest] = this.#changedSketches.keys();
+    if (this.#changedSketches.size > maxClassKeys && oldest !== undefined) {
+      this.#changedSketches.delete(oldest);
+    }
   }
 
   /** Returns the distribution for a key. */
--- a/packages/policy/src/output_lengths_test.ts
+++ b/packages/policy/src/output_lengths_test.ts
@@ -98,3 +98,17 @@
   t.equal(lengths.takeChangedSketches().length, 0);
   t.end();
 });
+
+// Where nobody takes them, as in a relay, they grew with each model that a caller named.
+t.test("changed distributions are bounded by the classes that are kept", (t) => {
+  const lengths = new OutputLengths();
+  for (let index = 0; index < 3_000; index++) {
+    const model = `m${index}`;
+    lengths.learn({ workspace: "w", workClass: "tag", model }, 10);
+  }
+  const changed = lengths.takeChangedSketches();
+  t.equal(changed.length, 1_024);
+  t.equal(changed.at(-1)?.model, "m2999");
+  t.strictSame(lengths.takeChangedSketches(), []);
+  t.end();
+});
--- a/packages/relay/src/requests/read_generation.ts
+++ b/packages/relay/src/requests/read_generation.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
 import { chainDigests } from "@lavenderferry/policy";
 import type { HeaderCodec } from "../ports.ts";
@@ -12,8 +13,18 @@
   if (prompt === null) {
     return null;
   }
-  const { blocks, ...demand } = prompt;
-  return { ...demand, prefix: chainDigests(blocks) };
+  const { blocks, model, ...demand } = prompt;
+  return { ...demand, model: nameOf(model), prefix: chainDigests(blocks) };
+}
+
+/** Longest name of a model that is kept as it is, in characters. */
+const maxModelLength = 256;
+
+/** Returns the name by which lengths of outputs are learned for a model. */
+function nameOf(model: string): string {
+  return model.length <= maxModelLength
+    ? model
+    : createHash("sha256").update(model).digest("base64url");
 }
 
 /** Bytes that the digest of one block takes in a list. */
