fix(relay): an answer with an invalid status tells nothing

Callers saw: no answer with such a status.

Cause: the status was checked only before a head was passed on, after what the answer says of its request.

Why this works: the status is read once, before anything else of the answer; without a valid one the attempt has failed with an unknown outcome.

--- a/packages/relay/src/http/answer_reader.ts
+++ b/packages/relay/src/http/answer_reader.ts
@@ -1,13 +1,14 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { readFinalStatus } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import { ChunkBuffer, costOfChunk } from "@lavenderferry/runtime";
 import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { AnswerMetadata, HeaderCodec } from "../ports.ts";
 import type { Target } from "../relay_effect.ts";
 import type { AnswerHead, RelayEvent } from "../relay_event.ts";
+import { areWritableHeaders } from "./are_writable_headers.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { isHeaderValue } from "./is_header_value.ts";
-import { isWritableHead } from "./is_writable_head.ts";
 import { readInTurns } from "./read_in_turns.ts";
 
 /** Milliseconds that establishing a connection may take. */
@@ -165,14 +166,22 @@
 
   #readAnswer(request: ClientRequest, response: IncomingMessage): void {
     const { codec, requestId, streaming, target } = this.#options;
-    const { statusCode: status = 0 } = response;
+    const status = readFinalStatus(response.statusCode);
+    if (status === null) {
+      const detail = `status ${response.statusCode ?? ""}`;
+      this.#fail(request, "invalid_status", detail);
+      return;
+    }
     const metadata = codec.readAnswer(response.headers);
     // On a kept connection, an answer without an id may be to an earlier request.
     const isForeign = metadata.requestId === null
       ? request.reusedSocket
       : metadata.requestId !== requestId;
     if (target.isPeer && !metadata.signed) {
-      this.#readPeerFailure(request, response, metadata.pauseMs);
+      this.#readPeerFailure(request, response, {
+        status,
+        retryAfterMs: metadata.pauseMs,
+      });
       return;
     }
     if (!target.isPeer && !isForeign && status !== misdirectedStatus) {
@@ -196,7 +205,7 @@
     } else {
       const headers = codec.writeAnswer(response.rawHeaders);
       const head = { status, headers };
-      if (!isWritableHead(head)) {
+      if (!areWritableHeaders(headers)) {
         this.#fail(request, "invalid_head");
         return;
       }
@@ -210,9 +219,11 @@
   #readPeerFailure(
     request: ClientRequest,
     response: IncomingMessage,
-    retryAfterMs: number,
+    { status, retryAfterMs }: {
+      readonly status: number;
+      readonly retryAfterMs: number;
+    },
   ): void {
-    const { statusCode: status = 0 } = response;
     const isRefusal = notRunStatuses.has(status) ||
       (status >= minClientErrorStatus && status < minServerErrorStatus);
     if (isRefusal) {
