fix(entry): an answer with an invalid status is not passed on

Callers saw (own interface): the answer of a service with the status 600 or 999, as an answer; with a key it was recorded, and repeats got it again. A generation whose engine answered 600 or 999 with `not_started` was started at another engine.

Cause: the client library delivers any status from 200 on, and nothing checked it.

Evidence: answer_status_test, 13 texts in place of a status for calls with and without a key, with the statement that they have not run, and generations. Before: 600 and 999 gave `call_answered` and `not_started`; all others failed with an unknown outcome.

Why this works: the status is read once by `readFinalStatus`; without a valid one the call has failed with an unknown outcome and the generation is lost. A record of an earlier build with such a status is an unreadable row: its key is `key_unresolved`.

--- a/packages/entry/src/calls/call_part.ts
+++ b/packages/entry/src/calls/call_part.ts
@@ -1,3 +1,4 @@
+import { readFinalStatus } from "@lavenderferry/errors";
 import type { Json, Row } from "@lavenderferry/platform";
 import { requestBlockOf } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
@@ -33,7 +34,8 @@
   requestId: z.string(),
   resolveBy: z.number(),
   expiresAt: z.number(),
-  status: z.number().nullable(),
+  status: z.number().refine((status) => readFinalStatus(status) !== null)
+    .nullable(),
   contentType: z.string().nullable(),
   body: z.string().nullable(),
 });
--- a/packages/entry/src/calls/service_runner.ts
+++ b/packages/entry/src/calls/service_runner.ts
@@ -1,5 +1,5 @@
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
-import { KnownError, toFailure } from "@lavenderferry/errors";
+import { KnownError, readFinalStatus, toFailure } from "@lavenderferry/errors";
 import type { PlatformClient } from "@lavenderferry/platform";
 import type { Dispatcher } from "undici";
 import { Agent } from "undici";
@@ -67,9 +67,17 @@
         headers: headersOf(effect),
         body: method === "GET" ? null : body,
       });
+      const status = readFinalStatus(response.statusCode);
+      if (status === null) {
+        discardBody(response);
+        throw new KnownError(
+          `The answer has the status ${response.statusCode}`,
+          { kind: "upstream_invalid" },
+        );
+      }
       const contentType = String(response.headers["content-type"] ?? "");
       const answer = {
-        status: response.statusCode,
+        status,
         contentType,
         body: await readAnswerBody(response),
       };
@@ -94,7 +102,7 @@
   const hasFraming = headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
   if (!hasFraming && !statusesWithoutBody.includes(statusCode)) {
-    body.destroy();
+    discardBody(response);
     throw new KnownError(
       "The answer has no Content-Length or Transfer-Encoding",
       {
@@ -116,6 +124,12 @@
   return Buffer.concat(chunks).toString("utf8");
 }
 
+/** Closes the connection of an answer whose body is not read. */
+function discardBody({ body }: Dispatcher.ResponseData): void {
+  // Without a listener, the error that the close causes would end the process.
+  body.on("error", () => undefined).destroy();
+}
+
 function headersOf(
   effect: Extract<CallEffect, { kind: "call_service" }>,
 ): Record<string, string> {
--- a/packages/entry/src/generations/engine_stream.ts
+++ b/packages/entry/src/generations/engine_stream.ts
@@ -1,3 +1,4 @@
+import { readFinalStatus } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
 import type { EventSourceParser } from "eventsource-parser";
 import { createParser } from "eventsource-parser";
@@ -179,6 +180,9 @@
 
   #classifyErrorStatus(): EngineFailure {
     const { isResume } = this.#attempt;
+    if (readFinalStatus(this.#status) === null) {
+      return { kind: "lost", reason: "invalid_status" };
+    }
     if (isResume && this.#status === 404) {
       return { kind: "gone" };
     }
