fix(relay): answers that are being written do not give way to a crowd

Callers would have seen: under a crowd of heads, a whole answer that a slow caller still reads cut before the requests of the crowd; and a body beyond the limit stayed in memory, counted, until the rest was discarded.

Cause: whether a request has started was asked of the open exchanges, which an ended answer has left; the body was no longer dropped with its refusal.

Why this works: a dispatched request counts as started until its answer is written; the body is dropped when it is refused.

--- a/packages/relay/src/http/front_server.ts
+++ b/packages/relay/src/http/front_server.ts
@@ -3,6 +3,7 @@
 import type { ConnectionGuard, Dispatch } from "@lavenderferry/runtime";
 import { announce } from "@lavenderferry/runtime";
 import type { ByteBudget } from "../memory/byte_budget.ts";
+import { memoryRetryMs } from "../memory/memory_retry_ms.ts";
 import type { HeaderCodec } from "../ports.ts";
 import type { RelayEvent, RequestReceived } from "../relay_event.ts";
 import type { SocketAddress } from "@lavenderferry/fleet";
@@ -41,12 +42,6 @@
 /** Time-out of request headers until a routing sets the limit. */
 const defaultHeadersTimeoutMs = 3_000;
 
-/**
- * Retry delay for callers whose request does not fit into memory, in
- * milliseconds.
- */
-const memoryRetryMs = 500;
-
 /** Random bytes at the start of exchange ids. */
 const idPrefixBytes = 6;
 
@@ -191,7 +186,7 @@
         });
       },
       dispatched: () => dispatch({ kind: "memory_exceeded", exchangeId: id }),
-      // The answer has left the connection, which the response no longer has.
+      // Node detaches a response from its connection once it is written.
       answered: () => request.destroy(),
     };
     return new HeldRequest({
@@ -220,6 +215,7 @@
         held.push(chunk);
         return;
       }
+      held.dropBody();
       const error = "body_too_large";
       this.#options.exchanges.sendFailure(response, { error, notRun: true });
     });
--- a/packages/relay/src/http/held_request.ts
+++ b/packages/relay/src/http/held_request.ts
@@ -47,7 +47,7 @@
       const { phase } = this;
       this.#body.clear();
       end(phase);
-    }, hasStarted);
+    }, () => this.#isDispatched && (this.phase === "answered" || hasStarted()));
     const release = () => {
       if (request.complete || request.socket.destroyed) {
         this.#account.close();
@@ -84,6 +84,12 @@
     return body;
   }
 
+  /** Drops what has been received of the body. */
+  dropBody(): void {
+    this.#body.clear();
+    this.#update();
+  }
+
   /** Adds to the bytes that are held besides the body. */
   addBytes(bytes: number): void {
     this.#otherBytes += bytes;
--- a/packages/relay/src/http/held_request_test.ts
+++ b/packages/relay/src/http/held_request_test.ts
@@ -1,4 +1,5 @@
-import type { Socket } from "node:net";
+import { createServer } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
 import { connect } from "node:net";
 import {
   ConnectionGuard,
@@ -11,6 +12,7 @@
 import type { RelayEvent } from "../relay_event.ts";
 import { CallerExchanges } from "./caller_exchanges.ts";
 import { FrontServer } from "./front_server.ts";
+import { HeldRequest } from "./held_request.ts";
 
 /** Starts a callers' server with a budget, and connects to it. */
 async function startServer(t: Test, limitBytes: number) {
@@ -130,3 +132,48 @@
   await waitUntil(() => refused.received.text.includes("closed"));
   t.ok(budget.heldBytes < 50_000);
 });
+
+// Such a request counted as one that has not run, and its answer was cut first.
+t.test("a request whose answer is being written does not give way to a crowd", async (t) => {
+  const budget = new ByteBudget(80_000);
+  const ended: string[] = [];
+  const server = createServer((request, response) => {
+    request.resume();
+    request.on("end", () => {
+      const held = new HeldRequest({
+        request,
+        response,
+        budget,
+        // As of an exchange that has ended.
+        hasStarted: () => false,
+        end: (phase) => ended.push(phase),
+      });
+      held.take();
+      response.end(Buffer.alloc(50_000_000));
+      for (const name of ["first", "second"]) {
+        budget.open(() => ended.push(name), () => false).set(30_000);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1").pause();
+  t.teardown(() => socket.destroy());
+  socket.write(`${headOf(500, "content-length: 4")}body`);
+  await waitUntil(() => ended.length > 0);
+  t.strictSame(ended, ["first"]);
+});
+
+// The body stayed, and counted, for as long as the rest of it was discarded.
+t.test("the body of a request that is too large is not kept", async (t) => {
+  const { budget, open } = await startServer(t, 1_000_000);
+  const { socket, received } = open();
+  socket.write(headOf(10, "content-length: 40000"));
+  for (let sent = 0; sent < 12; sent++) {
+    socket.write("b".repeat(1_000));
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  await waitUntil(() => received.text.includes("413"));
+  t.ok(budget.heldBytes < 2_000, `${budget.heldBytes} bytes are held`);
+});
--- a/packages/relay/src/requests/read_generation.ts
+++ b/packages/relay/src/requests/read_generation.ts
@@ -20,7 +20,7 @@
 /** Longest name of a model that is kept as it is, in characters. */
 const maxModelLength = 256;
 
-/** Returns the name by which lengths of outputs are learned for a model. */
+/** Returns the name of a model, or a digest if it is too long to be kept. */
 function nameOf(model: string): string {
   return model.length <= maxModelLength
     ? model
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -1,5 +1,6 @@
 import type { Demand } from "@lavenderferry/policy";
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
+import { memoryRetryMs } from "../memory/memory_retry_ms.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 import type {
   RelayingFailed,
@@ -39,9 +40,6 @@
  */
 const drainingRetryMs = 50;
 
-/** Retry delay for callers whose request does not fit into memory. */
-const memoryRetryMs = 500;
-
 /** Milliseconds before the stop deadline at which final answers are sent. */
 export const finalAnswerMs = 200;
 
