test(review): what the ends of processes cost ordinary callers

Cases 11 and 12 now judge LOST: requests of ordinary callers on kept channels that sound servers run while a process ends.

--- a/review/standins-3/system.js
+++ b/review/standins-3/system.js
@@ -377,6 +377,7 @@
         text,
         complete,
         error,
+        reused: request.reusedSocket,
         sentAt,
         endedAt: now(),
       });
@@ -419,6 +420,16 @@
   });
 }
 
+/**
+ * Whether a request from a kept channel had been passed on to a server, and its
+ * channel ended without an answer.
+ */
+export function isLost({ status, reused, error }, runs) {
+  const isClosed = status === 0 && error !== "time limit" &&
+    error !== "cancelled";
+  return isClosed && reused && runs.length > 0;
+}
+
 /** Headers of a client's request. */
 export function clientHeaders(id, change = {}) {
   return {
