--- a/review/standins-3/system.js
+++ b/review/standins-3/system.js
@@ -17,6 +17,16 @@
 export const host = "one.example";
 export const key = "key-1";
 
+/** Exit code of a case that could not run. */
+const couldNotRun = 2;
+
+for (const event of ["uncaughtException", "unhandledRejection"]) {
+  process.on(event, (error) => {
+    process.stderr.write(`${error?.stack ?? error}\n`);
+    process.exit(couldNotRun);
+  });
+}
+
 const root = fileURLToPath(new URL("../..", import.meta.url));
 
 /** Resolves after a time. */
@@ -266,7 +276,11 @@
         LAVENDERFERRY_CONFIG: this.#path,
       },
     });
-    this.exited = once(this.child, "exit");
+    const { child } = this;
+    this.exited = once(child, "exit");
+    const kill = () => child.kill("SIGKILL");
+    process.once("exit", kill);
+    child.once("exit", () => process.off("exit", kill));
     for (const output of [this.child.stdout, this.child.stderr]) {
       let rest = "";
       output.on("data", (chunk) => {
