fix(relay): the end of a stream is not complete after a stop without an answer

Cause: that the engine was asked to stop a run was a field of the move. Whatever ended the move dropped it: a call without an answer (failMove), an answer 409 (releaseMove), a next departure that began a copy without a stop. The end of a stream with neither a length nor chunks, which is how an engine ends a stopped run, then counted as the end of the answer. Evidence: the relay's log has `retry unknown` with phase `stopping`, then `finish streamed` for the same request.

The stop is now a state of the attempt, with a table of what shows what (stop_state.ts): a call that got no answer stays unconfirmed whatever later calls say, until the engine says that the run has stopped. The end of a stream is held while an answer to a stop is awaited, and settled in one place (settle_end.ts): complete only if no stop can have ended it (409, 404 or no connection at the first stop), else resumed from the copy, else cut. A departure after an unconfirmed stop asks for the stop again, which brings a handle, and does not copy beside the run. A stop whose connection was not established was not asked for (outcome `unreachable`).

--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -1,12 +1,8 @@
 import type { EventHandlers, Moment, Timed } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { RequestEvent } from "../relay_event.ts";
-import {
-  endAttempt,
-  failRequest,
-  releaseBacklogs,
-} from "../requests/place_request.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
+import { mayBeStopped, stopAnswered } from "../requests/stop_state.ts";
 import type { RelayState } from "../state.ts";
 import { isDeparting, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
@@ -25,8 +21,9 @@
   reserveMemory,
 } from "./reserve_memory.ts";
 import { mustStopUnstarted, restartStopped } from "./restart_generation.ts";
-import { countBegun, countCopy, countIfLost } from "./rescue_counts.ts";
+import { countBegun, countCopy } from "./rescue_counts.ts";
 import { resumeFromCopy, resumeStopped } from "./resume_generation.ts";
+import { hasEndedWhole, settleEnd } from "./settle_end.ts";
 import { isSilent, mayRunOn, stopBeforeResumption } from "./silence.ts";
 import { moveDelayMs } from "./move_delay.ts";
 import { awaitResumption } from "./stopped_generation.ts";
@@ -297,8 +294,9 @@
   const tokens = contextTokens(pool, request);
   const moveMs = expectedMoveMs(state, request, { to: target, tokens });
   const leavesMs = (request.departure?.leavesAt ?? Infinity) - at.monotonic;
-  const stopsNow = stop || stopsUnstarted || mustStopAtOnce(leavesMs, moveMs);
-  const streamEnded = request.move?.streamEnded ?? false;
+  // A copy beside the run is of no use if the run may be stopped at any time.
+  const stopsNow = stop || stopsUnstarted || mayBeStopped(request.stop) ||
+    mustStopAtOnce(leavesMs, moveMs);
   const generationId = moveReservationId(attemptId);
   // The existing copy is kept to resume the generation if the move fails.
   releaseMove(state, request, at);
@@ -309,7 +307,6 @@
     copyRequestedAt: at.monotonic,
     copyCount: 1,
     excludedEngines,
-    streamEnded,
     hasCopy: false,
   };
   request.move = move;
@@ -345,7 +342,14 @@
   ) {
     return [];
   }
-  if (move.hasCopy && outcome.kind !== "copied" && outcome.kind !== "busy") {
+  if (move.phase === "stopping") {
+    const hasBegun = request.firstEventAt !== null;
+    request.stop = stopAnswered(request.stop, outcome, { hasBegun });
+  }
+  if (
+    move.hasCopy && outcome.kind !== "copied" && outcome.kind !== "busy" &&
+    !hasEndedWhole(request)
+  ) {
     // It was asked to stop, runs no more, or its engine is out of reach.
     const reason = "leaving";
     const effects = resumeFromCopy(state, request, { reason, at });
@@ -375,10 +379,14 @@
     case "no_room":
       return moveElsewhere(state, request, { move, ...outcome, at });
     case "busy":
+      if (request.streamEnd !== null) {
+        return failMove(state, request, { move, reason: outcome.kind, at });
+      }
       releaseMove(state, request, at);
       return [retryDeparture(request, at)];
     case "not_running":
       return failMove(state, request, { move, reason: outcome.kind, at });
+    case "unreachable":
     case "unknown": {
       const { kind: reason, detail } = outcome;
       return failMove(state, request, { move, reason, detail, at });
@@ -435,10 +443,9 @@
 }
 
 /**
- * Handles a failed move. If the stream has not ended, the generation is still
- * running, as its engine was not asked to stop it or refused to; the end of one
- * that its engine does not know may have been lost. Otherwise the generation is
- * resumed from its copy, or is lost if there is none.
+ * Handles a failed move. While the stream has not ended, the generation may still
+ * be running and is moved again; the end of one that its engine does not know may
+ * have been lost.
  */
 function failMove(
   state: RelayState,
@@ -453,30 +460,28 @@
 ): readonly RelayEffect[] {
   const { requestId, upstream, events } = request;
   const { to, phase } = move;
-  const figures = { upstream, to, events, phase, outcome: reason, detail };
-  const decision = { subject: requestId, reason: "copy_failed", figures };
-  const hasEnded = move.streamEnded ||
+  const figures = {
+    upstream,
+    to,
+    events,
+    phase,
+    stop: request.stop,
+    outcome: reason,
+    detail,
+  };
+  const hasEnded = request.streamEnd !== null ||
     (reason === "not_running" && isSilent(request, at));
   if (!hasEnded) {
     releaseMove(state, request, at);
     return [
-      recordDecision(state, { ...decision, kind: "retry", reason }, at),
+      recordDecision(
+        state,
+        { kind: "retry", subject: requestId, reason, figures },
+        at,
+      ),
       count("retries", reason),
       retryDeparture(request, at),
     ];
   }
-  const effects = resumeFromCopy(state, request, { reason: "copy_failed", at });
-  if (effects !== null) {
-    return effects;
-  }
-  const lostEffects = countIfLost(state, request);
-  const endEffects = endAttempt(state, request, { outcome: "failed", at });
-  state.requests.delete(request.exchangeId);
-  return [
-    ...lostEffects,
-    recordDecision(state, { ...decision, kind: "drop" }, at),
-    ...endEffects,
-    ...failRequest(request, { error: "generation_lost", notRun: false }),
-    ...releaseBacklogs(state, at),
-  ];
+  return settleEnd(state, request, { figures, at });
 }
--- a/packages/relay/src/moves/request_copy.ts
+++ b/packages/relay/src/moves/request_copy.ts
@@ -1,6 +1,7 @@
 import type { Moment } from "@lavenderferry/runtime";
 import type { RelayEffect } from "../relay_effect.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
+import { stopRequested } from "../requests/stop_state.ts";
 import type { RelayState } from "../state.ts";
 
 /**
@@ -20,13 +21,20 @@
  */
 const quickCopyMs = 400;
 
-/** Creates the effect that copies, or stops, a generation that is moved. */
+/**
+ * Creates the effect that copies, or stops, a generation that is moved. From then
+ * on its stream may end by the stop.
+ */
 export function requestCopy(
   state: RelayState,
   request: RelayedRequest,
   { to, phase }: Move,
 ): RelayEffect {
   const { attemptId, exchangeId, requestId, upstream } = request;
+  const stop = phase === "stopping";
+  if (stop) {
+    request.stop = stopRequested(request.stop);
+  }
   return {
     kind: "copy_generation",
     attemptId,
@@ -34,7 +42,7 @@
     requestId,
     from: state.upstreams.get(upstream)?.address ?? "",
     to: state.upstreams.get(to)?.address ?? "",
-    stop: phase === "stopping",
+    stop,
   };
 }
 
--- a/packages/relay/src/moves/silence.ts
+++ b/packages/relay/src/moves/silence.ts
@@ -59,7 +59,6 @@
     // The copy that is kept already is the first one.
     copyCount: 2,
     excludedEngines: [],
-    streamEnded: false,
     hasCopy: true,
   };
   request.move = move;
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -90,6 +90,8 @@
     /** Message of the engine, for the log. */
     readonly detail: string;
   }
+  /** No connection to the engine was established, so that it was not asked. */
+  | { readonly kind: "unreachable"; readonly detail: string }
   /** The engine did not answer, or its answer was not understood. */
   | { readonly kind: "unknown"; readonly detail: string };
 
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -6,7 +6,6 @@
   mayEndUpstreams,
   recordAnswered,
   recordLoss,
-  suspectIdsOf,
 } from "../quarantine/quarantine_part.ts";
 import { forwardRequest, isAtPeer } from "../forwarding/forward_request.ts";
 import {
@@ -16,18 +15,14 @@
 } from "../forwarding/forwarding_part.ts";
 import type { RelayState } from "../state.ts";
 import { closeUpstream } from "../state.ts";
-import { recordFinalEvents } from "../moves/departure_plan.ts";
 import { movePart, retryDeparture } from "../moves/move_part.ts";
-import { countIfLost, countMove } from "../moves/rescue_counts.ts";
+import { countIfLost } from "../moves/rescue_counts.ts";
 import { copyReservationId, generatedTokens } from "../moves/reserve_memory.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
+import { endStoppable } from "../moves/settle_end.ts";
 import { markStopped, resumeElsewhere } from "../moves/stopped_generation.ts";
 import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
-import {
-  isDeparting,
-  isDeparture,
-  isEvacuated,
-} from "../upstreams/evacuations.ts";
+import { isDeparting, isEvacuated } from "../upstreams/evacuations.ts";
 import { count, recordDecision } from "../util/effects.ts";
 import {
   endAttempt,
@@ -39,10 +34,11 @@
   releaseBacklogs,
   startAttempt,
 } from "./place_request.ts";
-import type { AnswerTime } from "./answer_times.ts";
-import { AnswerTimes } from "./answer_times.ts";
+import { completeStream } from "./complete_stream.ts";
+import { recordAnswerTime } from "./record_answer_time.ts";
 import type { RelayedRequest, RequestPhase } from "./relayed_request.ts";
 import { scheduleResumption } from "./resumption_retry.ts";
+import { mayBeStopped } from "./stop_state.ts";
 
 type Event<Kind extends RequestEvent["kind"]> = Timed<
   Extract<RequestEvent, { kind: Kind }>
@@ -209,57 +205,10 @@
   if (request === undefined) {
     return [];
   }
-  const { at, head, exchangeId, framed } = event;
-  if (request.move?.phase === "stopping" && !framed) {
-    // The engine closes the stream of a generation that was asked to stop.
-    request.move = { ...request.move, streamEnded: true };
-    return [];
-  }
-  const { upstream, events, sends, firstEventMs } = request;
-  // An engine that ends looks like the end of an unframed stream.
-  const provesComplete = events > 0 &&
-    (framed || !isEarlyLoss(request.firstEventAt, at));
-  const ms = Math.round(at.monotonic - request.demand.arrivedAt);
-  const pool = state.pools.get(request.service);
-  if (pool !== undefined) {
-    const tokens = generatedTokens(pool, request);
-    const streamMs = ms - firstEventMs;
-    recordAnswerTime(state, request, { firstEventMs, streamMs, tokens });
-    recordFinalEvents(state, request);
-  }
-  const effects = endRequest(state, request, { outcome: "finished", at });
-  return [
-    recordDecision(state, {
-      kind: "finish",
-      subject: request.requestId,
-      reason: "streamed",
-      figures: {
-        upstream,
-        events,
-        ms,
-        sends,
-        firstMs: Math.round(firstEventMs),
-        longestPauseMs: Math.round(request.longestPauseMs),
-      },
-    }, at),
-    ...isDeparture(state.closeReasons.get(upstream))
-      ? [countMove("ended")]
-      : [],
-    ...effects,
-    { kind: "finish_events", exchangeId, head },
-    ...provesComplete ? recordAnswered(state, suspectIdsOf(request), at) : [],
-    ...releaseBacklogs(state, at),
-  ];
-}
-
-function recordAnswerTime(
-  state: RelayState,
-  { route }: RelayedRequest,
-  time: AnswerTime,
-): void {
-  const times = state.answerTimes.get(route.name) ?? new AnswerTimes();
-  state.answerTimes.set(route.name, times);
-  times.add(time);
+  const { at, head, framed } = event;
+  return !framed && mayBeStopped(request.stop)
+    ? endStoppable(state, request, { head, at })
+    : completeStream(state, request, { head, framed, at });
 }
 
 function handleRefusedAttempt(
@@ -408,10 +357,8 @@
   if (isAtPeer(request)) {
     return handleFailedPeer(state, request, { reason, at });
   }
-  if (request.move?.phase === "stopping") {
-    // The engine closes the stream of a generation that was asked to stop.
-    request.move = { ...request.move, streamEnded: true };
-    return [];
+  if (mayBeStopped(request.stop)) {
+    return endStoppable(state, request, { head: null, at });
   }
   const lossEffects = event.connectionLost === true
     ? recordLoss(state, request, at)
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -308,6 +308,8 @@
   request.sends += 1;
   request.resumption = resumption;
   request.firstEventAt = null;
+  request.stop = "none";
+  request.streamEnd = null;
   request.isStopped = false;
   if (request.phase === "waiting") {
     request.phase = "sent";
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -1,6 +1,8 @@
 import type { Demand } from "@lavenderferry/policy";
 import type { Resumption } from "../relay_effect.ts";
+import type { AnswerHead } from "../relay_event.ts";
 import type { Route } from "../routing/routing.ts";
+import type { StopState } from "./stop_state.ts";
 
 /** Parameters of the generation that a request asks for. */
 export interface GenerationDemand {
@@ -50,8 +52,6 @@
   readonly copyCount: number;
   /** Ids of engines that had no room. */
   readonly excludedEngines: readonly string[];
-  /** Whether the engine closed the stream, as it does after a stop. */
-  readonly streamEnded: boolean;
   /**
    * Whether the generation only has to be stopped, as the engine that it moves
    * to keeps a copy already.
@@ -59,6 +59,12 @@
   readonly hasCopy: boolean;
 }
 
+/** End of a stream whose run may have been stopped. */
+export interface StreamEnd {
+  /** Head of a stream without framing; `null`: it was broken off. */
+  readonly head: AnswerHead | null;
+}
+
 /** When and where a generation is moved off an engine that is leaving. */
 export interface DepartureTurn {
   /** Monotonic milliseconds at which the engine leaves. */
@@ -111,6 +117,10 @@
   copyUpstream: string | null;
   /** The current move to another engine, if there is one. */
   move: Move | null;
+  /** What is known of the stop of the current attempt's run. */
+  stop: StopState;
+  /** End of the current attempt's stream, until it is settled; `null`: none. */
+  streamEnd: StreamEnd | null;
   /** Where the current attempt resumes from; `null`: it starts anew. */
   resumption: Resumption | null;
   /** Refusals of the current resumption in a row. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -346,6 +346,8 @@
     lastEventId: null,
     copyUpstream: null,
     move: null,
+    stop: "none",
+    streamEnd: null,
     firstEventAt: null,
     terminationNoticeAt: 0,
     countedNoticeAt: 0,
