fix(runtime): deadlines beside sockets expire after what has arrived was read

Cause: after a freeze Node fires what is due before it reads what has arrived. Timers of the reducer, the reports of engines and the time-out of connections had the same order.

SocketDeadline puts one turn of reading between the timer and its effect. All deadlines of the relay and its adapter beside a socket use it, ProgressDeadline of the store's client too, which had the same by itself.

--- a/packages/platform/src/progress_deadline.ts
+++ b/packages/platform/src/progress_deadline.ts
@@ -1,3 +1,5 @@
+import { SocketDeadline, timeoutError } from "@lavenderferry/runtime";
+
 /** Milliseconds without any bytes after which a transfer has stalled. */
 const stallMs = 500;
 
@@ -15,14 +17,13 @@
   readonly #controller = new AbortController();
   readonly #latest: number;
   #deadline: number;
-  #timer: NodeJS.Timeout | undefined;
-  #check: NodeJS.Immediate | undefined;
+  #check: SocketDeadline;
 
   constructor(timeoutMs: number) {
     const now = performance.now();
     this.#deadline = now + timeoutMs;
     this.#latest = this.#deadline + maxTransferMs;
-    this.#schedule(now);
+    this.#check = this.#schedule(now);
   }
 
   /** Aborts with a `TimeoutError` once the deadline has passed. */
@@ -38,27 +39,20 @@
 
   /** Ends the deadline, as the answer is complete or has failed. */
   clear(): void {
-    clearTimeout(this.#timer);
-    clearImmediate(this.#check);
+    this.#check.clear();
   }
 
-  #schedule(now: number): void {
-    // Bytes that arrived while the process was busy are read before the check.
-    this.#timer = setTimeout(
-      () => (this.#check = setImmediate(() => this.#expire())),
-      this.#deadline - now,
-    );
-    this.#timer.unref();
+  #schedule(now: number): SocketDeadline {
+    return new SocketDeadline(this.#deadline - now, () => this.#expire());
   }
 
   #expire(): void {
     const now = performance.now();
     if (now < this.#deadline) {
-      this.#schedule(now);
+      this.#check = this.#schedule(now);
       return;
     }
-    const message = "The operation was aborted due to timeout";
-    this.#controller.abort(new DOMException(message, "TimeoutError"));
+    this.#controller.abort(timeoutError());
   }
 }
 
--- a/packages/relay/src/http/answer_reader.ts
+++ b/packages/relay/src/http/answer_reader.ts
@@ -1,7 +1,11 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { readFinalStatus } from "@lavenderferry/errors";
 import type { Dispatch } from "@lavenderferry/runtime";
-import { ChunkBuffer, costOfChunk } from "@lavenderferry/runtime";
+import {
+  ChunkBuffer,
+  costOfChunk,
+  SocketDeadline,
+} from "@lavenderferry/runtime";
 import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { AnswerMetadata, HeaderCodec } from "../ports.ts";
 import type { Target } from "../relay_effect.ts";
@@ -100,14 +104,14 @@
 
   /** Observes a request until its answer ends or its connection fails. */
   read(request: ClientRequest): void {
-    const connectTimer = setTimeout(() => {
+    const connectDeadline = new SocketDeadline(connectTimeoutMs, () => {
       const error = new Error("Connection to the upstream timed out");
       request.destroy(Object.assign(error, { code: "ETIMEDOUT" }));
-    }, connectTimeoutMs);
+    });
     request.on("socket", (socket) => {
       const onConnected = () => {
         this.#connected = true;
-        clearTimeout(connectTimer);
+        connectDeadline.clear();
       };
       if (socket.connecting) {
         socket.once("connect", () => {
@@ -130,13 +134,13 @@
       this.#step(request, () => this.#readAnswer(request, response));
     });
     request.on("error", (error: Error & { readonly code?: string }) => {
-      clearTimeout(connectTimer);
+      connectDeadline.clear();
       this.#step(request, () => {
         this.#endDisconnected(error.code ?? "connection_lost");
       });
     });
     request.on("close", () => {
-      clearTimeout(connectTimer);
+      connectDeadline.clear();
       this.#step(request, () => this.#endDisconnected("connection_lost"));
     });
   }
--- a/packages/relay/src/http/caller_exchanges.ts
+++ b/packages/relay/src/http/caller_exchanges.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind, NotRun } from "@lavenderferry/errors";
 import { errorKinds, problemMediaType, toProblem } from "@lavenderferry/errors";
 import type { Dispatch, EffectHandlers } from "@lavenderferry/runtime";
+import { SocketDeadline } from "@lavenderferry/runtime";
 import type { ByteAccount, ByteBudget } from "../memory/byte_budget.ts";
 import type { HeaderCodec } from "../ports.ts";
 import type { CallerEffect } from "../relay_effect.ts";
@@ -199,7 +200,7 @@
    * `timeoutMs` at the latest.
    */
   async waitUntilWritten(timeoutMs: number): Promise<void> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    const signal = SocketDeadline.signal(timeoutMs);
     const written = [...this.#writing].map((response) =>
       once(response, "close", { signal })
     );
--- a/packages/relay/src/process/process_runner.ts
+++ b/packages/relay/src/process/process_runner.ts
@@ -3,6 +3,7 @@
   DecisionLog,
   EffectHandlers,
 } from "@lavenderferry/runtime";
+import { SocketDeadline } from "@lavenderferry/runtime";
 import type { CallerExchanges } from "../http/caller_exchanges.ts";
 import type { FrontServer } from "../http/front_server.ts";
 import type { ProcessEffect } from "../relay_effect.ts";
@@ -31,9 +32,10 @@
   return {
     set_timer: ({ timer, at }, dispatch) => {
       const delayMs = Math.max(0, at - clock.now().monotonic);
-      // Only the listening sockets keep the process alive.
-      setTimeout(() => dispatch({ kind: "timer_fired", timer }), delayMs)
-        .unref();
+      new SocketDeadline(
+        delayMs,
+        () => dispatch({ kind: "timer_fired", timer }),
+      );
     },
     log_decision: ({ decision }) => log.write(decision),
     count: ({ counter, reason }) => {
--- a/packages/runtime/src/mod.ts
+++ b/packages/runtime/src/mod.ts
@@ -12,5 +12,6 @@
 export * from "./process.ts";
 export * from "./random.ts";
 export * from "./rank_by_rendezvous.ts";
+export * from "./socket_deadline.ts";
 export * from "./steps.ts";
 export * from "./timer_handlers.ts";
