fix(relay): runs whose connection is closed are stopped by a call as well

Cause: the relay took the close of its connection for the end of the run. It asked for a stop only where the connection had been silent for 600 ms. Evidence: `resume leaving` at the relay, and the engine's report lists the run for seconds after.

Whatever gives an attempt up (endAttempt, the one place for it) now also asks its engine to stop the run, unless the run is known to have ended: a resumption from a copy, an answer that can't be read on, a caller that leaves, a request that is cut. The request goes on at once and the stop runs beside it; a call that fails is repeated after 100, 250, 600 and 1,500 ms. The memory that a stop leaves goes to an engine other than the one that goes on with the request, and is freed there. Where nobody goes on with a request, an engine whose last three runs ended with their connections is not asked. A request that comes back to an engine while such a call is open counts its stop as unconfirmed.

--- a/packages/relay/src/fleet/remove_upstream.ts
+++ b/packages/relay/src/fleet/remove_upstream.ts
@@ -26,6 +26,7 @@
       [...state.upstreams].filter(([known]) => known !== id),
     );
     state.closeReasons.delete(id);
+    state.closeEffects.forget(id);
   }
   return effects;
 }
--- a/packages/relay/src/http/upstream_runner.ts
+++ b/packages/relay/src/http/upstream_runner.ts
@@ -81,7 +81,8 @@
         this.#requestReport(effect, "run_checked", dispatch),
       list_runs: (effect, dispatch) =>
         this.#requestReport(effect, "runs_listed", dispatch),
-      stop_generation: (effect) => void this.#stopGeneration(effect),
+      stop_generation: (effect, dispatch) =>
+        void this.#stopGeneration(effect, dispatch),
       copy_generation: (effect, dispatch) => {
         const { attemptId, exchangeId } = effect;
         void this.#copier.copy(effect).then((outcome) =>
@@ -133,10 +134,12 @@
       UpstreamEffect,
       { kind: "stop_generation" }
     >,
+    dispatch: Dispatch<RelayEvent>,
   ): Promise<void> {
     await setTimeout(closeDelayMs);
     const copy = { requestId, from, to, stop: true };
     const outcome = await this.#copier.copy(copy);
+    dispatch({ kind: "generation_stopped", requestId, from, outcome });
     if ("handle" in outcome && outcome.handle !== null) {
       await this.#copier.release(from, outcome.handle);
     }
--- a/packages/relay/src/moves/resume_generation.ts
+++ b/packages/relay/src/moves/resume_generation.ts
@@ -14,7 +14,7 @@
 /**
  * Resumes a generation at the engine that keeps a copy of its memory, or
  * returns `null` if there is no copy. The connection of the previous attempt
- * is closed first, so that its engine stops generating.
+ * is closed first, and its engine is asked to stop generating.
  */
 export function resumeFromCopy(
   state: RelayState,
@@ -63,7 +63,11 @@
   const { to: upstream, resumption, reason, outcome, report, at } = options;
   const { upstream: from, events, requestId, lastEventId } = request;
   const ageMs = Math.round(at.monotonic - (request.firstEventAt ?? NaN));
-  const endEffects = endAttempt(state, request, { outcome, at });
+  const endEffects = endAttempt(state, request, {
+    outcome,
+    resumesAt: upstream,
+    at,
+  });
   if (isOverColdLimit(state, upstream, at)) {
     return [
       ...endEffects,
--- a/packages/relay/src/moves/silence.ts
+++ b/packages/relay/src/moves/silence.ts
@@ -3,7 +3,6 @@
 import type { EngineReport } from "../relay_event.ts";
 import type { Move, RelayedRequest } from "../requests/relayed_request.ts";
 import type { RelayState } from "../state.ts";
-import { isEvacuated } from "../upstreams/evacuations.ts";
 import { recordDecision } from "../util/effects.ts";
 import { requestCopy } from "./request_copy.ts";
 
@@ -74,32 +73,3 @@
     requestCopy(state, request, move),
   ];
 }
-
-/**
- * Asks the engine of a request that ends to stop its generation, over a new
- * connection. An engine that has seen the old one close runs it no more.
- */
-export function stopSilentGeneration(
-  state: RelayState,
-  request: RelayedRequest,
-  at: Moment,
-): readonly RelayEffect[] {
-  const { pools, upstreams } = state;
-  const { service, upstream, copyUpstream, requestId } = request;
-  const source = upstreams.get(upstream);
-  const movesGenerations = pools.get(service)?.service.engines?.moves === true;
-  if (!movesGenerations || source === undefined || !isSilent(request, at)) {
-    return [];
-  }
-  const target = upstreams.get(copyUpstream ?? "") ??
-    [...upstreams.values()].find((vm) =>
-      vm.id !== upstream && vm.pool === service && vm.state === "live" &&
-      !isEvacuated(state, vm.id)
-    );
-  return target === undefined ? [] : [{
-    kind: "stop_generation",
-    requestId,
-    from: source.address,
-    to: target.address,
-  }];
-}
--- a/packages/relay/src/process/lifecycle_part.ts
+++ b/packages/relay/src/process/lifecycle_part.ts
@@ -20,6 +20,7 @@
   releaseBacklogs,
   scheduleRelease,
 } from "../requests/place_request.ts";
+import { retryStop } from "../moves/stop_part.ts";
 import { retryResumption } from "../requests/answer_part.ts";
 import type { RelayedRequest } from "../requests/relayed_request.ts";
 import { expireRequest, finalAnswerMs } from "../requests/request_part.ts";
@@ -103,6 +104,7 @@
   depart: (state, { exchangeId }, at) => depart(state, exchangeId, at),
   retry_resumption: (state, { exchangeId }, at) =>
     retryResumption(state, exchangeId, at),
+  retry_stop: (state, { key }) => retryStop(state, key),
   check_engine: (state, { upstream }, at) => checkEngine(state, upstream, at),
   probe_upstreams: (state, _timer, at) => continueProbes(state, at),
   check_stop: (state, _timer, at) => checkStop(state, at),
--- a/packages/relay/src/process/metrics.ts
+++ b/packages/relay/src/process/metrics.ts
@@ -25,6 +25,8 @@
   resumptions: "Streams that went on at another engine, by reason",
   moves: "Moves of generations off engines that leave, by outcome",
   copies: "Copies of generations made ahead, by what became of them",
+  stops:
+    "Runs that nobody read and whose engines were asked to stop, by outcome",
   reports: "Reports requested from engines before a choice, by outcome",
   documents: "Routings read at other relays, by outcome",
 };
@@ -98,6 +100,7 @@
       resumptions: counter("resumptions"),
       moves: counter("moves"),
       copies: counter("copies"),
+      stops: counter("stops"),
       reports: counter("reports"),
       documents: counter("documents"),
     },
--- a/packages/relay/src/process/timers.ts
+++ b/packages/relay/src/process/timers.ts
@@ -18,6 +18,7 @@
   | { readonly kind: "refuse_unconfirmed"; readonly exchangeId: string }
   | { readonly kind: "depart"; readonly exchangeId: string }
   | { readonly kind: "retry_resumption"; readonly exchangeId: string }
+  | { readonly kind: "retry_stop"; readonly key: string }
   | { readonly kind: "check_engine"; readonly upstream: string }
   | { readonly kind: "probe_upstreams" }
   | { readonly kind: "check_stop" };
--- a/packages/relay/src/relay_effect.ts
+++ b/packages/relay/src/relay_effect.ts
@@ -174,7 +174,8 @@
   | "reports"
   | "documents"
   | "moves"
-  | "copies";
+  | "copies"
+  | "stops";
 
 /** Effects on the process. */
 export type ProcessEffect =
--- a/packages/relay/src/relay_event.ts
+++ b/packages/relay/src/relay_event.ts
@@ -251,6 +251,14 @@
     readonly exchangeId: string;
     readonly outcome: CopyOutcome;
   }
+  | {
+    /** Outcome of a call that asks an engine to stop a run that nobody reads. */
+    readonly kind: "generation_stopped";
+    readonly requestId: string;
+    /** Address of the engine. */
+    readonly from: string;
+    readonly outcome: CopyOutcome;
+  }
   | {
     /** A batch of complete events of a stream. */
     readonly kind: "events_received";
--- a/packages/relay/src/requests/answer_part.ts
+++ b/packages/relay/src/requests/answer_part.ts
@@ -20,6 +20,7 @@
 import { copyReservationId, generatedTokens } from "../moves/reserve_memory.ts";
 import { resumeFromCopy } from "../moves/resume_generation.ts";
 import { endStoppable } from "../moves/settle_end.ts";
+import { stopPart } from "../moves/stop_part.ts";
 import { markStopped, resumeElsewhere } from "../moves/stopped_generation.ts";
 import { isOverColdLimit } from "../upstreams/cold_upstreams.ts";
 import { isDeparting, isEvacuated } from "../upstreams/evacuations.ts";
@@ -69,6 +70,7 @@
   RelayEffect
 > = {
   ...movePart,
+  ...stopPart,
   attempt_refused: handleRefusedAttempt,
   attempt_failed: handleFailedAttempt,
   answer_received: handleAnswer,
@@ -357,7 +359,7 @@
   if (isAtPeer(request)) {
     return handleFailedPeer(state, request, { reason, at });
   }
-  if (mayBeStopped(request.stop)) {
+  if (request.move?.phase === "stopping") {
     return endStoppable(state, request, { head: null, at });
   }
   const lossEffects = event.connectionLost === true
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -16,7 +16,7 @@
   releaseCopy,
   releaseMove,
 } from "../moves/reserve_memory.ts";
-import { stopSilentGeneration } from "../moves/silence.ts";
+import { abandonedRunKey, stopAbandonedRun } from "../moves/abandoned_run.ts";
 import { timerPeriodsMs } from "../process/timers.ts";
 import {
   askBeforePlacement,
@@ -186,29 +186,34 @@
     pool?.dispatcher.withdraw(request.demand.requestId);
     return [];
   }
-  const stopEffects = outcome === "finished"
-    ? []
-    : stopSilentGeneration(state, request, at);
-  return [...endAttempt(state, request, { outcome, at }), ...stopEffects];
+  return endAttempt(state, request, { outcome, at });
 }
 
 /**
- * Ends the current attempt and releases its copy and its move. Its connection
- * is closed unless the answer is complete or the upstream refused.
+ * Ends the current attempt and releases its copy and its move. Unless the answer is
+ * complete or the upstream refused, its connection is closed and its engine is
+ * asked to stop what it may go on with.
  */
 export function endAttempt(
   state: RelayState,
   request: RelayedRequest,
-  { outcome, at }: { readonly outcome: DispatchOutcome; readonly at: Moment },
+  { outcome, resumesAt = null, at }: {
+    readonly outcome: DispatchOutcome;
+    /** Id of the upstream at which the request goes on; `null`: nowhere yet. */
+    readonly resumesAt?: string | null;
+    readonly at: Moment;
+  },
 ): readonly RelayEffect[] {
   const { attemptId } = request;
+  const givesUp = outcome === "cancelled" || outcome === "failed";
+  const stopEffects = givesUp
+    ? stopAbandonedRun(state, request, { resumesAt, at })
+    : [];
   const dispatcher = state.pools.get(request.service)?.dispatcher;
   dispatcher?.ended(attemptId, outcome, at);
   releaseCopy(state, request, at);
   releaseMove(state, request, at);
-  return outcome === "finished" || outcome === "refused"
-    ? []
-    : [{ kind: "drop_attempt", attemptId }];
+  return givesUp ? [{ kind: "drop_attempt", attemptId }, ...stopEffects] : [];
 }
 
 /** Answers with a failure, or closes an answer that has already begun. */
@@ -308,7 +313,9 @@
   request.sends += 1;
   request.resumption = resumption;
   request.firstEventAt = null;
-  request.stop = "none";
+  // A call to stop its former run there may still be under way.
+  const runKey = abandonedRunKey(vm.address, request.requestId);
+  request.stop = state.abandonedRuns.delete(runKey) ? "unconfirmed" : "none";
   request.streamEnd = null;
   request.isStopped = false;
   if (request.phase === "waiting") {
--- a/packages/relay/src/requests/stop_state.ts
+++ b/packages/relay/src/requests/stop_state.ts
@@ -107,6 +107,11 @@
   return stoppableStates.has(state);
 }
 
+/** Whether a run is known to have ended, by itself or by a stop. */
+export function hasRunEnded(state: StopState): boolean {
+  return state === "stopped" || state === "ended";
+}
+
 function evidenceOf(outcome: CopyOutcome, hasBegun: boolean): StopEvidence {
   switch (outcome.kind) {
     case "copied":
--- a/packages/relay/src/state.ts
+++ b/packages/relay/src/state.ts
@@ -16,6 +16,8 @@
 import { Decisions, hashText, Random } from "@lavenderferry/runtime";
 import type { SharedRead, SharedSource } from "./fleet/store_reads.ts";
 import type { Suspension } from "./process/suspension.ts";
+import type { AbandonedRun } from "./moves/abandoned_run.ts";
+import { CloseEffects } from "./moves/close_effects.ts";
 import { CopyRate } from "./moves/copy_rate.ts";
 import type { FinalEvents } from "./moves/final_events.ts";
 import { LeaveRate } from "./moves/leave_rate.ts";
@@ -136,6 +138,9 @@
   readonly requests: Map<string, RelayedRequest>;
   /** Requests that wait for the routing to be confirmed, by exchange id. */
   readonly unconfirmedRequests: Map<string, UnconfirmedRequest>;
+  /** Runs that nobody reads and that may go on, by address and request id. */
+  readonly abandonedRuns: Map<string, AbandonedRun>;
+  readonly closeEffects: CloseEffects;
   /** Newest reports of engines, and the requests for them. */
   readonly engineReports: EngineReports;
   /** Requests that wait for reports of engines, by exchange id. */
@@ -242,6 +247,8 @@
     readsForAll: true,
     requests: new Map(),
     unconfirmedRequests: new Map(),
+    abandonedRuns: new Map(),
+    closeEffects: new CloseEffects(),
     engineReports: new EngineReports(),
     pendingPlacements: new Map(),
     nextQueueReportAt: 0,
