fix(relay): a resumption is not lost before its engine has refused it

Cause: the stream counted as silent, as its last event had come from the engine before, more than 600 ms ago; 404 for a silent stream means that its end was lost. Silence now counts from the start of the attempt (`sentAt`) where it has no event, so that its refusal arrives first and the resumption is retried with the handle that is kept.

refused_resumption_test.ts: the first test fails before (3 checks) and passes after; the second guards what stays: after 600 ms without an event or a refusal the stream is lost.

--- a/packages/relay/src/moves/silence.ts
+++ b/packages/relay/src/moves/silence.ts
@@ -13,12 +13,16 @@
  */
 const silenceMs = 600;
 
-/** Whether the connection of a stream may have gone silent. */
+/**
+ * Whether the connection of a stream may have gone silent. That of an attempt
+ * without an event counts from its start.
+ */
 export function isSilent(
-  { phase, lastProgressAt }: RelayedRequest,
+  { phase, lastProgressAt, sentAt }: RelayedRequest,
   at: Moment,
 ): boolean {
-  return phase === "streaming" && at.monotonic - lastProgressAt >= silenceMs;
+  return phase === "streaming" &&
+    at.monotonic - Math.max(lastProgressAt, sentAt) >= silenceMs;
 }
 
 /**
--- a/packages/relay/src/requests/place_request.ts
+++ b/packages/relay/src/requests/place_request.ts
@@ -312,6 +312,7 @@
   request.upstream = upstream;
   request.sends += 1;
   request.resumption = resumption;
+  request.sentAt = at.monotonic;
   request.firstEventAt = null;
   // A call to stop its former run there may still be under way.
   const runKey = abandonedRunKey(vm.address, request.requestId);
--- a/packages/relay/src/requests/relayed_request.ts
+++ b/packages/relay/src/requests/relayed_request.ts
@@ -127,6 +127,8 @@
   refusedResumptions: number;
   /** Whether no engine runs it until its resumption is tried again. */
   isStopped: boolean;
+  /** Monotonic milliseconds at which the current attempt began. */
+  sentAt: number;
   /** Monotonic milliseconds of the current attempt's first event. */
   firstEventAt: number | null;
   /** Monotonic milliseconds of the upstream's termination notice; 0: none. */
--- a/packages/relay/src/requests/request_part.ts
+++ b/packages/relay/src/requests/request_part.ts
@@ -348,6 +348,7 @@
     move: null,
     stop: "none",
     streamEnd: null,
+    sentAt: arrivedAt,
     firstEventAt: null,
     terminationNoticeAt: 0,
     countedNoticeAt: 0,
