test(platform): large routing waits for the reads that relays began before

The check that some relay receives version 2 from another failed in most runs on x86-64. The test waited 3 s; with all twelve reads open the store itself brought version 2 to all, and none needed to receive it.

The wait was for a time where the test means a condition: that only relays that read for all have a read open. It now waits, once all relays know each other, until the store has answered all reads of that table that were open then. All checks stay as they are.

--- a/packages/standins/src/rows/rows_server.ts
+++ b/packages/standins/src/rows/rows_server.ts
@@ -58,6 +58,8 @@
   #changes: readonly RowChange[] = [];
   /** Callbacks of the feed requests that wait for a change. */
   readonly #feedWaiters = new Set<() => void>();
+  /** Feed requests that wait for a change, with their tables. */
+  readonly #openFeeds = new Map<Promise<void>, string | null>();
   readonly #server: Server;
   #version = 0;
   #era = 1;
@@ -139,6 +141,14 @@
     this.#changes = [...this.#changes, change];
   }
 
+  /** Resolves once the feed requests for a table that wait now are answered. */
+  async waitForOpenFeeds(table: string): Promise<void> {
+    await Promise.all(
+      [...this.#openFeeds].filter(([, feedTable]) => feedTable === table)
+        .map(([feed]) => feed),
+    );
+  }
+
   #wakeFeeds(): void {
     for (const notify of [...this.#feedWaiters]) {
       notify();
@@ -227,7 +237,10 @@
         change.table === table && change.ver > after
       );
     if (newChanges().length === 0) {
-      await this.#waitForChange(Number(query.get("waitMs")));
+      const change = this.#waitForChange(Number(query.get("waitMs")));
+      this.#openFeeds.set(change, table);
+      await change;
+      this.#openFeeds.delete(change);
     }
     const ver = this.#version;
     this.#send(response, 200, { rows: newChanges(), ver, nowMs: 0 });
