refactor(relay): the memory of an abandoned run stays nearby

A stopped run's memory is sent to an engine of the same data centre where there is one, as a copy to another one takes twice as long.

--- a/packages/relay/src/moves/abandoned_run.ts
+++ b/packages/relay/src/moves/abandoned_run.ts
@@ -27,7 +27,7 @@
   readonly calls: number;
 }
 
-/** Key of a run in the state: request ids are unique at one engine only. */
+/** Key of a run in the state; a request may have left runs at several engines. */
 export function abandonedRunKey(from: string, requestId: string): string {
   return `${from} ${requestId}`;
 }
@@ -85,8 +85,8 @@
 
 /**
  * Returns the engine that a stopped run's memory is sent to, until it is freed: the
- * one that has most of it, else any, but preferably not the one that goes on with
- * the same request.
+ * one that has most of it, else one nearby, but preferably not the one that goes on
+ * with the same request.
  */
 function chooseStopTarget(
   state: RelayState,
@@ -98,13 +98,18 @@
   if (copy !== undefined && copy.id !== resumesAt) {
     return copy;
   }
+  const dataCentre = upstreams.get(upstream)?.dataCentre;
+  let target = upstreams.get(resumesAt ?? "");
   for (const vm of upstreams.values()) {
     if (
       vm.id !== upstream && vm.id !== resumesAt && vm.pool === service &&
       vm.state === "live" && !isEvacuated(state, vm.id)
     ) {
-      return vm;
+      target = vm;
+      if (vm.dataCentre === dataCentre) {
+        break;
+      }
     }
   }
-  return upstreams.get(resumesAt ?? "");
+  return target;
 }
--- a/packages/relay/src/moves/move_part.ts
+++ b/packages/relay/src/moves/move_part.ts
@@ -455,9 +455,8 @@
 
 /**
  * Handles a failed move. A run whose memory its engine is known to keep goes on
- * there. While the stream has not ended, the generation may still
- * be running and is moved again; the end of one that its engine does not know may
- * have been lost.
+ * there. While the stream has not ended, the generation may still be running and is
+ * moved again; the end of one that its engine does not know may have been lost.
  */
 function failMove(
   state: RelayState,
--- a/packages/relay/src/moves/stop_part.ts
+++ b/packages/relay/src/moves/stop_part.ts
@@ -58,11 +58,16 @@
   }
   state.abandonedRuns.delete(key);
   const { upstream, calls } = run;
+  const isKnown = state.upstreams.has(upstream);
   if (stop === "ended") {
-    state.closeEffects.recordEnded(upstream);
+    if (isKnown) {
+      state.closeEffects.recordEnded(upstream);
+    }
     return [count("stops", stopOutcomes.not_running)];
   }
-  state.closeEffects.recordOngoing(upstream);
+  if (isKnown) {
+    state.closeEffects.recordOngoing(upstream);
+  }
   const reason = "stopped_after_close";
   const figures = { upstream, calls };
   return [
