fix(relay): the number of stops that are awaited is bounded

Each keeps the id of a request that has ended, which its caller has chosen, for up to five calls of 3 s while an engine does not answer. At most 512 are kept; beyond that a run ends with its connection or its deadline, as before. The test fails without the bound (520 asked).

--- a/packages/relay/src/moves/abandoned_run.ts
+++ b/packages/relay/src/moves/abandoned_run.ts
@@ -27,6 +27,12 @@
   readonly calls: number;
 }
 
+/**
+ * Limit on runs whose stops are awaited. It bounds what is kept of requests that
+ * have ended, and the calls to engines that do not answer.
+ */
+export const maxAbandonedRuns = 512;
+
 /** Key of a run in the state; a request may have left runs at several engines. */
 export function abandonedRunKey(from: string, requestId: string): string {
   return `${from} ${requestId}`;
@@ -60,7 +66,8 @@
     state.pools.get(service)?.service.engines?.moves === true;
   if (
     source === undefined || !movesGenerations || isAtPeer(request) ||
-    request.isStopped || hasRunEnded(stop) || at.monotonic >= deadline
+    request.isStopped || hasRunEnded(stop) || at.monotonic >= deadline ||
+    state.abandonedRuns.size >= maxAbandonedRuns
   ) {
     return [];
   }
--- a/packages/relay/src/moves/abandoned_run_test.ts
+++ b/packages/relay/src/moves/abandoned_run_test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { only, RelayFixture, upstreamOf } from "../fixtures/relay_fixture.ts";
+import { maxAbandonedRuns } from "./abandoned_run.ts";
 import type { CopyOutcome } from "../relay_event.ts";
 import type { RelayEffect } from "../relay_effect.ts";
 
@@ -195,6 +196,19 @@
   t.end();
 });
 
+// What was kept of requests that had ended grew with the callers that left.
+t.test("the number of stops that are awaited is bounded", (t) => {
+  const relay = createRelay();
+  let asked = 0;
+  for (let index = 0; index < maxAbandonedRuns + 8; index++) {
+    const effects = disconnect(relay, startStream(relay));
+    asked += only(effects, "stop_generation").length;
+  }
+  t.equal(asked, maxAbandonedRuns);
+  t.equal(relay.state.abandonedRuns.size, maxAbandonedRuns);
+  t.end();
+});
+
 t.test("a stop that its engine has carried out is logged and counted", (t) => {
   const relay = createRelay();
   const effects = leave(relay, startStream(relay));
